--- /dev/null
+++ b/bench/demonstrator/demonstrator.go
@@ -0,0 +1,172 @@
+// Package demonstrator runs the demo: a deployment under load that loses an
+// owner, and has a data centre taken out and returned.
+//
+// # Usage
+//
+//	rp, err := demonstrator.Run(ctx, demonstrator.Settings{Example: "sapateira", For: 10 * time.Second, Rate: 400, Seed: 1})
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cornellanding.example/bench/checker"
+	"cornellanding.example/bench/launcher"
+	"cornellanding.example/bench/loader"
+	"cornellanding.example/bench/reporter"
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/instance/administrator"
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	settleTime   = 1500 * time.Millisecond
+	// The parts of the run, as shares of its length, at which things happen.
+	killAt   = 0.2
+	outAt    = 0.45
+	returnAt = 0.7
+)
+
+// Settings describe a demo.
+type Settings struct {
+	Example string
+	For     time.Duration
+	Rate    float64
+	Seed    uint64
+	Logger  hclog.Logger
+	// Progress is told what happens, if set.
+	Progress func(text string)
+}
+
+func (se Settings) say(format string, args ...any) {
+	if se.Progress != nil {
+		se.Progress(fmt.Sprintf(format, args...))
+	}
+}
+
+// Run runs the demo and returns its report.
+func Run(ctx context.Context, se Settings) (reporter.Report, error) {
+	var opts []launcher.Option
+	opts = append(opts, launcher.WithExample(se.Example))
+	if se.Logger != nil {
+		opts = append(opts, launcher.WithLogger(se.Logger), launcher.WithSampling(100))
+	}
+	de, err := launcher.New(opts...)
+	if err != nil {
+		return reporter.Report{}, err
+	}
+	defer de.Close()
+	readyCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	if err := de.AwaitReady(readyCtx); err != nil {
+		return reporter.Report{}, err
+	}
+	se.say("%d instances ready after %v", len(de.Entries()), time.Since(startedAt).Round(time.Millisecond))
+	return load(ctx, se, de)
+}
+
+func load(ctx context.Context, se Settings, de *launcher.Deployment) (reporter.Report, error) {
+	lo, err := loader.New(loader.WithCatalogue(de.Catalogue), loader.WithKeys(de.Keys), loader.WithEntries(de.Entries),
+		loader.WithRate(se.Rate), loader.WithSeed(se.Seed))
+	if err != nil {
+		return reporter.Report{}, err
+	}
+	done := make(chan []loader.Result, 1)
+	go func() { done <- lo.Run(ctx, se.For) }()
+	losses, err := disturb(ctx, se, de)
+	results := <-done
+	if err != nil {
+		return reporter.Report{}, err
+	}
+	return reporter.New(History(de, results), losses), nil
+}
+
+// History collects what a deployment's backend servers saw.
+func History(de *launcher.Deployment, results []loader.Result) checker.History {
+	hi := checker.History{Catalogue: de.Catalogue, Results: results}
+	for _, vm := range de.VMs() {
+		hi.Servers = append(hi.Servers, checker.Server{
+			Name: vm.Name, Service: vm.Service, Records: vm.Server.Records(), Counts: vm.Server.Counts(),
+		})
+	}
+	return hi
+}
+
+// disturb kills an owner, and takes a data centre out and back.
+func disturb(ctx context.Context, se Settings, de *launcher.Deployment) ([]reporter.Loss, error) {
+	startedAt := time.Now()
+	at := func(share float64) {
+		time.Sleep(time.Until(startedAt.Add(time.Duration(share * float64(se.For)))))
+	}
+	at(killAt)
+	victim := exclusiveVM(de)
+	kill, err := observe(de, "loss of "+victim.Name, func(me placer.Member) bool { return me.BackendServer == victim.Name }, func() error {
+		se.say("killing %s", victim.Name)
+		de.KillVM(victim.Name)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	at(outAt)
+	centre := de.Catalogue.DataCentres[len(de.Catalogue.DataCentres)-1].Name
+	out, err := observe(de, "data centre "+centre+" out", func(me placer.Member) bool { return me.DataCentre == centre }, func() error {
+		se.say("taking data centre %s out", centre)
+		return de.Edit(ctx, administrator.DataCentreOut{DataCentre: centre})
+	})
+	if err != nil {
+		return nil, err
+	}
+	at(returnAt)
+	back, err := observe(de, "data centre "+centre+" back", func(placer.Member) bool { return false }, func() error {
+		se.say("returning data centre %s", centre)
+		return de.Edit(ctx, administrator.DataCentreOut{DataCentre: centre, IsReturn: true})
+	})
+	return []reporter.Loss{kill, out, back}, err
+}
+
+func exclusiveVM(de *launcher.Deployment) *launcher.VM {
+	for _, vm := range de.VMs() {
+		for _, sv := range de.Catalogue.Services {
+			if sv.Name == vm.Service && sv.Class == cataloguer.Exclusive {
+				return vm
+			}
+		}
+	}
+	return nil
+}
+
+// observe does something and compares the maps before and after.
+func observe(de *launcher.Deployment, what string, isLost func(placer.Member) bool, act func() error) (reporter.Loss, error) {
+	before := de.Tables()
+	lo := reporter.Loss{What: what, At: time.Now()}
+	if err := act(); err != nil {
+		return lo, err
+	}
+	time.Sleep(settleTime)
+	after := de.Tables()
+	moved := map[string]map[uint32]bool{}
+	for service, tb := range before {
+		moved[service] = map[uint32]bool{}
+		for pt := range tb.Map.Partitions {
+			was, _ := tb.Owner(pt)
+			is, _ := after[service].Owner(pt)
+			if isLost(was) {
+				lo.Needed++
+			}
+			if was.BackendServer != is.BackendServer {
+				lo.Moved++
+				moved[service][pt] = true
+			}
+		}
+	}
+	lo.Affected = func(service, key string) bool {
+		tb := before[service]
+		return tb != nil && tb.Map.Partitions > 0 && moved[service][tb.Partition(key)]
+	}
+	return lo, nil
+}
--- /dev/null
+++ b/bench/reporter/reporter.go
@@ -0,0 +1,259 @@
+// Package reporter works out the users' measures of a run and prints them.
+//
+// # Usage
+//
+//	rp := reporter.New(history, losses)
+//	rp.WriteTable(os.Stdout)
+//	err := rp.WriteJSON(os.Stdout)
+package reporter
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"cornellanding.example/bench/checker"
+	"cornellanding.example/bench/loader"
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	minLatency = 1
+	maxLatency = 60_000_000
+	digits     = 3
+	// lateLatency is above what a request waits while its owner is up.
+	lateLatency = 100 * time.Millisecond
+	// lossWindow is how long after a loss its effect is looked for.
+	lossWindow = 5 * time.Second
+	codeRate   = "rateExceeded"
+)
+
+// Loss is an owner that was lost on purpose.
+type Loss struct {
+	What string
+	At   time.Time
+	// Affected tells whether a key of a service had the lost owner.
+	Affected func(service, key string) bool
+	// Moved counts the partitions that changed their owner, and Needed those
+	// that had to.
+	Moved  int
+	Needed int
+}
+
+// Latency holds percentiles in milliseconds.
+type Latency struct {
+	Service string  `json:"service"`
+	Count   int64   `json:"count"`
+	P50     float64 `json:"p50Ms"`
+	P99     float64 `json:"p99Ms"`
+	P999    float64 `json:"p999Ms"`
+	Max     float64 `json:"maxMs"`
+}
+
+// LossEffect is what a loss cost.
+type LossEffect struct {
+	What          string  `json:"what"`
+	UnavailableMs float64 `json:"unavailableMs"`
+	Affected      int     `json:"affectedRequests"`
+	Failed        int     `json:"failedRequests"`
+	Moved         int     `json:"movedPartitions"`
+	Needed        int     `json:"neededPartitions"`
+}
+
+// Fairness is how one workspace fared.
+type Fairness struct {
+	Workspace string  `json:"workspace"`
+	Requests  int     `json:"requests"`
+	Answered  float64 `json:"answeredShare"`
+	P99       float64 `json:"p99Ms"`
+}
+
+// Report holds the measures of a run.
+type Report struct {
+	Requests   int                 `json:"requests"`
+	Outcomes   map[string]int      `json:"outcomes"`
+	Codes      map[string]int      `json:"codes"`
+	Duplicates int                 `json:"duplicates"`
+	Lost       int                 `json:"lost"`
+	Latencies  []Latency           `json:"latencies"`
+	Losses     []LossEffect        `json:"losses"`
+	Imbalance  float64             `json:"imbalance"`
+	Wrongful   int                 `json:"wrongfulRefusals"`
+	Worst      Fairness            `json:"worstServed"`
+	Violations []checker.Violation `json:"violations"`
+}
+
+// New works out the measures.
+func New(hi checker.History, losses []Loss) Report {
+	rp := Report{Requests: len(hi.Results), Outcomes: map[string]int{}, Codes: map[string]int{}}
+	for _, re := range hi.Results {
+		rp.Outcomes[string(re.Outcome)]++
+		if re.Code != "" {
+			rp.Codes[re.Code]++
+		}
+		if re.Code == codeRate {
+			rp.Wrongful++
+		}
+	}
+	rp.Violations = checker.Check(hi)
+	rp.count()
+	rp.Latencies = latencies(hi.Results)
+	for _, lo := range losses {
+		rp.Losses = append(rp.Losses, effect(lo, hi.Results))
+	}
+	rp.Imbalance = imbalance(hi)
+	rp.Worst = worst(hi.Results)
+	return rp
+}
+
+func (rp *Report) count() {
+	for _, vi := range rp.Violations {
+		switch vi.Invariant {
+		case 2:
+			rp.Lost++
+		case 9:
+			rp.Duplicates++
+		}
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(minLatency, maxLatency, digits)
+}
+
+func record(hg *hdrhistogram.Histogram, re loader.Result) {
+	// A latency above the range is counted as its upper end.
+	_ = hg.RecordValue(min(maxLatency, re.Latency.Microseconds()))
+}
+
+func latencies(results []loader.Result) []Latency {
+	byService := map[string]*hdrhistogram.Histogram{}
+	for _, re := range results {
+		if re.Outcome != loader.Answered {
+			continue
+		}
+		if byService[re.Service] == nil {
+			byService[re.Service] = newHistogram()
+		}
+		record(byService[re.Service], re)
+	}
+	var list []Latency
+	for service, hg := range byService {
+		list = append(list, Latency{
+			Service: service, Count: hg.TotalCount(), P50: millis(hg, 50), P99: millis(hg, 99), P999: millis(hg, 99.9),
+			Max: float64(hg.Max()) / 1000,
+		})
+	}
+	slices.SortFunc(list, func(le, ri Latency) int { return int(ri.Count - le.Count) })
+	return list
+}
+
+func millis(hg *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(hg.ValueAtQuantile(percentile)) / 1000
+}
+
+// effect finds the last moment after a loss at which an affected request
+// failed or was late.
+func effect(lo Loss, results []loader.Result) LossEffect {
+	ef := LossEffect{What: lo.What, Moved: lo.Moved, Needed: lo.Needed}
+	for _, re := range results {
+		isNear := re.EndedAt().After(lo.At) && re.StartedAt.Before(lo.At.Add(lossWindow))
+		if !isNear || !lo.Affected(re.Service, re.Key) {
+			continue
+		}
+		ef.Affected++
+		isFailed := re.Outcome != loader.Answered
+		if isFailed {
+			ef.Failed++
+		}
+		if isFailed || re.Latency > lateLatency {
+			ef.UnavailableMs = max(ef.UnavailableMs, float64(re.EndedAt().Sub(lo.At).Milliseconds()))
+		}
+	}
+	return ef
+}
+
+// imbalance is the busiest server's share of its service's requests against an
+// equal share, at its worst.
+func imbalance(hi checker.History) float64 {
+	total, count, most := map[string]int{}, map[string]int{}, map[string]int{}
+	for _, se := range hi.Servers {
+		total[se.Service] += len(se.Records)
+		count[se.Service]++
+		most[se.Service] = max(most[se.Service], len(se.Records))
+	}
+	worst := 0.0
+	for service := range total {
+		mean := float64(total[service]) / float64(count[service])
+		worst = max(worst, float64(most[service])/max(mean, 1))
+	}
+	return worst
+}
+
+func worst(results []loader.Result) Fairness {
+	byWorkspace := map[string][]loader.Result{}
+	for _, re := range results {
+		byWorkspace[re.Workspace] = append(byWorkspace[re.Workspace], re)
+	}
+	found := Fairness{Answered: 2}
+	for ws, list := range byWorkspace {
+		hg, answered := newHistogram(), 0
+		for _, re := range list {
+			if re.Outcome == loader.Answered {
+				answered++
+				record(hg, re)
+			}
+		}
+		fa := Fairness{Workspace: ws, Requests: len(list), Answered: float64(answered) / float64(len(list)), P99: millis(hg, 99)}
+		isWorse := fa.Answered < found.Answered || fa.Answered == found.Answered && fa.P99 > found.P99
+		if isWorse {
+			found = fa
+		}
+	}
+	return found
+}
+
+// WriteJSON prints the report as JSON.
+func (rp Report) WriteJSON(wr io.Writer) error {
+	en := json.NewEncoder(wr)
+	en.SetIndent("", "  ")
+	return en.Encode(rp)
+}
+
+// WriteTable prints the report for people.
+func (rp Report) WriteTable(wr io.Writer) error {
+	tw := tabwriter.NewWriter(wr, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "requests\t%d\n", rp.Requests)
+	for _, name := range sortedKeys(rp.Outcomes) {
+		fmt.Fprintf(tw, "  %s\t%d\n", name, rp.Outcomes[name])
+	}
+	for _, name := range sortedKeys(rp.Codes) {
+		fmt.Fprintf(tw, "  refused: %s\t%d\n", name, rp.Codes[name])
+	}
+	fmt.Fprintf(tw, "duplicates\t%d\nlost\t%d\nwrongful refusals\t%d\nimbalance\t%.2f\n", rp.Duplicates, rp.Lost, rp.Wrongful, rp.Imbalance)
+	fmt.Fprintf(tw, "worst served\t%s: %.2f%% answered, p99 %.1f ms\n", rp.Worst.Workspace, 100*rp.Worst.Answered, rp.Worst.P99)
+	for _, la := range rp.Latencies {
+		fmt.Fprintf(tw, "%s\t%d answers, p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms, max %.1f ms\n", la.Service, la.Count, la.P50, la.P99, la.P999, la.Max)
+	}
+	for _, lo := range rp.Losses {
+		fmt.Fprintf(tw, "%s\tunavailable %.0f ms, %d of %d affected requests failed, %d partitions moved, %d needed\n",
+			lo.What, lo.UnavailableMs, lo.Failed, lo.Affected, lo.Moved, lo.Needed)
+	}
+	fmt.Fprintf(tw, "invariants broken\t%d\n", len(rp.Violations))
+	for _, vi := range rp.Violations {
+		fmt.Fprintf(tw, "  %s\n", vi)
+	}
+	return tw.Flush()
+}
+
+func sortedKeys(counts map[string]int) []string {
+	var names []string
+	for name := range counts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/core/admitter/gate.go
@@ -0,0 +1,359 @@
+// Package admitter decides at the gate of one backend server which requests
+// run, wait or are refused.
+//
+// It bounds concurrency, ramps it after a cold start, keeps fair queues per
+// workspace, sheds the least important work first, and refuses the second copy
+// of a request and requests that crash backend servers.
+//
+// Gate is a state machine without a clock or a goroutine; its caller locks it.
+//
+// # Usage
+//
+//	ga, err := admitter.New(admitter.Slots(9), admitter.ColdStart(2, coldUntil))
+//	switch de := ga.Arrive(rq, now).(type) {
+//	case admitter.Run:
+//	case admitter.Wait: // until the ticket comes out of Finish, Shed or Abandon
+//	case admitter.Refuse:
+//	}
+//	for _, ti := range ga.Finish(admitter.Completion{Latency: la}, now) { ... start it ... }
+package admitter
+
+import (
+	"fmt"
+	"slices"
+
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/timer"
+)
+
+// The codes of refusals.
+const (
+	CodeOverloaded  = "overloaded"
+	CodeDeadline    = "deadline"
+	CodeDuplicate   = "duplicate"
+	CodeQuarantined = "quarantined"
+	CodeDraining    = "draining"
+)
+
+const priorityCount = int(cataloguer.Background) + 1
+
+// Ticket names one arrival at this gate.
+type Ticket uint64
+
+// Request is what the gate needs to know of a request.
+type Request struct {
+	Workspace string
+	Priority  cataloguer.Priority
+	// DeadlineAt is when the caller gives up.
+	DeadlineAt timer.Instant
+}
+
+// Decision is the sealed result of Arrive: Run, Wait or Refuse.
+type Decision interface{ isDecision() }
+
+// Run lets the request start now.
+type Run struct{ Ticket Ticket }
+
+// Wait puts the request into a queue.
+type Wait struct {
+	Ticket Ticket
+	// Shed are tickets that lost their place to this one.
+	Shed []Ticket
+}
+
+// Refuse ends the request. It did not run.
+type Refuse struct {
+	Code       string
+	Reason     string
+	RetryAfter timer.Span
+}
+
+func (Run) isDecision()    {}
+func (Wait) isDecision()   {}
+func (Refuse) isDecision() {}
+
+// Completion tells how a run ended.
+type Completion struct {
+	Latency timer.Span
+	// Overloaded says that the backend server shed, failed or was lost.
+	Overloaded bool
+}
+
+// OptionError is a bad option of New.
+type OptionError struct {
+	Option string
+	Value  int
+}
+
+// Error implements error.
+func (er *OptionError) Error() string {
+	return fmt.Sprintf("admitter: option %s: bad value %d", er.Option, er.Value)
+}
+
+// Option sets one option of New.
+type Option func(*Gate)
+
+// Slots sets the concurrency of a warm backend server.
+func Slots(slots int) Option { return func(ga *Gate) { ga.slots = slots } }
+
+// QueueLength sets how many requests may wait.
+func QueueLength(length int) Option { return func(ga *Gate) { ga.queueLength = length } }
+
+// ColdStart sets the concurrency of a cold backend server and when it is
+// expected to be warm.
+func ColdStart(slots int, until timer.Instant) Option {
+	return func(ga *Gate) {
+		ga.coldSlots = slots
+		ga.coldUntil = until
+		ga.limit = slots
+	}
+}
+
+// ColdSpan sets how long the backend server is taken to be cold after it fell
+// over.
+func ColdSpan(span timer.Span) Option { return func(ga *Gate) { ga.coldSpan = span } }
+
+type waiting struct {
+	ticket  Ticket
+	request Request
+}
+
+// Gate is the state of one backend server's gate.
+type Gate struct {
+	slots       int
+	coldSlots   int
+	queueLength int
+	coldUntil   timer.Instant
+	coldSpan    timer.Span
+	// limit is the concurrency in force, from coldSlots to slots.
+	limit int
+	// successes counts towards the next step of the ramp.
+	successes  int
+	running    int
+	last       Ticket
+	queues     [priorityCount]fairQueue
+	isDraining bool
+}
+
+// New returns a gate without work. Without ColdStart the server counts as warm.
+func New(opts ...Option) (*Gate, error) {
+	ga := &Gate{slots: 1, coldSlots: 1, queueLength: 0}
+	for _, opt := range opts {
+		opt(ga)
+	}
+	if ga.slots < 1 {
+		return nil, &OptionError{Option: "Slots", Value: ga.slots}
+	}
+	if ga.coldSlots < 1 || ga.coldSlots > ga.slots {
+		return nil, &OptionError{Option: "ColdStart", Value: ga.coldSlots}
+	}
+	if ga.queueLength < 0 {
+		return nil, &OptionError{Option: "QueueLength", Value: ga.queueLength}
+	}
+	if ga.limit == 0 {
+		ga.limit = ga.slots
+	}
+	return ga, nil
+}
+
+// Limit returns the concurrency in force.
+func (ga *Gate) Limit() int { return ga.limit }
+
+// Running returns how many requests run.
+func (ga *Gate) Running() int { return ga.running }
+
+// Waiting returns how many requests wait.
+func (ga *Gate) Waiting() int {
+	sum := 0
+	for i := range ga.queues {
+		sum += ga.queues[i].length
+	}
+	return sum
+}
+
+// SetLimits takes changed limits of the catalogue.
+func (ga *Gate) SetLimits(slots, coldSlots, queueLength int) {
+	wasWarm := ga.limit >= ga.slots
+	ga.slots, ga.coldSlots, ga.queueLength = slots, min(coldSlots, slots), queueLength
+	ga.limit = min(ga.limit, slots)
+	if wasWarm {
+		ga.limit = slots
+	}
+}
+
+// SetDraining stops or resumes the admission of new work.
+func (ga *Gate) SetDraining(isDraining bool) { ga.isDraining = isDraining }
+
+// Arrive decides on a request at now.
+func (ga *Gate) Arrive(rq Request, now timer.Instant) Decision {
+	switch {
+	case ga.isDraining:
+		return Refuse{Code: CodeDraining, Reason: "the backend server is leaving"}
+	case !now.Before(rq.DeadlineAt):
+		return Refuse{Code: CodeDeadline, Reason: "the deadline passed before the start"}
+	}
+	ga.last++
+	if ga.running < ga.limit && ga.Waiting() == 0 {
+		ga.running++
+		return Run{Ticket: ga.last}
+	}
+	shed, ok := ga.makeRoom(rq)
+	if !ok {
+		return Refuse{Code: CodeOverloaded, Reason: "the queue is full", RetryAfter: 100 * timer.Millisecond}
+	}
+	ga.queues[rq.Priority].push(waiting{ticket: ga.last, request: rq})
+	return Wait{Ticket: ga.last, Shed: shed}
+}
+
+// makeRoom drops a less important waiting request, or one of a workspace that
+// holds more of the queue, if the queue is full.
+func (ga *Gate) makeRoom(rq Request) ([]Ticket, bool) {
+	if ga.Waiting() < ga.queueLength {
+		return nil, true
+	}
+	for pr := priorityCount - 1; pr > int(rq.Priority); pr-- {
+		if dropped, ok := ga.queues[pr].dropLongest(); ok {
+			return []Ticket{dropped.ticket}, true
+		}
+	}
+	qu := &ga.queues[rq.Priority]
+	if qu.longest() > qu.lengthOf(rq.Workspace)+1 {
+		dropped, ok := qu.dropLongest()
+		return []Ticket{dropped.ticket}, ok
+	}
+	return nil, false
+}
+
+// Finish ends a run at now and returns the waiting tickets that start.
+func (ga *Gate) Finish(co Completion, now timer.Instant) []Ticket {
+	ga.running--
+	ga.adapt(co, now)
+	return ga.start(now)
+}
+
+// Poll returns the waiting tickets that may start at now without a run having
+// ended, as after the limit grew.
+func (ga *Gate) Poll(now timer.Instant) []Ticket { return ga.start(now) }
+
+func (ga *Gate) start(now timer.Instant) []Ticket {
+	var started []Ticket
+	for pr := range ga.queues {
+		for ga.running < ga.limit {
+			next, ok := ga.queues[pr].pop()
+			if !ok {
+				break
+			}
+			if !now.Before(next.request.DeadlineAt) {
+				continue
+			}
+			ga.running++
+			started = append(started, next.ticket)
+		}
+	}
+	return started
+}
+
+// adapt ramps the limit up by one for each limit's worth of successes once the
+// server is warm, and back to the cold limit when it falls over.
+func (ga *Gate) adapt(co Completion, now timer.Instant) {
+	if co.Overloaded {
+		ga.limit = ga.coldSlots
+		ga.successes = 0
+		ga.coldUntil = max(ga.coldUntil, now.Add(ga.coldSpan))
+		return
+	}
+	if now.Before(ga.coldUntil) || ga.limit >= ga.slots {
+		return
+	}
+	ga.successes++
+	if ga.successes >= ga.limit {
+		ga.limit++
+		ga.successes = 0
+	}
+}
+
+// Abandon removes a waiting ticket and reports whether it was still waiting.
+func (ga *Gate) Abandon(ticket Ticket) bool {
+	for pr := range ga.queues {
+		if ga.queues[pr].remove(ticket) {
+			return true
+		}
+	}
+	return false
+}
+
+// fairQueue serves its workspaces in turn.
+type fairQueue struct {
+	order  []string
+	queues map[string][]waiting
+	length int
+}
+
+func (qu *fairQueue) push(wa waiting) {
+	if qu.queues == nil {
+		qu.queues = map[string][]waiting{}
+	}
+	ws := wa.request.Workspace
+	if len(qu.queues[ws]) == 0 {
+		qu.order = append(qu.order, ws)
+	}
+	qu.queues[ws] = append(qu.queues[ws], wa)
+	qu.length++
+}
+
+func (qu *fairQueue) pop() (waiting, bool) {
+	if len(qu.order) == 0 {
+		return waiting{}, false
+	}
+	ws := qu.order[0]
+	qu.order = qu.order[1:]
+	next := qu.queues[ws][0]
+	qu.queues[ws] = qu.queues[ws][1:]
+	qu.length--
+	if len(qu.queues[ws]) > 0 {
+		qu.order = append(qu.order, ws)
+		return next, true
+	}
+	delete(qu.queues, ws)
+	return next, true
+}
+
+func (qu *fairQueue) lengthOf(ws string) int { return len(qu.queues[ws]) }
+
+func (qu *fairQueue) longest() int {
+	longest := 0
+	for _, ws := range qu.order {
+		longest = max(longest, len(qu.queues[ws]))
+	}
+	return longest
+}
+
+// dropLongest removes the newest request of the workspace that waits most.
+func (qu *fairQueue) dropLongest() (waiting, bool) {
+	longest := qu.longest()
+	for _, ws := range qu.order {
+		if len(qu.queues[ws]) == longest {
+			dropped := qu.queues[ws][longest-1]
+			qu.remove(dropped.ticket)
+			return dropped, true
+		}
+	}
+	return waiting{}, false
+}
+
+func (qu *fairQueue) remove(ticket Ticket) bool {
+	for ws, list := range qu.queues {
+		i := slices.IndexFunc(list, func(wa waiting) bool { return wa.ticket == ticket })
+		if i < 0 {
+			continue
+		}
+		qu.queues[ws] = slices.Delete(list, i, i+1)
+		qu.length--
+		if len(qu.queues[ws]) == 0 {
+			delete(qu.queues, ws)
+			qu.order = slices.DeleteFunc(qu.order, func(name string) bool { return name == ws })
+		}
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/core/admitter/quarantine.go
@@ -0,0 +1,77 @@
+package admitter
+
+import "cornellanding.example/core/timer"
+
+const (
+	// crashesAllowed is how many backend servers a request may be blamed for
+	// before it is refused.
+	crashesAllowed   = 2
+	quarantineTerm   = 600 * timer.Second
+	quarantineLength = 4096
+)
+
+type suspect struct {
+	crashes   int
+	expiresAt timer.Instant
+}
+
+// Quarantine refuses requests that crash backend servers. A crash is blamed on
+// every request that ran at that moment; one that runs again and again at
+// crashes is refused, before it takes a third server.
+type Quarantine struct {
+	running  map[uint64]int
+	suspects map[uint64]suspect
+}
+
+// NewQuarantine returns an empty quarantine.
+func NewQuarantine() *Quarantine {
+	return &Quarantine{running: map[uint64]int{}, suspects: map[uint64]suspect{}}
+}
+
+// Start counts a request with that fingerprint under way.
+func (qu *Quarantine) Start(fingerprint uint64) { qu.running[fingerprint]++ }
+
+// Finish ends a request, which may have ended in a crash.
+func (qu *Quarantine) Finish(fingerprint uint64, isCrash bool, now timer.Instant) {
+	qu.running[fingerprint]--
+	if qu.running[fingerprint] <= 0 {
+		delete(qu.running, fingerprint)
+	}
+	if isCrash {
+		qu.Blame(fingerprint, 1, now)
+	}
+}
+
+// Blame adds crashes, as reported by a peer, to a fingerprint.
+func (qu *Quarantine) Blame(fingerprint uint64, crashes int, now timer.Instant) {
+	qu.expire(now)
+	su := qu.suspects[fingerprint]
+	if su.crashes == 0 && len(qu.suspects) >= quarantineLength {
+		return
+	}
+	su.crashes += crashes
+	su.expiresAt = now.Add(quarantineTerm)
+	qu.suspects[fingerprint] = su
+}
+
+func (qu *Quarantine) expire(now timer.Instant) {
+	for fingerprint, su := range qu.suspects {
+		if !now.Before(su.expiresAt) {
+			delete(qu.suspects, fingerprint)
+		}
+	}
+}
+
+// Crashes returns how many crashes a fingerprint is blamed for at now.
+func (qu *Quarantine) Crashes(fingerprint uint64, now timer.Instant) int {
+	su := qu.suspects[fingerprint]
+	if !now.Before(su.expiresAt) {
+		return 0
+	}
+	return su.crashes
+}
+
+// IsHeld reports whether a request is refused at now.
+func (qu *Quarantine) IsHeld(fingerprint uint64, now timer.Instant) bool {
+	return qu.Crashes(fingerprint, now) >= crashesAllowed
+}
--- /dev/null
+++ b/core/folder/folder.go
@@ -0,0 +1,123 @@
+// Package folder derives the maps of all services from the instances' rows and
+// the configuration.
+//
+// Each instance writes only its own row, so that many can join or be revoked
+// at once without a conflict. Whoever sees that rows and maps differ folds all
+// differences into one transaction on the maps.
+//
+// # Usage
+//
+//	changed := folder.Fold(folder.Input{Rows: rows, Config: co, Maps: maps})
+//	for _, ma := range changed { ... write it on condition of its former version ... }
+package folder
+
+import (
+	"slices"
+
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/placer"
+)
+
+// LimitsService is the service whose keys are workspaces and whose members are
+// all instances: a workspace's bucket has its home at the key's owner.
+const LimitsService = "limits"
+
+const limitsPartitions = 1024
+
+// State is the state of an incarnation.
+type State string
+
+const (
+	// Active incarnations are members.
+	Active State = "active"
+	// Left incarnations ended by their own word, and serve nothing.
+	Left State = "left"
+	// Revoked incarnations lost their lease to a majority of watchers.
+	Revoked State = "revoked"
+)
+
+// Announcement is an instance's row in the table.
+type Announcement struct {
+	BackendServer string
+	Service       string
+	DataCentre    string
+	Region        string
+	Address       string
+	Weight        uint32
+	State         State
+	Lease         leaser.Row
+}
+
+// Input is what the maps derive from.
+type Input struct {
+	Rows   []Announcement
+	Config cataloguer.Config
+	// Maps holds the present maps by service.
+	Maps map[string]placer.Map
+	// At is the wall clock in milliseconds since 1970, for people only.
+	At int64
+}
+
+// Fold returns the maps that must change, each at its next version. It returns
+// none if rows and maps agree.
+func Fold(in Input) []placer.Map {
+	var changed []placer.Map
+	for _, sv := range services(in.Config) {
+		ma, ok := in.Maps[sv.Name]
+		if !ok {
+			ma = placer.NewMap(sv.Name, sv.Partitions)
+		}
+		if ne, ok := foldOne(ma.Next(in.At), ma, wanted(sv.Name, in)); ok {
+			changed = append(changed, ne)
+		}
+	}
+	return changed
+}
+
+func services(co cataloguer.Config) []cataloguer.Service {
+	all := slices.Clone(co.Catalogue.Services)
+	return append(all, cataloguer.Service{Name: LimitsService, Partitions: limitsPartitions})
+}
+
+// wanted lists the members that the rows ask for.
+func wanted(service string, in Input) []placer.Member {
+	var members []placer.Member
+	for _, an := range in.Rows {
+		isMember := an.State == Active && (an.Service == service || service == LimitsService)
+		if !isMember {
+			continue
+		}
+		members = append(members, placer.Member{
+			BackendServer: an.BackendServer, Incarnation: an.Lease.Incarnation, DataCentre: an.DataCentre,
+			Address: an.Address, Weight: weight(an, in.Config),
+		})
+	}
+	return members
+}
+
+func weight(an Announcement, co cataloguer.Config) uint32 {
+	if slices.Contains(co.Out, an.DataCentre) || slices.Contains(co.Drained, an.BackendServer) {
+		return 0
+	}
+	return min(an.Weight, placer.FullWeight)
+}
+
+// foldOne removes what is gone before it adds, since a new incarnation may
+// bear the name of one that is gone.
+func foldOne(ne, ma placer.Map, members []placer.Member) (placer.Map, bool) {
+	isChanged := false
+	for _, me := range ma.Members {
+		if !slices.ContainsFunc(members, func(wa placer.Member) bool { return wa.Incarnation == me.Incarnation }) {
+			ne = ne.WithoutMember(me.BackendServer, me.Incarnation)
+			isChanged = true
+		}
+	}
+	for _, me := range members {
+		if present, ok := ne.Member(me.BackendServer); !ok || present != me {
+			ne = ne.WithMember(me)
+			isChanged = true
+		}
+	}
+	return ne, isChanged
+}
--- /dev/null
+++ b/core/leaser/watcher.go
@@ -0,0 +1,132 @@
+package leaser
+
+import "cornellanding.example/core/timer"
+
+// Vote answers a request to revoke.
+type Vote struct {
+	Watcher uint64
+	Holder  uint64
+	// Revoked says that the watcher will never acknowledge the holder again.
+	Revoked bool
+	// RetryAt is when the promise expires, on the watcher's clock, if Revoked
+	// is false.
+	RetryAt timer.Instant
+}
+
+// WatcherOption sets one option of NewWatcher.
+type WatcherOption func(*Watcher)
+
+// WatcherIncarnation sets the incarnation of the watching instance.
+func WatcherIncarnation(incarnation uint64) WatcherOption {
+	return func(wa *Watcher) { wa.incarnation = incarnation }
+}
+
+// WatcherTerm sets how long a promise lasts after a renewal.
+func WatcherTerm(term timer.Span) WatcherOption {
+	return func(wa *Watcher) { wa.term = term }
+}
+
+// promise is what a watcher keeps of one holder.
+type promise struct {
+	expiresAt timer.Instant
+	revoked   bool
+}
+
+// Watcher is the state of an instance that watches others. It lives in memory
+// only: a restarted watcher is another incarnation, which no row names.
+type Watcher struct {
+	incarnation uint64
+	term        timer.Span
+	promises    map[uint64]promise
+}
+
+// NewWatcher returns a watcher without promises.
+func NewWatcher(opts ...WatcherOption) (*Watcher, error) {
+	wa := &Watcher{term: DefaultTerm, promises: map[uint64]promise{}}
+	for _, opt := range opts {
+		opt(wa)
+	}
+	if wa.incarnation == 0 {
+		return nil, &OptionError{Option: "WatcherIncarnation", Reason: "must not be 0"}
+	}
+	if wa.term <= 0 {
+		return nil, &OptionError{Option: "WatcherTerm", Reason: "must be above 0"}
+	}
+	return wa, nil
+}
+
+// Renew answers a renewal received at now and extends the promise, unless the
+// holder is revoked.
+func (wa *Watcher) Renew(re Renewal, now timer.Instant) Ack {
+	pr := wa.promises[re.Holder]
+	ack := Ack{Watcher: wa.incarnation, Holder: re.Holder, SentAt: re.SentAt, Revoked: pr.revoked}
+	if pr.revoked {
+		return ack
+	}
+	pr.expiresAt = max(pr.expiresAt, now.Add(wa.term))
+	wa.promises[re.Holder] = pr
+	return ack
+}
+
+// Revoke votes on a takeover of the holder at now. Without a promise on record
+// the watcher votes at once: it never acknowledged anything.
+func (wa *Watcher) Revoke(holder uint64, now timer.Instant) Vote {
+	pr := wa.promises[holder]
+	vote := Vote{Watcher: wa.incarnation, Holder: holder}
+	if !pr.revoked && now.Before(pr.expiresAt) {
+		vote.RetryAt = pr.expiresAt
+		return vote
+	}
+	pr.revoked = true
+	wa.promises[holder] = pr
+	vote.Revoked = true
+	return vote
+}
+
+// Probe tells how Revoke would vote at now, without a lasting effect. A taker
+// asks a majority first, so that a watcher that was cut off or paused does not
+// spend its vote against healthy holders.
+func (wa *Watcher) Probe(holder uint64, now timer.Instant) Vote {
+	pr := wa.promises[holder]
+	vote := Vote{Watcher: wa.incarnation, Holder: holder, Revoked: true}
+	if !pr.revoked && now.Before(pr.expiresAt) {
+		vote.Revoked = false
+		vote.RetryAt = pr.expiresAt
+	}
+	return vote
+}
+
+// Expired lists the holders whose promise has expired at now and that are not
+// revoked yet: the candidates for a takeover.
+func (wa *Watcher) Expired(now timer.Instant) []uint64 {
+	var expired []uint64
+	for holder, pr := range wa.promises {
+		if !pr.revoked && !now.Before(pr.expiresAt) {
+			expired = append(expired, holder)
+		}
+	}
+	return expired
+}
+
+// Forget drops an expired promise at now. A revocation is kept for good: the
+// holder may be paused and send its next renewal at any later time.
+func (wa *Watcher) Forget(holder uint64, now timer.Instant) {
+	pr, ok := wa.promises[holder]
+	if ok && !pr.revoked && !now.Before(pr.expiresAt) {
+		delete(wa.promises, holder)
+	}
+}
+
+// Revoked lists the holders this watcher has revoked and not forgotten.
+func (wa *Watcher) Revoked() []uint64 {
+	var revoked []uint64
+	for holder, pr := range wa.promises {
+		if pr.revoked {
+			revoked = append(revoked, holder)
+		}
+	}
+	return revoked
+}
+
+// Len returns the number of holders on record.
+func (wa *Watcher) Len() int { return len(wa.promises) }
--- /dev/null
+++ b/core/limiter/home.go
@@ -0,0 +1,237 @@
+// Package limiter keeps a workspace within its rate and burst over all VMs.
+//
+// The workspace's token bucket has one home, owned like a key. The home grants
+// tokens to entry instances, which use them until they expire. Granted tokens
+// count against the burst until the entry reports that it used them, returns
+// them, or until they expire. So in any window of any length the fleet uses at
+// most rate times length plus burst.
+//
+// A home that took over after a loss knows nothing of its predecessor's
+// grants. It starts empty and assumes the most that may be outstanding until
+// the last of them has expired.
+//
+// Home and Share are state machines without a clock, a socket or a goroutine.
+//
+// # Usage
+//
+//	ho, err := limiter.NewHome(limiter.HomeRate(100), limiter.HomeBurst(200), limiter.HomeSince(now))
+//	gr := ho.Grant(limiter.Ask{Entry: 7, Want: 20}, now)
+//
+//	sh := limiter.NewShare(entry)
+//	if !sh.Take(now) {
+//		ask := sh.Ask(now)         // send it to the home
+//		sh.Receive(ask, gr, now)
+//	}
+package limiter
+
+import (
+	"fmt"
+
+	"cornellanding.example/core/timer"
+)
+
+const (
+	// GrantTerm is how long an entry may use granted tokens, counted by the
+	// entry from when it asked and by the home from when it granted.
+	GrantTerm = timer.Second
+	// outstandingShare is the inverse share of the burst that may be granted
+	// and unreported.
+	outstandingShare = 2
+)
+
+// OptionError is a bad option of NewHome.
+type OptionError struct {
+	Option string
+	Value  float64
+}
+
+// Error implements error.
+func (er *OptionError) Error() string {
+	return fmt.Sprintf("limiter: option %s: bad value %v", er.Option, er.Value)
+}
+
+// Ask is an entry's request for tokens.
+type Ask struct {
+	// Entry is the asking instance's incarnation.
+	Entry uint64
+	// Sequence orders the entry's asks, from 1.
+	Sequence uint64
+	// Uses reports tokens used since the last ask.
+	Uses []Use
+	Want float64
+	// SentAt is on the entry's clock and not sent.
+	SentAt timer.Instant
+}
+
+// Use reports how many tokens of an earlier grant were used.
+type Use struct {
+	// Sequence is that of the ask that got the grant.
+	Sequence uint64
+	Tokens   float64
+}
+
+// Grant answers an ask.
+type Grant struct {
+	Tokens float64
+	// RetryAfter says, if Tokens is below one, when one may be there.
+	RetryAfter timer.Span
+}
+
+// HomeOption sets one option of NewHome.
+type HomeOption func(*Home)
+
+// HomeRate sets the workspace's rate in tokens a second.
+func HomeRate(rate float64) HomeOption { return func(ho *Home) { ho.rate = rate } }
+
+// HomeBurst sets the workspace's burst in tokens, at least 1.
+func HomeBurst(burst float64) HomeOption { return func(ho *Home) { ho.burst = burst } }
+
+// HomeSince sets when the home took the bucket.
+func HomeSince(now timer.Instant) HomeOption { return func(ho *Home) { ho.filledAt = now } }
+
+// HomeFull starts with a full bucket. It is right only if no other home can
+// have granted anything within GrantTerm.
+func HomeFull() HomeOption { return func(ho *Home) { ho.isFull = true } }
+
+// lot is a grant that is neither reported nor expired.
+type lot struct {
+	entry     uint64
+	sequence  uint64
+	tokens    float64
+	expiresAt timer.Instant
+}
+
+// Home is the state of one workspace's bucket at its home.
+type Home struct {
+	rate     float64
+	burst    float64
+	level    float64
+	filledAt timer.Instant
+	isFull   bool
+	lots     []lot
+	// assumedUntil is when the predecessor's last grants have expired.
+	assumedUntil timer.Instant
+	// sequences holds the latest ask of each entry.
+	sequences map[uint64]uint64
+}
+
+// NewHome returns a home that assumes a predecessor, or with HomeFull one that
+// assumes none.
+func NewHome(opts ...HomeOption) (*Home, error) {
+	ho := &Home{sequences: map[uint64]uint64{}}
+	for _, opt := range opts {
+		opt(ho)
+	}
+	if !(ho.rate >= 0) {
+		return nil, &OptionError{Option: "HomeRate", Value: ho.rate}
+	}
+	if !(ho.burst >= 1) {
+		return nil, &OptionError{Option: "HomeBurst", Value: ho.burst}
+	}
+	if ho.isFull {
+		ho.level = ho.burst
+		return ho, nil
+	}
+	ho.assumedUntil = ho.filledAt.Add(GrantTerm)
+	return ho, nil
+}
+
+// SetLimits takes a changed rate and burst.
+func (ho *Home) SetLimits(rate, burst float64, now timer.Instant) {
+	ho.advance(now)
+	ho.rate, ho.burst = rate, burst
+	ho.level = min(ho.level, ho.room())
+}
+
+// outstandingCap bounds what is granted and unreported.
+func (ho *Home) outstandingCap() float64 {
+	return max(1, ho.burst/outstandingShare)
+}
+
+func (ho *Home) outstanding() float64 {
+	sum := 0.0
+	for _, lo := range ho.lots {
+		sum += lo.tokens
+	}
+	return sum
+}
+
+// room is how full the bucket may be, so that level and outstanding grants
+// together never pass the burst.
+func (ho *Home) room() float64 {
+	room := ho.burst - ho.outstanding()
+	if ho.assumedUntil != 0 {
+		room -= ho.outstandingCap()
+	}
+	return max(0, room)
+}
+
+// advance drops expired lots and fills the bucket. Expired tokens may have
+// been used, so they are not put back.
+func (ho *Home) advance(now timer.Instant) {
+	if ho.assumedUntil != 0 && !now.Before(ho.assumedUntil) {
+		ho.fillTo(ho.assumedUntil)
+		ho.assumedUntil = 0
+	}
+	kept := ho.lots[:0]
+	for _, lo := range ho.lots {
+		if now.Before(lo.expiresAt) {
+			kept = append(kept, lo)
+		}
+	}
+	ho.lots = kept
+	ho.fillTo(now)
+}
+
+func (ho *Home) fillTo(now timer.Instant) {
+	if !ho.filledAt.Before(now) {
+		return
+	}
+	gained := ho.rate * float64(now.Sub(ho.filledAt)) / float64(timer.Second)
+	ho.filledAt = now
+	ho.level = min(ho.level+gained, ho.room())
+}
+
+// Grant answers an ask at now. An ask that is older than one already answered
+// gets nothing and its report is ignored.
+func (ho *Home) Grant(ask Ask, now timer.Instant) Grant {
+	ho.advance(now)
+	if ask.Sequence <= ho.sequences[ask.Entry] {
+		return Grant{RetryAfter: timer.Millisecond}
+	}
+	ho.sequences[ask.Entry] = ask.Sequence
+	for _, us := range ask.Uses {
+		ho.settle(ask.Entry, us)
+	}
+	tokens := min(ask.Want, ho.level, ho.outstandingCap()-ho.outstanding())
+	if tokens < 1 {
+		return Grant{RetryAfter: ho.retryAfter(now)}
+	}
+	ho.level -= tokens
+	ho.lots = append(ho.lots, lot{entry: ask.Entry, sequence: ask.Sequence, tokens: tokens, expiresAt: now.Add(GrantTerm)})
+	return Grant{Tokens: tokens}
+}
+
+// settle takes what an entry reported off the lot it belongs to. A report of a
+// lot that has expired changes nothing.
+func (ho *Home) settle(entry uint64, us Use) {
+	for i := range ho.lots {
+		if ho.lots[i].entry == entry && ho.lots[i].sequence == us.Sequence {
+			ho.lots[i].tokens -= min(max(0, us.Tokens), ho.lots[i].tokens)
+		}
+	}
+}
+
+func (ho *Home) retryAfter(now timer.Instant) timer.Span {
+	if ho.level < 1 && ho.rate > 0 {
+		return timer.Span((1 - ho.level) / ho.rate * float64(timer.Second))
+	}
+	earliest := now.Add(GrantTerm)
+	for _, lo := range ho.lots {
+		earliest = min(earliest, lo.expiresAt)
+	}
+	return earliest.Sub(now)
+}
+
+// Forget drops the sequence of an entry that is gone for good.
+func (ho *Home) Forget(entry uint64) { delete(ho.sequences, entry) }
--- /dev/null
+++ b/core/limiter/share.go
@@ -0,0 +1,151 @@
+package limiter
+
+import "cornellanding.example/core/timer"
+
+const (
+	// demandWindow is how far ahead an ask looks.
+	demandWindow = 50 * timer.Millisecond
+	// demandWeight smooths the demand seen between two asks.
+	demandWeight = 0.3
+	// lowShare is the share of the window's demand below which the share asks
+	// ahead.
+	lowShare = 0.5
+)
+
+// held is a grant in the hands of an entry.
+type held struct {
+	sequence uint64
+	tokens   float64
+	// used waits to be reported.
+	used      float64
+	expiresAt timer.Instant
+}
+
+// Share is an entry instance's part of one workspace's bucket. It is not safe
+// for use by several goroutines.
+type Share struct {
+	entry    uint64
+	grants   []held
+	sequence uint64
+	// taken counts attempts since the last ask.
+	taken    float64
+	askedAt  timer.Instant
+	demand   float64
+	isAsking bool
+	retryAt  timer.Instant
+}
+
+// NewShare returns an empty share of the entry with that incarnation.
+func NewShare(entry uint64) *Share { return &Share{entry: entry} }
+
+// Take uses one token at now, or reports false if none is at hand.
+func (sh *Share) Take(now timer.Instant) bool {
+	sh.taken++
+	return sh.Retake(now)
+}
+
+// Retake is Take for a request that was counted before.
+func (sh *Share) Retake(now timer.Instant) bool {
+	sh.expire(now)
+	for i := range sh.grants {
+		if sh.grants[i].tokens >= 1 {
+			sh.grants[i].tokens--
+			sh.grants[i].used++
+			return true
+		}
+	}
+	return false
+}
+
+func (sh *Share) expire(now timer.Instant) {
+	kept := sh.grants[:0]
+	for _, gr := range sh.grants {
+		if now.Before(gr.expiresAt) {
+			kept = append(kept, gr)
+		}
+	}
+	sh.grants = kept
+}
+
+func (sh *Share) tokens() float64 {
+	sum := 0.0
+	for _, gr := range sh.grants {
+		sum += gr.tokens
+	}
+	return sum
+}
+
+// NeedsAsk reports whether an ask should be sent at now: tokens run low, none
+// is under way, and the home did not say to wait.
+func (sh *Share) NeedsAsk(now timer.Instant) bool {
+	if sh.isAsking || now.Before(sh.retryAt) {
+		return false
+	}
+	sh.expire(now)
+	return sh.tokens() < max(1, sh.demand*lowShare)
+}
+
+// RetryAt returns when the home may have a token again, or 0.
+func (sh *Share) RetryAt() timer.Instant { return sh.retryAt }
+
+// IsAsking reports whether an ask is under way.
+func (sh *Share) IsAsking() bool { return sh.isAsking }
+
+// Ask returns the ask to send at now. Receive or Fail must follow.
+func (sh *Share) Ask(now timer.Instant) Ask {
+	sh.updateDemand(now)
+	sh.sequence++
+	sh.isAsking = true
+	ask := Ask{
+		Entry: sh.entry, Sequence: sh.sequence, Uses: sh.report(),
+		Want: max(1, sh.demand-sh.tokens()), SentAt: now,
+	}
+	sh.taken = 0
+	sh.askedAt = now
+	return ask
+}
+
+// report lists the uses not yet reported and drops the grants used up.
+func (sh *Share) report() []Use {
+	var uses []Use
+	kept := sh.grants[:0]
+	for _, gr := range sh.grants {
+		if gr.used > 0 {
+			uses = append(uses, Use{Sequence: gr.sequence, Tokens: gr.used})
+		}
+		gr.used = 0
+		if gr.tokens >= 1 {
+			kept = append(kept, gr)
+		}
+	}
+	sh.grants = kept
+	return uses
+}
+
+func (sh *Share) updateDemand(now timer.Instant) {
+	elapsed := max(now.Sub(sh.askedAt), timer.Millisecond)
+	seen := sh.taken * float64(demandWindow) / float64(elapsed)
+	sh.demand += demandWeight * (min(seen, max(sh.taken, 1)*4) - sh.demand)
+}
+
+// Receive takes the home's answer to ask.
+func (sh *Share) Receive(ask Ask, gr Grant, now timer.Instant) {
+	sh.isAsking = false
+	if gr.Tokens < 1 {
+		sh.retryAt = now.Add(gr.RetryAfter)
+		return
+	}
+	sh.retryAt = 0
+	sh.grants = append(sh.grants, held{sequence: ask.Sequence, tokens: gr.Tokens, expiresAt: ask.SentAt.Add(GrantTerm)})
+}
+
+// Fail ends an ask that got no answer. What it reported may or may not have
+// reached the home, so it is not reported again.
+func (sh *Share) Fail(retryAt timer.Instant) {
+	sh.isAsking = false
+	sh.retryAt = retryAt
+}
+
+// Retry lets the share ask at once, since the home changed. Tokens of the
+// former home stay usable until they expire.
+func (sh *Share) Retry() { sh.retryAt = 0 }
--- /dev/null
+++ b/core/placer/table.go
@@ -0,0 +1,156 @@
+package placer
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table is a map with the owner of each partition worked out. It is immutable
+// and safe for use by several goroutines.
+type Table struct {
+	Map    Map
+	seeds  []memberSeeds
+	owners []int32
+}
+
+// memberSeeds holds one seed for each unit of a member's weight. The best of
+// n independent scores wins with a probability proportional to n.
+type memberSeeds struct {
+	seeds []uint64
+}
+
+// NewTable works out the owners of ma.
+func NewTable(ma Map) *Table {
+	tb := &Table{Map: ma, seeds: seedsOf(ma.Members)}
+	tb.owners = ownersOf(tb.seeds, ma.Partitions)
+	return tb
+}
+
+func seedsOf(members []Member) []memberSeeds {
+	all := make([]memberSeeds, len(members))
+	for i, me := range members {
+		base := xxhash.Sum64String(me.BackendServer)
+		for unit := range me.Weight {
+			all[i].seeds = append(all[i].seeds, mix(base+uint64(unit)*0x9e3779b97f4a7c15))
+		}
+	}
+	return all
+}
+
+func ownersOf(seeds []memberSeeds, partitions uint32) []int32 {
+	owners := make([]int32, partitions)
+	for pt := range partitions {
+		owners[pt] = best(seeds, pt)
+	}
+	return owners
+}
+
+func best(seeds []memberSeeds, pt uint32) int32 {
+	winner, top := int32(-1), uint64(0)
+	for i := range seeds {
+		score, ok := seeds[i].score(pt)
+		if ok && (winner < 0 || score > top) {
+			winner, top = int32(i), score
+		}
+	}
+	return winner
+}
+
+func (ms memberSeeds) score(pt uint32) (uint64, bool) {
+	top := uint64(0)
+	for _, seed := range ms.seeds {
+		top = max(top, mix(seed^(uint64(pt)*0xd6e8feb86659fd93)))
+	}
+	return top, len(ms.seeds) > 0
+}
+
+// mix is the finaliser of splitmix64.
+func mix(va uint64) uint64 {
+	va ^= va >> 30
+	va *= 0xbf58476d1ce4e5b9
+	va ^= va >> 27
+	va *= 0x94d049bb133111eb
+	return va ^ va>>31
+}
+
+// Partition returns the partition of key. It is 0 for a service without
+// partitions.
+func (tb *Table) Partition(key string) uint32 {
+	if tb.Map.Partitions == 0 {
+		return 0
+	}
+	return uint32(xxhash.Sum64String(key) % uint64(tb.Map.Partitions))
+}
+
+// Owner returns the owner of a partition, or false if no member has a weight.
+func (tb *Table) Owner(pt uint32) (Member, bool) {
+	if int(pt) >= len(tb.owners) || tb.owners[pt] < 0 {
+		return Member{}, false
+	}
+	return tb.Map.Members[tb.owners[pt]], true
+}
+
+// Order returns the first count members in the order in which they would own
+// the partition, the owner first.
+func (tb *Table) Order(pt uint32, count int) []Member {
+	type ranked struct {
+		score uint64
+		index int
+	}
+	var all []ranked
+	for i := range tb.seeds {
+		if score, ok := tb.seeds[i].score(pt); ok {
+			all = append(all, ranked{score: score, index: i})
+		}
+	}
+	slices.SortFunc(all, func(le, ri ranked) int {
+		if le.score != ri.score {
+			if le.score > ri.score {
+				return -1
+			}
+			return 1
+		}
+		return le.index - ri.index
+	})
+	var order []Member
+	for _, ra := range all[:min(count, len(all))] {
+		order = append(order, tb.Map.Members[ra.index])
+	}
+	return order
+}
+
+// OwnedBy lists the partitions of one incarnation.
+func (tb *Table) OwnedBy(incarnation uint64) []uint32 {
+	var owned []uint32
+	for pt, index := range tb.owners {
+		if index >= 0 && tb.Map.Members[index].Incarnation == incarnation {
+			owned = append(owned, uint32(pt))
+		}
+	}
+	return owned
+}
+
+// PriorOwners lists, for each partition of one incarnation, the other live
+// members that owned it at an earlier version since the settled one. Each of
+// them must release the partition before the incarnation serves it. Members
+// that were removed need no release: their removal was the proof.
+func (tb *Table) PriorOwners(incarnation uint64) map[uint32][]Member {
+	prior := map[uint32][]Member{}
+	owned := tb.OwnedBy(incarnation)
+	for _, members := range tb.Map.Generations()[1:] {
+		seeds := seedsOf(members)
+		for _, pt := range owned {
+			index := best(seeds, pt)
+			if index < 0 {
+				continue
+			}
+			live, ok := tb.Map.ByIncarnation(members[index].Incarnation)
+			if !ok || live.Incarnation == incarnation || slices.Contains(prior[pt], live) {
+				continue
+			}
+			prior[pt] = append(prior[pt], live)
+		}
+	}
+	return prior
+}
--- /dev/null
+++ b/core/retrier/budget.go
@@ -0,0 +1,73 @@
+// Package retrier bounds retries and times hedges.
+//
+// # Usage
+//
+//	bu := retrier.NewBudget()
+//	bu.Deposit()                 // for each first attempt
+//	if bu.Withdraw() { ... }     // before each retry or hedge
+//
+//	he := retrier.NewHedger()
+//	he.Observe(latency)
+//	delay := he.Delay()
+package retrier
+
+import "cornellanding.example/core/timer"
+
+const (
+	depositPerRequest = 0.1
+	budgetCap         = 20
+)
+
+// Budget lets retries be at most a tenth of the requests, plus a small reserve.
+type Budget struct {
+	tokens float64
+}
+
+// NewBudget returns a budget with a full reserve.
+func NewBudget() *Budget { return &Budget{tokens: budgetCap} }
+
+// Deposit counts a first attempt.
+func (bu *Budget) Deposit() {
+	bu.tokens = min(budgetCap, bu.tokens+depositPerRequest)
+}
+
+// Withdraw takes one retry from the budget or reports false.
+func (bu *Budget) Withdraw() bool {
+	if bu.tokens < 1 {
+		return false
+	}
+	bu.tokens--
+	return true
+}
+
+const (
+	hedgeQuantile  = 0.95
+	hedgeStepShare = 0.05
+	minHedgeDelay  = timer.Millisecond
+	firstDelay     = 50 * timer.Millisecond
+)
+
+// Hedger estimates the 95th percentile of latency, after which a second copy
+// of an idempotent read is sent.
+type Hedger struct {
+	estimate timer.Span
+}
+
+// NewHedger returns a hedger that begins with a delay of 50 ms.
+func NewHedger() *Hedger { return &Hedger{estimate: firstDelay} }
+
+// Observe takes the latency of one attempt. The estimate rises by steps on a
+// late answer and falls by smaller ones on an early answer, so that it settles
+// where 1 in 20 is late.
+func (he *Hedger) Observe(latency timer.Span) {
+	step := float64(he.estimate) * hedgeStepShare
+	if latency > he.estimate {
+		he.estimate += timer.Span(step * hedgeQuantile)
+		return
+	}
+	he.estimate -= timer.Span(step * (1 - hedgeQuantile))
+	he.estimate = max(he.estimate, minHedgeDelay)
+}
+
+// Delay returns how long to wait for the first copy.
+func (he *Hedger) Delay() timer.Span { return he.estimate }
--- /dev/null
+++ b/core/timer/boot_linux.go
@@ -0,0 +1,21 @@
+package timer
+
+import (
+	"syscall"
+	"unsafe"
+)
+
+// clockBootTime is CLOCK_BOOTTIME of clock_gettime(2). Unlike the clock behind
+// time.Time it goes on while the machine is suspended, so a lease can't
+// outlive a suspend.
+const clockBootTime = 7
+
+// Boot is the machine's boot clock. Its zero value is ready for use.
+type Boot struct{}
+
+// Now reads the boot clock.
+func (Boot) Now() Instant {
+	var ts syscall.Timespec
+	syscall.RawSyscall(syscall.SYS_CLOCK_GETTIME, clockBootTime, uintptr(unsafe.Pointer(&ts)), 0)
+	return Instant(ts.Nano())
+}
--- /dev/null
+++ b/core/warner/warner.go
@@ -0,0 +1,141 @@
+// Package warner keeps the warnings that operators read.
+//
+// A condition raises a warning once it has held for some time, and clears it
+// once it has been false for some time. A warning is evaluated again when it is
+// read, so that what a person sees is still true.
+//
+// # Usage
+//
+//	wa := warner.New(warner.RaiseAfter(3*timer.Second))
+//	wa.Observe(warner.Condition{Kind: "lease", Subject: "ordering-1", Holds: true, Reason: "..."}, now)
+//	active := wa.Active(now)
+package warner
+
+import (
+	"slices"
+	"strings"
+
+	"cornellanding.example/core/timer"
+)
+
+const (
+	defaultRaiseAfter = 3 * timer.Second
+	defaultClearAfter = 2 * timer.Second
+	// staleAfter is how long a condition counts that nobody observes again.
+	staleAfter = 5 * timer.Second
+)
+
+// Condition is one observation.
+type Condition struct {
+	Kind    string
+	Subject string
+	Holds   bool
+	Reason  string
+}
+
+// Warning is a condition that has held long enough.
+type Warning struct {
+	Kind    string
+	Subject string
+	Reason  string
+	Since   timer.Instant
+}
+
+type subject struct {
+	kind string
+	name string
+}
+
+type record struct {
+	reason     string
+	heldSince  timer.Instant
+	clearSince timer.Instant
+	seenAt     timer.Instant
+	holds      bool
+	isRaised   bool
+}
+
+// Option sets one option of New.
+type Option func(*Warner)
+
+// RaiseAfter sets how long a condition must hold.
+func RaiseAfter(span timer.Span) Option { return func(wa *Warner) { wa.raiseAfter = span } }
+
+// ClearAfter sets how long a condition must be false.
+func ClearAfter(span timer.Span) Option { return func(wa *Warner) { wa.clearAfter = span } }
+
+// Warner is the state of all warnings of an instance.
+type Warner struct {
+	raiseAfter timer.Span
+	clearAfter timer.Span
+	records    map[subject]*record
+}
+
+// New returns a warner without warnings.
+func New(opts ...Option) *Warner {
+	wa := &Warner{raiseAfter: defaultRaiseAfter, clearAfter: defaultClearAfter, records: map[subject]*record{}}
+	for _, opt := range opts {
+		opt(wa)
+	}
+	return wa
+}
+
+// Observe takes one observation at now.
+func (wa *Warner) Observe(co Condition, now timer.Instant) {
+	key := subject{kind: co.Kind, name: co.Subject}
+	re := wa.records[key]
+	if re == nil {
+		if !co.Holds {
+			return
+		}
+		re = &record{heldSince: now, holds: true}
+		wa.records[key] = re
+	}
+	re.observe(co, now)
+	wa.settle(re, now)
+	if !re.holds && !re.isRaised {
+		delete(wa.records, key)
+	}
+}
+
+func (re *record) observe(co Condition, now timer.Instant) {
+	re.seenAt = now
+	if co.Holds && !re.holds && !re.isRaised {
+		re.heldSince = now
+	}
+	if !co.Holds && re.holds {
+		re.clearSince = now
+	}
+	re.holds = co.Holds
+	if co.Holds {
+		re.reason = co.Reason
+	}
+}
+
+// settle raises or clears one record.
+func (wa *Warner) settle(re *record, now timer.Instant) {
+	switch {
+	case re.holds && now.Sub(re.heldSince) >= wa.raiseAfter:
+		re.isRaised = true
+	case !re.holds && now.Sub(re.clearSince) >= wa.clearAfter:
+		re.isRaised = false
+	}
+}
+
+// Active returns the warnings that are true at now, sorted by kind and
+// subject. A condition that is false at this moment, or was not observed
+// lately, is not among them even before its warning has cleared.
+func (wa *Warner) Active(now timer.Instant) []Warning {
+	var active []Warning
+	for key, re := range wa.records {
+		wa.settle(re, now)
+		if !re.isRaised || !re.holds || now.Sub(re.seenAt) > staleAfter {
+			continue
+		}
+		active = append(active, Warning{Kind: key.kind, Subject: key.name, Reason: re.reason, Since: re.heldSince})
+	}
+	slices.SortFunc(active, func(le, ri Warning) int {
+		return strings.Compare(le.Kind+"\x00"+le.Subject, ri.Kind+"\x00"+ri.Subject)
+	})
+	return active
+}
--- /dev/null
+++ b/instance/administrator/api.go
@@ -0,0 +1,394 @@
+package administrator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/instance/controller"
+	"cornellanding.example/instance/publisher"
+	"cornellanding.example/wire/parser"
+)
+
+// The paths of the API.
+const (
+	EditPath     = "/administration/edit"
+	ConfigPath   = "/administration/config"
+	StatusPath   = "/administration/status"
+	WarningsPath = "/administration/warnings"
+	ExplainPath  = "/administration/explain"
+	HealthPath   = "/healthz"
+	ReadyPath    = "/readyz"
+	MetricsPath  = "/metrics"
+)
+
+// The kinds of edits in the API.
+const (
+	KindCatalogue        = "applyCatalogue"
+	KindGrant            = "grantKey"
+	KindWithdraw         = "withdrawKey"
+	KindDrain            = "drain"
+	KindReturn           = "return"
+	KindDataCentreOut    = "dataCentreOut"
+	KindDataCentreReturn = "dataCentreReturn"
+)
+
+const maxEdit = parser.MaxFileSize + 1<<20
+
+// Control is the part of the control thread that the API needs.
+type Control interface {
+	Status(ctx context.Context) (controller.Status, error)
+	Offer(ctx context.Context, docs []controller.Document)
+	Refold(ctx context.Context) error
+}
+
+// API serves operators over HTTP.
+type API struct {
+	pu     *publisher.Publisher
+	editor *Editor
+	co     Control
+	digest cataloguer.Digest
+}
+
+// NewAPI returns the operators' API. Digest is that of the operators' key.
+func NewAPI(pu *publisher.Publisher, ed *Editor, co Control, digest cataloguer.Digest) *API {
+	return &API{pu: pu, editor: ed, co: co, digest: digest}
+}
+
+// Handler serves the API, health and readiness. Metrics may be nil.
+func (ap *API) Handler(metrics http.Handler) http.Handler {
+	mu := http.NewServeMux()
+	mu.HandleFunc("POST "+EditPath, ap.guarded(ap.serveEdit))
+	mu.HandleFunc("GET "+ConfigPath, ap.guarded(ap.serveConfig))
+	mu.HandleFunc("GET "+StatusPath, ap.guarded(ap.serveStatus))
+	mu.HandleFunc("GET "+WarningsPath, ap.guarded(ap.serveWarnings))
+	mu.HandleFunc("GET "+ExplainPath, ap.guarded(ap.serveExplain))
+	mu.HandleFunc("GET "+HealthPath, ap.serveHealth)
+	mu.HandleFunc("GET "+ReadyPath, ap.serveReady)
+	if metrics != nil {
+		mu.Handle("GET "+MetricsPath, metrics)
+	}
+	return mu
+}
+
+func (ap *API) guarded(next http.HandlerFunc) http.HandlerFunc {
+	return func(wr http.ResponseWriter, re *http.Request) {
+		key, ok := strings.CutPrefix(re.Header.Get("Authorization"), "Bearer ")
+		digest := sha256.Sum256([]byte(key))
+		if !ok || subtle.ConstantTimeCompare(digest[:], ap.digest[:]) != 1 {
+			writeError(wr, http.StatusUnauthorized, "unauthorized", "the operator key is missing or wrong")
+			return
+		}
+		next(wr, re)
+	}
+}
+
+// WireEdit is the body of an edit.
+type WireEdit struct {
+	Kind     string `json:"kind"`
+	From     uint64 `json:"from"`
+	Operator string `json:"operator"`
+	// Catalogue is YAML and File its name for errors.
+	Catalogue     string `json:"catalogue,omitempty"`
+	File          string `json:"file,omitempty"`
+	Workspace     string `json:"workspace,omitempty"`
+	Digest        string `json:"digest,omitempty"`
+	BackendServer string `json:"backendServer,omitempty"`
+	DataCentre    string `json:"dataCentre,omitempty"`
+}
+
+// WireError is an error answer.
+type WireError struct {
+	Code   string `json:"code"`
+	Reason string `json:"reason"`
+	// Found is the version in force, on a conflict.
+	Found uint64 `json:"found,omitempty"`
+}
+
+// WireVersion is the answer to an edit.
+type WireVersion struct {
+	Version uint64 `json:"version"`
+}
+
+func writeJSON(wr http.ResponseWriter, status int, value any) {
+	wr.Header().Set("Content-Type", "application/json")
+	wr.WriteHeader(status)
+	// A failed write is the caller's broken connection.
+	_ = json.NewEncoder(wr).Encode(value)
+}
+
+func writeError(wr http.ResponseWriter, status int, code, reason string) {
+	writeJSON(wr, status, WireError{Code: code, Reason: reason})
+}
+
+func (ap *API) serveEdit(wr http.ResponseWriter, re *http.Request) {
+	var body WireEdit
+	de := json.NewDecoder(io.LimitReader(re.Body, maxEdit))
+	de.DisallowUnknownFields()
+	if err := de.Decode(&body); err != nil {
+		writeError(wr, http.StatusBadRequest, "badRequest", err.Error())
+		return
+	}
+	change, err := toEdit(body)
+	if err != nil {
+		writeError(wr, http.StatusUnprocessableEntity, "rejected", err.Error())
+		return
+	}
+	committed, err := ap.editor.Commit(re.Context(), body.From, body.Operator, change)
+	if err != nil {
+		ap.writeCommitError(wr, err)
+		return
+	}
+	ap.spread(re.Context(), committed)
+	writeJSON(wr, http.StatusOK, WireVersion{Version: committed.Config.Version})
+}
+
+// spread brings a commit into force without waiting for the next poll.
+func (ap *API) spread(ctx context.Context, committed Committed) {
+	document := controller.Document{Name: controller.ConfigKey, Version: committed.Config.Version, Content: committed.Content}
+	ap.co.Offer(ctx, []controller.Document{document})
+	// A failed fold is repeated by the control threads of the pollers.
+	_ = ap.co.Refold(ctx)
+}
+
+func toEdit(body WireEdit) (Edit, error) {
+	switch body.Kind {
+	case KindCatalogue:
+		file := body.File
+		if file == "" {
+			file = "catalogue"
+		}
+		cat, err := parser.Catalogue(file, []byte(body.Catalogue))
+		return CatalogueApply{Catalogue: cat}, err
+	case KindGrant:
+		digest, err := toDigest(body.Digest)
+		return KeyGrant{Workspace: body.Workspace, Digest: digest}, err
+	case KindWithdraw:
+		return toWithdraw(body)
+	case KindDrain, KindReturn:
+		return BackendServerDrain{BackendServer: body.BackendServer, IsReturn: body.Kind == KindReturn}, nil
+	case KindDataCentreOut, KindDataCentreReturn:
+		return DataCentreOut{DataCentre: body.DataCentre, IsReturn: body.Kind == KindDataCentreReturn}, nil
+	default:
+		return nil, &RejectedError{Reason: "unknown kind of edit " + body.Kind}
+	}
+}
+
+func toWithdraw(body WireEdit) (Edit, error) {
+	if body.Digest == "" {
+		return KeyWithdraw{Workspace: body.Workspace}, nil
+	}
+	digest, err := toDigest(body.Digest)
+	return KeyWithdraw{Workspace: body.Workspace, Digest: &digest}, err
+}
+
+func toDigest(text string) (cataloguer.Digest, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != cataloguer.DigestSize {
+		return cataloguer.Digest{}, &RejectedError{Reason: "digest must be a SHA-256 digest in hexadecimal"}
+	}
+	return cataloguer.Digest(raw), nil
+}
+
+func (ap *API) writeCommitError(wr http.ResponseWriter, err error) {
+	var (
+		conflicted *VersionConflictError
+		rejected   *RejectedError
+		field      *cataloguer.FieldError
+	)
+	switch {
+	case errors.As(err, &conflicted):
+		writeJSON(wr, http.StatusConflict, WireError{Code: "conflict", Reason: err.Error(), Found: conflicted.Found})
+	case errors.As(err, &rejected), errors.As(err, &field):
+		writeError(wr, http.StatusUnprocessableEntity, "rejected", err.Error())
+	default:
+		writeError(wr, http.StatusServiceUnavailable, "platform", err.Error())
+	}
+}
+
+// WireConfig is the configuration as operators see it. Keys are counted only.
+type WireConfig struct {
+	Version   uint64         `json:"version"`
+	Services  []string       `json:"services"`
+	Keys      map[string]int `json:"keys"`
+	Drained   []string       `json:"drained"`
+	Out       []string       `json:"out"`
+	Changes   []WireChange   `json:"changes"`
+	Catalogue string         `json:"catalogue"`
+}
+
+// WireChange is one recorded change.
+type WireChange struct {
+	Version  uint64 `json:"version"`
+	Operator string `json:"operator"`
+	Summary  string `json:"summary"`
+	At       int64  `json:"at"`
+}
+
+func (ap *API) serveConfig(wr http.ResponseWriter, re *http.Request) {
+	co, err := ap.editor.Read(re.Context())
+	if err != nil {
+		ap.writeCommitError(wr, err)
+		return
+	}
+	wc := WireConfig{Version: co.Version, Keys: map[string]int{}, Drained: co.Drained, Out: co.Out}
+	for _, sv := range co.Catalogue.Services {
+		wc.Services = append(wc.Services, sv.Name)
+	}
+	for _, ke := range co.Keys {
+		wc.Keys[ke.Workspace]++
+	}
+	for _, ch := range co.Changes {
+		wc.Changes = append(wc.Changes, WireChange{Version: ch.Version, Operator: ch.Operator, Summary: ch.Summary, At: ch.At})
+	}
+	wc.Catalogue, err = parser.Format(co.Catalogue)
+	if err != nil {
+		writeError(wr, http.StatusInternalServerError, "format", err.Error())
+		return
+	}
+	writeJSON(wr, http.StatusOK, wc)
+}
+
+// WireStatus is an instance's control state.
+type WireStatus struct {
+	BackendServer string            `json:"backendServer"`
+	Incarnation   uint64            `json:"incarnation"`
+	IsJoined      bool              `json:"isJoined"`
+	HasLease      bool              `json:"hasLease"`
+	IsFresh       bool              `json:"isFresh"`
+	Watchers      []string          `json:"watchers"`
+	ConfigVersion uint64            `json:"configVersion"`
+	MapVersions   map[string]uint64 `json:"mapVersions"`
+	Owned         map[string]int    `json:"owned"`
+	Pending       map[string]int    `json:"pending"`
+	Members       []WireMember      `json:"members"`
+}
+
+// WireMember is one instance as the asked one knows it.
+type WireMember struct {
+	BackendServer string `json:"backendServer"`
+	Service       string `json:"service"`
+	DataCentre    string `json:"dataCentre"`
+	Incarnation   uint64 `json:"incarnation"`
+	Weight        uint32 `json:"weight"`
+}
+
+func (ap *API) serveStatus(wr http.ResponseWriter, re *http.Request) {
+	st, err := ap.co.Status(re.Context())
+	if err != nil {
+		writeError(wr, http.StatusServiceUnavailable, "stopping", err.Error())
+		return
+	}
+	ws := WireStatus{
+		BackendServer: st.BackendServer, Incarnation: st.Incarnation, IsJoined: st.IsJoined, HasLease: st.HasLease,
+		IsFresh: ap.pu.IsFresh(), Watchers: st.Watchers, ConfigVersion: st.ConfigVersion,
+		MapVersions: st.MapVersions, Owned: st.Owned, Pending: st.Pending,
+	}
+	vi := ap.pu.View()
+	for _, sv := range vi.Config.Catalogue.Services {
+		if tb := vi.Tables[sv.Name]; tb != nil {
+			ws.Members = append(ws.Members, toMembers(sv.Name, tb.Map.Members)...)
+		}
+	}
+	writeJSON(wr, http.StatusOK, ws)
+}
+
+func toMembers(service string, members []placer.Member) []WireMember {
+	var list []WireMember
+	for _, me := range members {
+		list = append(list, WireMember{
+			BackendServer: me.BackendServer, Service: service, DataCentre: me.DataCentre,
+			Incarnation: me.Incarnation, Weight: me.Weight,
+		})
+	}
+	return list
+}
+
+// WireWarning is a warning that is true at the time of the answer.
+type WireWarning struct {
+	Kind    string  `json:"kind"`
+	Subject string  `json:"subject"`
+	Reason  string  `json:"reason"`
+	Seconds float64 `json:"seconds"`
+}
+
+func (ap *API) serveWarnings(wr http.ResponseWriter, re *http.Request) {
+	st, err := ap.co.Status(re.Context())
+	if err != nil {
+		writeError(wr, http.StatusServiceUnavailable, "stopping", err.Error())
+		return
+	}
+	list := []WireWarning{}
+	for _, wa := range st.Warnings {
+		seconds := st.Now.Sub(wa.Since).Duration().Seconds()
+		list = append(list, WireWarning{Kind: wa.Kind, Subject: wa.Subject, Reason: wa.Reason, Seconds: seconds})
+	}
+	writeJSON(wr, http.StatusOK, list)
+}
+
+// WireExplanation tells who owns a key of one service and why.
+type WireExplanation struct {
+	Service      string   `json:"service"`
+	Key          string   `json:"key"`
+	Partition    uint32   `json:"partition"`
+	Owner        string   `json:"owner"`
+	DataCentre   string   `json:"dataCentre"`
+	Incarnation  uint64   `json:"incarnation"`
+	Next         []string `json:"next"`
+	Members      int      `json:"members"`
+	MapVersion   uint64   `json:"mapVersion"`
+	SinceVersion uint64   `json:"sinceVersion"`
+	SinceAt      int64    `json:"sinceAt"`
+}
+
+func (ap *API) serveExplain(wr http.ResponseWriter, re *http.Request) {
+	key := re.URL.Query().Get("key")
+	if key == "" {
+		writeError(wr, http.StatusBadRequest, "badRequest", "the parameter key is needed")
+		return
+	}
+	vi := ap.pu.View()
+	list := []WireExplanation{}
+	for _, sv := range vi.Config.Catalogue.Services {
+		tb := vi.Tables[sv.Name]
+		if tb == nil || sv.Class != cataloguer.Exclusive {
+			continue
+		}
+		list = append(list, toExplanation(tb.Explain(key)))
+	}
+	writeJSON(wr, http.StatusOK, list)
+}
+
+func toExplanation(ex placer.Explanation) WireExplanation {
+	we := WireExplanation{
+		Service: ex.Service, Key: ex.Key, Partition: ex.Partition, MapVersion: ex.MapVersion, Members: ex.Members,
+		Owner: ex.Owner.BackendServer, DataCentre: ex.Owner.DataCentre, Incarnation: ex.Owner.Incarnation,
+		SinceVersion: ex.SinceVersion, SinceAt: ex.SinceAt,
+	}
+	for _, me := range ex.Next {
+		we.Next = append(we.Next, me.BackendServer)
+	}
+	return we
+}
+
+func (ap *API) serveHealth(wr http.ResponseWriter, _ *http.Request) {
+	writeJSON(wr, http.StatusOK, struct{}{})
+}
+
+// serveReady tells whether callers should be sent to this instance.
+func (ap *API) serveReady(wr http.ResponseWriter, _ *http.Request) {
+	isReady := !ap.pu.IsStopping() && ap.pu.View().Config.Version > 0 && ap.pu.IsFresh()
+	if !isReady {
+		writeError(wr, http.StatusServiceUnavailable, "notReady", "the instance is starting, stopping or not fresh")
+		return
+	}
+	writeJSON(wr, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/instance/controller/controller.go
@@ -0,0 +1,458 @@
+// Package controller is an instance's control thread.
+//
+// One goroutine owns all control state: the lease, the watching of others, the
+// agreed documents and the handover of partitions. It drives the decision
+// libraries and publishes their results to the traffic threads. Slow calls run
+// in goroutines of their own, which post their outcome back as an event.
+//
+// # Usage
+//
+//	co, err := controller.New(controller.WithTable(ta), controller.WithObjects(ob), ...)
+//	go co.Run(ctx)          // returns ErrRevoked when another owner took over
+//	co.Datagram(da)         // from the messenger
+//	vote, err := co.Revoke(ctx, holder, isProbe)
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/core/warner"
+	"cornellanding.example/instance/publisher"
+	"cornellanding.example/platform/storer"
+	"cornellanding.example/platform/tabler"
+	"cornellanding.example/wire/peerproto"
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	tickInterval    = 20 * time.Millisecond
+	renewInterval   = 200 * timer.Millisecond
+	pollInterval    = 500 * timer.Millisecond
+	joinBackoff     = 200 * timer.Millisecond
+	releaseInterval = 15 * timer.Millisecond
+	takeoverBackoff = 100 * timer.Millisecond
+	// watcherPatience is how long a watcher may be silent before it is
+	// replaced.
+	watcherPatience  = 2 * timer.Second
+	watcherWarmUp    = 60 * time.Millisecond
+	rewatchInterval  = timer.Second
+	safetyInterval   = 30 * timer.Second
+	peerTimeout      = 2 * time.Second
+	pollersPerCentre = 2
+	eventQueue       = 4096
+)
+
+// ErrRevoked ends Run when another incarnation or owner took over, or when the
+// watchers revoked the lease. The instance must start as a new incarnation.
+var ErrRevoked = errors.New("controller: the lease is revoked")
+
+// ErrLeft ends Run after a planned stop.
+var ErrLeft = errors.New("controller: left")
+
+// Peers is the port to the other instances' RPCs.
+type Peers interface {
+	Sync(ctx context.Context, address string, re *peerproto.SyncRequest) (*peerproto.SyncResponse, error)
+	Revoke(ctx context.Context, address string, re *peerproto.RevokeRequest) (*peerproto.RevokeResponse, error)
+	Release(ctx context.Context, address string, re *peerproto.ReleaseRequest) (*peerproto.ReleaseResponse, error)
+}
+
+// Sender is the port to the datagram socket.
+type Sender interface {
+	Send(to netip.AddrPort, da *peerproto.Datagram) error
+}
+
+// Option sets one option of New.
+type Option func(*Controller)
+
+// WithTable sets the table service.
+func WithTable(ta tabler.Table) Option { return func(co *Controller) { co.ledger.table = ta } }
+
+// WithObjects sets the object store.
+func WithObjects(ob storer.Objects) Option { return func(co *Controller) { co.ledger.objects = ob } }
+
+// WithPeers sets the client of other instances.
+func WithPeers(pe Peers) Option { return func(co *Controller) { co.peers = pe } }
+
+// WithSender sets the datagram socket.
+func WithSender(se Sender) Option { return func(co *Controller) { co.sender = se } }
+
+// WithPublisher sets the boundary to the traffic threads.
+func WithPublisher(pu *publisher.Publisher) Option { return func(co *Controller) { co.pu = pu } }
+
+// WithLogger sets the log of decisions.
+func WithLogger(lo hclog.Logger) Option { return func(co *Controller) { co.lo = lo } }
+
+// WithLeaseTerm sets the watchers' term.
+func WithLeaseTerm(term timer.Span) Option { return func(co *Controller) { co.leaseTerm = term } }
+
+// WithFreshness sets how old the knowledge of withdrawn keys may be.
+func WithFreshness(span timer.Span) Option { return func(co *Controller) { co.freshness = span } }
+
+// Controller is the control state of one incarnation.
+type Controller struct {
+	ledger    ledger
+	peers     Peers
+	sender    Sender
+	pu        *publisher.Publisher
+	lo        hclog.Logger
+	leaseTerm timer.Span
+	freshness timer.Span
+	self      publisher.Self
+
+	events chan event
+	ctx    context.Context
+
+	ho      *leaser.Holder
+	wa      *leaser.Watcher
+	ds      *documents
+	warner  *warner.Warner
+	heard   map[uint64]timer.Instant
+	tenures map[string]*tenure
+
+	isSyncing map[uint64]bool
+	// avoid holds until when a silent watcher is not chosen again.
+	avoid         map[uint64]timer.Instant
+	watchersSetAt timer.Instant
+	isJoined      bool
+	wasMember     bool
+	isJoining     bool
+	isFetching    bool
+	isRewatching  bool
+	isFolding     bool
+	needsFold     bool
+	takeovers     map[uint64]bool
+	nextTakeover  map[uint64]timer.Instant
+	nextJoinAt    timer.Instant
+	nextRenewAt   timer.Instant
+	nextPollAt    timer.Instant
+	nextRewatchAt timer.Instant
+	freshAt       timer.Instant
+	tableError    string
+	leave         *leaving
+	err           error
+}
+
+// New returns a controller that has not joined yet.
+func New(opts ...Option) (*Controller, error) {
+	co := &Controller{
+		leaseTerm: leaser.DefaultTerm, events: make(chan event, eventQueue), ds: newDocuments(),
+		warner: warner.New(), heard: map[uint64]timer.Instant{}, tenures: map[string]*tenure{},
+		isSyncing: map[uint64]bool{}, avoid: map[uint64]timer.Instant{},
+		takeovers: map[uint64]bool{}, nextTakeover: map[uint64]timer.Instant{}, lo: hclog.NewNullLogger(),
+	}
+	for _, opt := range opts {
+		opt(co)
+	}
+	if co.ledger.table == nil || co.ledger.objects == nil || co.peers == nil || co.sender == nil || co.pu == nil {
+		return nil, errors.New("controller: table, objects, peers, sender and publisher are needed")
+	}
+	co.self = co.pu.Self()
+	var err error
+	co.ho, err = leaser.NewHolder(leaser.HolderIncarnation(co.self.Incarnation), leaser.HolderTerm(co.leaseTerm))
+	if err != nil {
+		return nil, err
+	}
+	co.wa, err = leaser.NewWatcher(leaser.WatcherIncarnation(co.self.Incarnation), leaser.WatcherTerm(co.leaseTerm))
+	return co, err
+}
+
+// Run is the control thread. It returns the context's error, ErrRevoked or
+// ErrLeft.
+func (co *Controller) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	co.ctx = ctx
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for co.err == nil {
+		select {
+		case ev := <-co.events:
+			co.handle(ev)
+		case <-ticker.C:
+			co.tick(co.pu.Now())
+		case <-ctx.Done():
+			co.err = ctx.Err()
+		}
+		co.publishLease()
+	}
+	co.pu.SetLease(0)
+	co.pu.CancelIfLapsed()
+	return co.err
+}
+
+func (co *Controller) publishLease() {
+	co.pu.SetLease(co.ho.Deadline())
+	co.pu.CancelIfLapsed()
+}
+
+// spawn runs slow work outside the control thread and posts its outcome.
+func (co *Controller) spawn(work func(ctx context.Context) event) {
+	ctx := co.ctx
+	go func() {
+		co.post(ctx, work(ctx))
+	}()
+}
+
+func (co *Controller) post(ctx context.Context, ev event) {
+	select {
+	case co.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+func (co *Controller) handle(ev event) {
+	now := co.pu.Now()
+	switch ev := ev.(type) {
+	case datagramArrived:
+		co.onDatagram(ev.datagram, ev.at)
+	case revokeAsked:
+		ev.reply <- co.onRevoke(ev, now)
+	case releaseAsked:
+		ev.reply <- co.onRelease(ev.request)
+	case syncAsked:
+		ev.reply <- co.ds.newerThan(ev.have)
+	case documentsFetched:
+		co.onDocuments(ev, now)
+	case synced:
+		co.onSynced(ev, now)
+	case rowCommitted:
+		co.onRow(ev, now)
+	case released:
+		co.onReleased(ev)
+	case takeoverEnded:
+		co.onTakeover(ev, now)
+	case folded:
+		co.onFolded(ev)
+	case leaveAsked:
+		co.onLeave(ev)
+	case left:
+		co.onLeft(ev)
+	case statusAsked:
+		ev.reply <- co.status(now)
+	default:
+		panic(fmt.Sprintf("controller: unknown event %T", ev))
+	}
+}
+
+// tick does what is due at now.
+func (co *Controller) tick(now timer.Instant) {
+	co.join(now)
+	co.renew(now)
+	co.poll(now)
+	co.watch(now)
+	co.rewatch(now)
+	co.obtain(now)
+	co.refold()
+	co.proceedLeaving()
+	co.observe(now)
+}
+
+// join announces the instance once the configuration is known.
+func (co *Controller) join(now timer.Instant) {
+	if co.isJoined || co.isJoining || co.leave != nil || now.Before(co.nextJoinAt) || co.ds.config.Version == 0 {
+		return
+	}
+	co.isJoining = true
+	an := co.announcement(placer.FullWeight)
+	an.Lease = leaser.Row{Incarnation: co.self.Incarnation, Watchers: co.chooseWatchers(nil, now)}
+	co.spawn(func(ctx context.Context) event {
+		row, err := co.ledger.join(ctx, an, co.revokeFormer)
+		return rowCommitted{row: row, err: err}
+	})
+}
+
+func (co *Controller) announcement(weight uint32) folder.Announcement {
+	return folder.Announcement{
+		BackendServer: co.self.BackendServer, Service: co.self.Service, DataCentre: co.self.DataCentre,
+		Region: co.self.Region, Address: co.self.Address, Weight: weight, State: folder.Active,
+	}
+}
+
+// onRow takes the own row as it was read back.
+func (co *Controller) onRow(ev rowCommitted, now timer.Instant) {
+	co.isJoining, co.isRewatching = false, false
+	isReplaced := ev.row.Version != 0 && ev.row.Incarnation != co.self.Incarnation
+	if co.isJoined && (ev.isEnded || isReplaced) {
+		co.err = ErrRevoked
+		return
+	}
+	if ev.err != nil {
+		co.lo.Warn("row not written", "error", ev.err)
+		co.nextJoinAt = now.Add(joinBackoff)
+		if ev.row.Version != 0 && ev.row.Incarnation == co.self.Incarnation {
+			co.ho.Commit(ev.row)
+		}
+		return
+	}
+	if !co.isJoined {
+		co.lo.Info("joined", "incarnation", co.self.Incarnation, "watchers", len(ev.row.Watchers))
+		co.needsFold = true
+	}
+	co.isJoined = true
+	co.ho.Commit(ev.row)
+	co.nextRenewAt = now
+}
+
+// refold brings the maps up to date if something changed.
+func (co *Controller) refold() {
+	if !co.needsFold || co.isFolding {
+		return
+	}
+	co.isFolding, co.needsFold = true, false
+	co.spawn(func(ctx context.Context) event {
+		docs, err := co.ledger.fold(ctx)
+		co.post(ctx, documentsFetched{documents: docs})
+		return folded{err: err}
+	})
+}
+
+func (co *Controller) onFolded(ev folded) {
+	co.isFolding = false
+	if ev.err != nil {
+		co.lo.Warn("maps not folded", "error", ev.err)
+		co.needsFold = true
+	}
+}
+
+// onDocuments applies documents, forwards only.
+func (co *Controller) onDocuments(ev documentsFetched, now timer.Instant) {
+	if ev.isTable {
+		co.isFetching = false
+		co.noteTable(ev)
+	}
+	isChanged := false
+	configBefore := co.ds.config.Version
+	for _, do := range ev.documents {
+		applied, err := co.ds.apply(do)
+		if err != nil {
+			co.lo.Error("document rejected", "document", do.Name, "version", do.Version, "error", err)
+			continue
+		}
+		isChanged = isChanged || applied
+	}
+	if isChanged {
+		co.onChange(now)
+	}
+	// Weights follow the configuration. Its author folds it into the maps, and
+	// the pollers do in case the author failed.
+	if co.ds.config.Version != configBefore && co.isJoined && co.isPoller() {
+		co.needsFold = true
+	}
+	if ev.isTable && ev.err == nil {
+		co.setFresh(ev.readAt)
+	}
+}
+
+func (co *Controller) noteTable(ev documentsFetched) {
+	co.tableError = ""
+	if ev.err != nil {
+		co.tableError = ev.err.Error()
+	}
+}
+
+func (co *Controller) setFresh(at timer.Instant) {
+	if co.freshAt.Before(at) {
+		co.freshAt = at
+		co.pu.SetFresh(at.Add(co.freshness))
+	}
+}
+
+// onChange publishes new documents and follows the new maps.
+func (co *Controller) onChange(now timer.Instant) {
+	co.followMaps()
+	co.pu.Publish(co.ds.view())
+	co.checkMembership()
+	co.nextRenewAt = now
+	co.nextRewatchAt = min(co.nextRewatchAt, now)
+	co.lo.Debug("documents applied", "config", co.ds.config.Version, "hash", co.ds.hash)
+}
+
+// checkMembership looks for this incarnation in the maps. Once it has been
+// there, its absence means that it was revoked.
+func (co *Controller) checkMembership() {
+	isMissing := co.isMissing()
+	if isMissing && co.wasMember && co.leave == nil {
+		co.lo.Warn("revoked", "incarnation", co.self.Incarnation)
+		co.err = ErrRevoked
+		return
+	}
+	co.wasMember = co.wasMember || !isMissing
+	if isMissing && co.isJoined && co.leave == nil {
+		co.needsFold = true
+	}
+}
+
+// isMissing reports whether the maps don't name this incarnation.
+func (co *Controller) isMissing() bool {
+	_, ok := co.ds.member(co.self.Incarnation)
+	return !ok
+}
+
+// Datagram hands an authentic datagram to the control thread. It drops it if
+// the thread is far behind: leases then lapse, which is safe.
+func (co *Controller) Datagram(da *peerproto.Datagram) {
+	select {
+	case co.events <- datagramArrived{datagram: da, at: co.pu.Now()}:
+	default:
+	}
+}
+
+// ask posts an event and waits for its reply.
+func ask[R any](ctx context.Context, co *Controller, reply <-chan R, ev event) (R, error) {
+	var zero R
+	select {
+	case co.events <- ev:
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+	select {
+	case re := <-reply:
+		return re, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+// Revoke votes on a takeover of the holder.
+func (co *Controller) Revoke(ctx context.Context, holder uint64, isProbe bool) (leaser.Vote, error) {
+	reply := make(chan leaser.Vote, 1)
+	return ask(ctx, co, reply, revokeAsked{holder: holder, isProbe: isProbe, reply: reply})
+}
+
+// Release answers a new owner's request.
+func (co *Controller) Release(ctx context.Context, re *peerproto.ReleaseRequest) ([]uint32, error) {
+	reply := make(chan []uint32, 1)
+	return ask(ctx, co, reply, releaseAsked{request: re, reply: reply})
+}
+
+// Sync returns the documents newer than the versions.
+func (co *Controller) Sync(ctx context.Context, have map[string]uint64) ([]Document, error) {
+	reply := make(chan []Document, 1)
+	return ask(ctx, co, reply, syncAsked{have: have, reply: reply})
+}
+
+// Offer hands documents to the control thread, as after the own commit.
+func (co *Controller) Offer(ctx context.Context, docs []Document) {
+	co.post(ctx, documentsFetched{documents: docs})
+}
+
+// Refold reads the rows and folds them into the maps before it returns.
+func (co *Controller) Refold(ctx context.Context) error {
+	docs, err := co.ledger.fold(ctx)
+	co.Offer(ctx, docs)
+	return err
+}
+
+// Status returns a copy of the control state.
+func (co *Controller) Status(ctx context.Context) (Status, error) {
+	reply := make(chan Status, 1)
+	return ask(ctx, co, reply, statusAsked{reply: reply})
+}
--- /dev/null
+++ b/instance/controller/lease.go
@@ -0,0 +1,347 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/wire/peerproto"
+)
+
+const (
+	voteAttempts   = 12
+	minVoteWait    = 5 * time.Millisecond
+	nanosPerMillis = 1_000_000
+)
+
+// renew sends a datagram to each watcher.
+func (co *Controller) renew(now timer.Instant) {
+	if !co.isJoined || now.Before(co.nextRenewAt) {
+		return
+	}
+	co.nextRenewAt = now.Add(renewInterval)
+	re := co.ho.Renewal(now)
+	for _, wt := range co.ho.Targets() {
+		if me, ok := co.ds.member(wt.Incarnation); ok {
+			co.send(me, &peerproto.Datagram{RenewalSentAt: int64(re.SentAt)}, now)
+		}
+	}
+}
+
+func (co *Controller) send(to placer.Member, da *peerproto.Datagram, now timer.Instant) {
+	address, err := netip.ParseAddrPort(to.Address)
+	if err != nil {
+		return
+	}
+	da.From, da.To = co.self.Incarnation, to.Incarnation
+	da.Documents = co.ds.hash
+	if co.freshAt != 0 {
+		da.FreshnessAge = uint32(now.Sub(co.freshAt)/nanosPerMillis) + 1
+	}
+	if err := co.sender.Send(address, da); err != nil {
+		co.lo.Trace("datagram not sent", "to", to.BackendServer, "error", err)
+	}
+}
+
+// onDatagram takes what a peer sent.
+func (co *Controller) onDatagram(da *peerproto.Datagram, at timer.Instant) {
+	if da.GetTo() != co.self.Incarnation {
+		return
+	}
+	now := co.pu.Now()
+	co.heard[da.GetFrom()] = at
+	from, isKnown := co.ds.member(da.GetFrom())
+	if da.GetAckSentAt() != 0 {
+		co.ho.Acknowledge(leaser.Ack{
+			Watcher: da.GetFrom(), Holder: co.self.Incarnation,
+			SentAt: timer.Instant(da.GetAckSentAt()), Revoked: da.GetRevoked(),
+		})
+		co.takeFreshness(da)
+	}
+	if da.GetRenewalSentAt() != 0 && isKnown {
+		co.answer(from, da, now)
+	}
+	if da.GetDocuments() != co.ds.hash && isKnown {
+		co.fetchFrom(from)
+	}
+}
+
+// answer acknowledges a renewal. The promise counts from now, not from the
+// datagram's arrival, which is the later and so the safe instant.
+func (co *Controller) answer(from placer.Member, da *peerproto.Datagram, now timer.Instant) {
+	ack := co.wa.Renew(leaser.Renewal{Holder: da.GetFrom(), SentAt: timer.Instant(da.GetRenewalSentAt())}, now)
+	co.send(from, &peerproto.Datagram{AckSentAt: int64(ack.SentAt), Revoked: ack.Revoked}, now)
+}
+
+// takeFreshness counts a peer's freshness from when this instance sent the
+// renewal that the datagram answers, so that a delayed datagram can't make old
+// knowledge look new. It counts only if both hold the same documents.
+func (co *Controller) takeFreshness(da *peerproto.Datagram) {
+	if da.GetFreshnessAge() == 0 || da.GetDocuments() != co.ds.hash {
+		return
+	}
+	age := timer.Span(da.GetFreshnessAge()) * timer.Millisecond
+	co.setFresh(timer.Instant(da.GetAckSentAt()).Add(-age))
+}
+
+// fetchFrom asks a peer for documents that it holds and this instance lacks.
+func (co *Controller) fetchFrom(from placer.Member) {
+	if co.isSyncing[from.Incarnation] {
+		return
+	}
+	co.isSyncing[from.Incarnation] = true
+	request := &peerproto.SyncRequest{}
+	for name, version := range co.ds.versions() {
+		request.Have = append(request.Have, &peerproto.DocumentVersion{Name: name, Version: version})
+	}
+	co.spawn(func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		answer, err := co.peers.Sync(ctx, from.Address, request)
+		ev := synced{from: from.Incarnation, err: err}
+		for _, do := range answer.GetNewer() {
+			ev.documents = append(ev.documents, Document{Name: do.GetName(), Version: do.GetVersion(), Content: do.GetContent()})
+		}
+		return ev
+	})
+}
+
+func (co *Controller) onSynced(ev synced, now timer.Instant) {
+	delete(co.isSyncing, ev.from)
+	co.onDocuments(documentsFetched{documents: ev.documents}, now)
+}
+
+// isPoller reports whether this instance reads the table for its data centre.
+// The two members with the lowest incarnations do, and all that have not
+// joined yet.
+func (co *Controller) isPoller() bool {
+	if !co.isJoined || co.isMissing() {
+		return true
+	}
+	lower := 0
+	for _, me := range co.ds.members() {
+		if me.DataCentre == co.self.DataCentre && me.Incarnation < co.self.Incarnation {
+			lower++
+		}
+	}
+	return lower < pollersPerCentre
+}
+
+func (co *Controller) poll(now timer.Instant) {
+	if co.isFetching || now.Before(co.nextPollAt) {
+		return
+	}
+	co.nextPollAt = now.Add(pollInterval)
+	if !co.isPoller() {
+		return
+	}
+	co.isFetching = true
+	have := co.ds.versions()
+	co.spawn(func(ctx context.Context) event {
+		docs, err := co.ledger.readDocuments(ctx, have)
+		return documentsFetched{documents: docs, readAt: now, isTable: true, err: err}
+	})
+}
+
+// candidates lists the instances that may watch this one. Those that have been
+// silent as watchers are left out.
+func (co *Controller) candidates(now timer.Instant) []leaser.Candidate {
+	silent := co.ho.Silent(now.Add(-watcherPatience))
+	var candidates []leaser.Candidate
+	for _, me := range co.ds.members() {
+		wt := leaser.Watch{BackendServer: me.BackendServer, Incarnation: me.Incarnation}
+		if me.BackendServer == co.self.BackendServer || slices.Contains(silent, wt) || co.avoid[wt.Incarnation] > now {
+			continue
+		}
+		candidates = append(candidates, leaser.Candidate{Watch: wt, DataCentre: me.DataCentre})
+	}
+	return candidates
+}
+
+func (co *Controller) chooseWatchers(present []leaser.Watch, now timer.Instant) []leaser.Watch {
+	return leaser.Choose(co.self.BackendServer, co.candidates(now), present)
+}
+
+// rewatch replaces watchers that are gone or silent.
+func (co *Controller) rewatch(now timer.Instant) {
+	if !co.isJoined || co.isRewatching || co.leave != nil || now.Before(co.nextRewatchAt) {
+		return
+	}
+	co.nextRewatchAt = now.Add(rewatchInterval)
+	if now.Before(co.watchersSetAt.Add(watcherPatience)) && len(co.ho.Committed().Watchers) == leaser.WatcherCount {
+		return
+	}
+	for _, wt := range co.ho.Silent(now.Add(-watcherPatience)) {
+		co.avoid[wt.Incarnation] = now.Add(safetyInterval)
+	}
+	present := co.ho.Committed()
+	chosen := co.chooseWatchers(present.Watchers, now)
+	if len(chosen) == 0 || slices.Equal(chosen, present.Watchers) {
+		return
+	}
+	co.replaceWatchers(chosen, now)
+}
+
+// replaceWatchers proposes the new row before it is written: until the outcome
+// is read the lease needs both sets of watchers.
+func (co *Controller) replaceWatchers(chosen []leaser.Watch, now timer.Instant) {
+	co.isRewatching = true
+	co.watchersSetAt = now
+	row := leaser.Row{Incarnation: co.self.Incarnation, Version: co.ho.Committed().Version, Watchers: chosen}
+	co.ho.Propose(row)
+	co.nextRenewAt = now
+	an := co.announcement(co.weight())
+	an.Lease = row
+	co.spawn(func(ctx context.Context) event {
+		// The new watchers acknowledge before the row changes, so that the
+		// lease does not lapse in between.
+		sleep(ctx, watcherWarmUp)
+		found, err := co.ledger.writeRow(ctx, an)
+		if err == nil && found.State != folder.Active {
+			err = ErrRevoked
+		}
+		return rowCommitted{row: found.Lease, err: err, isEnded: found.Lease.Version != 0 && found.State != folder.Active}
+	})
+}
+
+func (co *Controller) weight() uint32 {
+	if co.leave != nil {
+		return 0
+	}
+	return placer.FullWeight
+}
+
+// onRevoke votes on a takeover of a holder that this instance may watch.
+func (co *Controller) onRevoke(ev revokeAsked, now timer.Instant) leaser.Vote {
+	if ev.isProbe {
+		return co.wa.Probe(ev.holder, now)
+	}
+	return co.wa.Revoke(ev.holder, now)
+}
+
+// watch begins a takeover of each holder whose promise has expired.
+func (co *Controller) watch(now timer.Instant) {
+	for _, holder := range co.wa.Expired(now) {
+		me, ok := co.ds.member(holder)
+		if !ok {
+			co.wa.Forget(holder, now)
+			continue
+		}
+		if co.takeovers[holder] || now.Before(co.nextTakeover[holder]) {
+			continue
+		}
+		co.takeovers[holder] = true
+		co.lo.Info("takeover begins", "backendServer", me.BackendServer, "incarnation", holder)
+		members := co.ds.members()
+		co.spawn(func(ctx context.Context) event {
+			isTaken, err := co.takeOver(ctx, me, members)
+			return takeoverEnded{holder: holder, isTaken: isTaken, err: err}
+		})
+	}
+}
+
+func (co *Controller) onTakeover(ev takeoverEnded, now timer.Instant) {
+	delete(co.takeovers, ev.holder)
+	co.nextTakeover[ev.holder] = now.Add(takeoverBackoff)
+	if ev.err != nil {
+		co.lo.Debug("takeover failed", "incarnation", ev.holder, "error", ev.err)
+		return
+	}
+	co.lo.Info("takeover done", "incarnation", ev.holder)
+	co.needsFold = co.needsFold || ev.isTaken
+}
+
+// takeOver revokes a holder with a majority of the watchers its row names, and
+// writes that into the row at the version that named them.
+func (co *Controller) takeOver(ctx context.Context, me placer.Member, members []placer.Member) (bool, error) {
+	row, err := co.ledger.readRow(ctx, me.BackendServer)
+	if err != nil {
+		return false, err
+	}
+	if row.Lease.Incarnation != me.Incarnation || row.State != folder.Active {
+		return true, nil
+	}
+	if err := co.collect(ctx, row.Lease, members, true); err != nil {
+		return false, err
+	}
+	if err := co.collect(ctx, row.Lease, members, false); err != nil {
+		return false, err
+	}
+	return true, co.ledger.end(ctx, row, folder.Revoked)
+}
+
+// revokeFormer revokes the former incarnation of this backend server.
+func (co *Controller) revokeFormer(ctx context.Context, former folder.Announcement) error {
+	docs, err := co.ledger.readDocuments(ctx, nil)
+	if err != nil {
+		return err
+	}
+	ds := newDocuments()
+	for _, do := range docs {
+		if _, err := ds.apply(do); err != nil {
+			return err
+		}
+	}
+	if err := co.collect(ctx, former.Lease, ds.members(), false); err != nil {
+		return err
+	}
+	return co.ledger.end(ctx, former, folder.Revoked)
+}
+
+// collect gathers votes until a majority of a row's watchers have given theirs.
+func (co *Controller) collect(ctx context.Context, row leaser.Row, members []placer.Member, isProbe bool) error {
+	need := leaser.Majority(len(row.Watchers))
+	votes := make(chan bool, len(row.Watchers))
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	for _, wt := range row.Watchers {
+		go func() { votes <- co.vote(ctx, wt, row.Incarnation, members, isProbe) }()
+	}
+	given := 0
+	for range row.Watchers {
+		if <-votes {
+			given++
+		}
+		if given >= need {
+			return nil
+		}
+	}
+	return fmt.Errorf("controller: %d of %d votes against incarnation %d", given, need, row.Incarnation)
+}
+
+// vote asks one watcher until its promise has expired.
+func (co *Controller) vote(ctx context.Context, wt leaser.Watch, holder uint64, members []placer.Member, isProbe bool) bool {
+	for range voteAttempts {
+		wait, isGiven, err := co.voteOnce(ctx, wt, holder, members, isProbe)
+		if isGiven {
+			return true
+		}
+		if err != nil || !sleep(ctx, max(wait, minVoteWait)) {
+			return false
+		}
+	}
+	return false
+}
+
+func (co *Controller) voteOnce(ctx context.Context, wt leaser.Watch, holder uint64, members []placer.Member, isProbe bool) (time.Duration, bool, error) {
+	if wt.Incarnation == co.self.Incarnation {
+		vote, err := co.Revoke(ctx, holder, isProbe)
+		return vote.RetryAt.Sub(co.pu.Now()).Duration(), err == nil && vote.Revoked, err
+	}
+	me, ok := placer.Map{Members: members}.ByIncarnation(wt.Incarnation)
+	if !ok {
+		return 0, false, fmt.Errorf("controller: watcher %s is no member", wt.BackendServer)
+	}
+	answer, err := co.peers.Revoke(ctx, me.Address, &peerproto.RevokeRequest{Holder: holder, Watcher: wt.Incarnation, Probe: isProbe})
+	if err != nil {
+		return 0, false, err
+	}
+	isVote := answer.GetWatcher() == wt.Incarnation && answer.GetRevoked()
+	return time.Duration(answer.GetRetryAfter()), isVote, nil
+}
--- /dev/null
+++ b/instance/controller/rows.go
@@ -0,0 +1,289 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/platform/storer"
+	"cornellanding.example/platform/tabler"
+	"cornellanding.example/wire/encoder"
+)
+
+const (
+	tableTimeout  = 2 * time.Second
+	foldAttempts  = 40
+	foldJitter    = 20 * time.Millisecond
+	writeAttempts = 20
+	writeBackoff  = 50 * time.Millisecond
+)
+
+// ledger does the slow work on the table and the object store, outside the
+// control thread.
+type ledger struct {
+	table   tabler.Table
+	objects storer.Objects
+}
+
+// readDocuments reads all documents that are newer than the versions.
+func (le *ledger) readDocuments(ctx context.Context, have map[string]uint64) ([]Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	query := tabler.Query{Keys: []string{ConfigKey}, Prefixes: []string{MapPrefix}, VersionsOnly: true}
+	rows, err := le.table.Read(ctx, query)
+	if err != nil {
+		return nil, err
+	}
+	var newer []string
+	for _, ro := range rows {
+		if ro.Version > have[ro.Key] {
+			newer = append(newer, ro.Key)
+		}
+	}
+	if len(newer) == 0 {
+		return nil, nil
+	}
+	rows, err = le.table.Read(ctx, tabler.Query{Keys: newer})
+	if err != nil {
+		return nil, err
+	}
+	return le.toDocuments(ctx, rows)
+}
+
+func (le *ledger) toDocuments(ctx context.Context, rows []tabler.Row) ([]Document, error) {
+	var docs []Document
+	for _, ro := range rows {
+		content := ro.Value
+		if ro.Key == ConfigKey {
+			var err error
+			content, err = le.objects.Get(ctx, string(ro.Value))
+			if err != nil {
+				return nil, err
+			}
+		}
+		docs = append(docs, Document{Name: ro.Key, Version: ro.Version, Content: content})
+	}
+	return docs, nil
+}
+
+// readRow reads one instance's row. An absent row has lease version 0.
+func (le *ledger) readRow(ctx context.Context, name string) (folder.Announcement, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	key := MemberPrefix + name
+	rows, err := le.table.Read(ctx, tabler.Query{Keys: []string{key}})
+	if err != nil {
+		return folder.Announcement{}, err
+	}
+	ro := tabler.Find(rows, key)
+	if ro.Version == 0 {
+		return folder.Announcement{}, nil
+	}
+	return encoder.DecodeAnnouncement(ro.Value, ro.Version)
+}
+
+// writeRow writes a row on condition of the version in its lease and reads the
+// outcome back, however the write's answer fared. A lost answer is thereby
+// told apart from a lost write.
+func (le *ledger) writeRow(ctx context.Context, an folder.Announcement) (folder.Announcement, error) {
+	value, err := encoder.EncodeAnnouncement(an)
+	if err != nil {
+		return folder.Announcement{}, fmt.Errorf("controller: encode row: %w", err)
+	}
+	key := MemberPrefix + an.BackendServer
+	commitCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+	err = le.table.Commit(commitCtx, tabler.Transaction{
+		Conditions: []tabler.Condition{{Key: key, Version: an.Lease.Version}},
+		Writes:     []tabler.Write{{Key: key, Value: value}},
+	})
+	cancel()
+	if err == nil {
+		an.Lease.Version++
+		return an, nil
+	}
+	return le.settleRow(ctx, an, err)
+}
+
+// settleRow reads a row until it is known what became of a write.
+func (le *ledger) settleRow(ctx context.Context, an folder.Announcement, cause error) (folder.Announcement, error) {
+	for range writeAttempts {
+		found, err := le.readRow(ctx, an.BackendServer)
+		if err == nil {
+			return found, le.judge(an, found, cause)
+		}
+		if !sleep(ctx, writeBackoff) {
+			break
+		}
+	}
+	return folder.Announcement{}, fmt.Errorf("controller: outcome of a row's write is unknown: %w", cause)
+}
+
+// judge reports nil if found is what was written.
+func (le *ledger) judge(written, found folder.Announcement, cause error) error {
+	isSame := found.Lease.Version == written.Lease.Version+1 &&
+		found.Lease.Incarnation == written.Lease.Incarnation &&
+		found.State == written.State && found.Weight == written.Weight &&
+		slices.Equal(found.Lease.Watchers, written.Lease.Watchers)
+	if isSame {
+		return nil
+	}
+	return cause
+}
+
+// fold brings the maps up to date with the rows. It tries again on conflicts,
+// since then somebody else has folded.
+func (le *ledger) fold(ctx context.Context) ([]Document, error) {
+	var last error
+	for range foldAttempts {
+		docs, isDone, err := le.foldOnce(ctx)
+		if isDone {
+			return docs, nil
+		}
+		last = err
+		jitter := time.Duration(rand.Int64N(int64(foldJitter)))
+		if !sleep(ctx, jitter) {
+			break
+		}
+	}
+	return nil, fmt.Errorf("controller: fold: %w", last)
+}
+
+func (le *ledger) foldOnce(ctx context.Context) ([]Document, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	rows, err := le.table.Read(ctx, tabler.Query{Keys: []string{ConfigKey}, Prefixes: []string{MapPrefix, MemberPrefix}})
+	if err != nil {
+		return nil, false, err
+	}
+	in, docs, err := le.foldInput(ctx, rows)
+	if err != nil {
+		return nil, false, err
+	}
+	changed := folder.Fold(in)
+	if len(changed) == 0 || in.Config.Version == 0 {
+		return docs, true, nil
+	}
+	return le.commitMaps(ctx, changed, tabler.Find(rows, ConfigKey).Version)
+}
+
+func (le *ledger) foldInput(ctx context.Context, rows []tabler.Row) (folder.Input, []Document, error) {
+	in := folder.Input{Maps: map[string]placer.Map{}, At: time.Now().UnixMilli()}
+	var agreed []tabler.Row
+	for _, ro := range rows {
+		if !strings.HasPrefix(ro.Key, MemberPrefix) {
+			agreed = append(agreed, ro)
+			continue
+		}
+		an, err := encoder.DecodeAnnouncement(ro.Value, ro.Version)
+		if err != nil {
+			return in, nil, err
+		}
+		in.Rows = append(in.Rows, an)
+	}
+	docs, err := le.toDocuments(ctx, agreed)
+	if err != nil {
+		return in, nil, err
+	}
+	for _, do := range docs {
+		if err := addDocument(&in, do); err != nil {
+			return in, nil, err
+		}
+	}
+	return in, docs, nil
+}
+
+func addDocument(in *folder.Input, do Document) error {
+	if do.Name == ConfigKey {
+		co, err := encoder.DecodeConfig(do.Content)
+		in.Config = co
+		return err
+	}
+	ma, err := encoder.DecodeMap(do.Content)
+	in.Maps[ma.Service] = ma
+	return err
+}
+
+// commitMaps writes the changed maps on condition of their former versions and
+// of the configuration they follow.
+func (le *ledger) commitMaps(ctx context.Context, changed []placer.Map, configVersion uint64) ([]Document, bool, error) {
+	tx := tabler.Transaction{Conditions: []tabler.Condition{{Key: ConfigKey, Version: configVersion}}}
+	var docs []Document
+	for _, ma := range changed {
+		content, err := encoder.EncodeMap(ma)
+		if err != nil {
+			return nil, false, fmt.Errorf("controller: encode map: %w", err)
+		}
+		key := MapPrefix + ma.Service
+		tx.Conditions = append(tx.Conditions, tabler.Condition{Key: key, Version: ma.Version - 1})
+		tx.Writes = append(tx.Writes, tabler.Write{Key: key, Value: content})
+		docs = append(docs, Document{Name: key, Version: ma.Version, Content: content})
+	}
+	if err := le.table.Commit(ctx, tx); err != nil {
+		return nil, false, err
+	}
+	return docs, true, nil
+}
+
+// join announces the instance, after the former incarnation of its backend
+// server is known to serve nothing. It returns the row as committed.
+func (le *ledger) join(ctx context.Context, an folder.Announcement, revoke func(context.Context, folder.Announcement) error) (leaser.Row, error) {
+	former, err := le.readRow(ctx, an.BackendServer)
+	if err != nil {
+		return leaser.Row{}, err
+	}
+	if former.Lease.Incarnation == an.Lease.Incarnation && former.State == folder.Active {
+		return former.Lease, nil
+	}
+	if !isEnded(former, an) {
+		if err := revoke(ctx, former); err != nil {
+			return leaser.Row{}, fmt.Errorf("controller: former incarnation: %w", err)
+		}
+	}
+	an.Lease.Version = former.Lease.Version
+	committed, err := le.writeRow(ctx, an)
+	if err != nil {
+		return leaser.Row{}, err
+	}
+	return committed.Lease, nil
+}
+
+// isEnded reports whether the former incarnation provably serves nothing: it
+// left, was revoked, never had watchers and so never a lease, or ran at the
+// address whose port this process now holds.
+func isEnded(former, an folder.Announcement) bool {
+	return former.Lease.Version == 0 || former.State != folder.Active ||
+		len(former.Lease.Watchers) == 0 || former.Address == an.Address
+}
+
+// end writes the final state of an incarnation's row. It reports success also
+// if the row names another incarnation or has ended already.
+func (le *ledger) end(ctx context.Context, row folder.Announcement, state folder.State) error {
+	row.State = state
+	found, err := le.writeRow(ctx, row)
+	if err == nil {
+		return nil
+	}
+	isOver := found.Lease.Version != 0 &&
+		(found.Lease.Incarnation != row.Lease.Incarnation || found.State != folder.Active)
+	if isOver {
+		return nil
+	}
+	return err
+}
+
+func sleep(ctx context.Context, du time.Duration) bool {
+	ti := time.NewTimer(du)
+	defer ti.Stop()
+	select {
+	case <-ti.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/instance/controller/status.go
@@ -0,0 +1,77 @@
+package controller
+
+import (
+	"fmt"
+
+	"cornellanding.example/core/timer"
+	"cornellanding.example/core/warner"
+)
+
+// The kinds of warnings.
+const (
+	WarningNoLease  = "noLease"
+	WarningNotFresh = "notFresh"
+	WarningTable    = "tableUnreachable"
+	WarningWatchers = "tooFewWatchers"
+	WarningHandover = "handoverPending"
+)
+
+// Status is a copy of the control state.
+type Status struct {
+	BackendServer string
+	Incarnation   uint64
+	IsJoined      bool
+	HasLease      bool
+	Watchers      []string
+	ConfigVersion uint64
+	MapVersions   map[string]uint64
+	Owned         map[string]int
+	Pending       map[string]int
+	// FreshAge is how old the knowledge of the table is.
+	FreshAge timer.Span
+	Warnings []warner.Warning
+	Now      timer.Instant
+}
+
+func (co *Controller) status(now timer.Instant) Status {
+	st := Status{
+		BackendServer: co.self.BackendServer, Incarnation: co.self.Incarnation, IsJoined: co.isJoined,
+		HasLease: co.ho.IsValid(now), ConfigVersion: co.ds.config.Version, Now: now,
+		MapVersions: map[string]uint64{}, Owned: map[string]int{}, Pending: map[string]int{},
+		FreshAge: now.Sub(co.freshAt),
+	}
+	for _, wt := range co.ho.Committed().Watchers {
+		st.Watchers = append(st.Watchers, wt.BackendServer)
+	}
+	for service, tb := range co.ds.tables {
+		st.MapVersions[service] = tb.Map.Version
+	}
+	for service, te := range co.tenures {
+		st.Pending[service] = len(te.pending)
+		st.Owned[service] = len(co.ds.tables[service].OwnedBy(co.self.Incarnation)) - len(te.pending)
+	}
+	co.observe(now)
+	st.Warnings = co.warner.Active(now)
+	return st
+}
+
+// observe evaluates the conditions of all warnings.
+func (co *Controller) observe(now timer.Instant) {
+	self := co.self.BackendServer
+	watchers := len(co.ho.Committed().Watchers)
+	pending := 0
+	for _, te := range co.tenures {
+		pending += len(te.pending)
+	}
+	conditions := []warner.Condition{
+		{Kind: WarningNoLease, Holds: co.isJoined && !co.ho.IsValid(now), Reason: "a majority of the watchers does not acknowledge renewals"},
+		{Kind: WarningNotFresh, Holds: co.freshAt != 0 && !co.pu.IsFresh(), Reason: "no recent knowledge of withdrawn keys"},
+		{Kind: WarningTable, Holds: co.tableError != "", Reason: co.tableError},
+		{Kind: WarningWatchers, Holds: co.isJoined && watchers < 2, Reason: fmt.Sprintf("%d watchers", watchers)},
+		{Kind: WarningHandover, Holds: pending > 0, Reason: fmt.Sprintf("%d partitions wait for their former owners", pending)},
+	}
+	for _, cd := range conditions {
+		cd.Subject = self
+		co.warner.Observe(cd, now)
+	}
+}
--- /dev/null
+++ b/instance/controller/tenure.go
@@ -0,0 +1,168 @@
+package controller
+
+import (
+	"context"
+
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/wire/peerproto"
+)
+
+// tenure is the control state of the partitions of one service that this
+// instance owns or is about to own.
+type tenure struct {
+	service string
+	// pending maps each partition to the prior owners that must release it.
+	pending map[uint32]map[uint64]bool
+	// releasedBy keeps the releases already given for a pending partition.
+	releasedBy map[uint32]map[uint64]bool
+	asking     map[uint64]bool
+	nextAskAt  timer.Instant
+}
+
+func newTenure(service string) *tenure {
+	return &tenure{
+		service: service, pending: map[uint32]map[uint64]bool{},
+		releasedBy: map[uint32]map[uint64]bool{}, asking: map[uint64]bool{},
+	}
+}
+
+// followMaps drops what the maps give to others and begins to obtain what they
+// give to this instance.
+func (co *Controller) followMaps() {
+	for _, service := range []string{co.self.Service, folder.LimitsService} {
+		tb := co.ds.tables[service]
+		if tb == nil || tb.Map.Partitions == 0 {
+			continue
+		}
+		co.pu.Resize(service, tb.Map.Partitions)
+		if co.tenures[service] == nil {
+			co.tenures[service] = newTenure(service)
+		}
+		co.follow(co.tenures[service], tb)
+	}
+}
+
+func (co *Controller) follow(te *tenure, tb *placer.Table) {
+	owned := map[uint32]bool{}
+	for _, pt := range tb.OwnedBy(co.self.Incarnation) {
+		owned[pt] = true
+	}
+	for pt := range tb.Map.Partitions {
+		if !owned[pt] {
+			co.drop(te, pt)
+		}
+	}
+	te.pending = map[uint32]map[uint64]bool{}
+	prior := tb.PriorOwners(co.self.Incarnation)
+	for pt := range owned {
+		if co.pu.Epoch(te.service, pt) != 0 {
+			continue
+		}
+		waits := map[uint64]bool{}
+		for _, me := range prior[pt] {
+			if !te.releasedBy[pt][me.Incarnation] {
+				waits[me.Incarnation] = true
+			}
+		}
+		te.pending[pt] = waits
+		co.obtainIfReleased(te, pt)
+	}
+}
+
+func (co *Controller) drop(te *tenure, pt uint32) {
+	co.pu.Drop(te.service, pt)
+	delete(te.releasedBy, pt)
+}
+
+// obtainIfReleased begins to serve a partition once every prior owner has
+// released it.
+func (co *Controller) obtainIfReleased(te *tenure, pt uint32) {
+	waits, ok := te.pending[pt]
+	if !ok || len(waits) > 0 {
+		return
+	}
+	delete(te.pending, pt)
+	delete(te.releasedBy, pt)
+	co.pu.Obtain(te.service, pt, co.ds.tables[te.service].Map.Version)
+}
+
+// obtain asks prior owners for what is pending.
+func (co *Controller) obtain(now timer.Instant) {
+	for _, te := range co.tenures {
+		if len(te.pending) == 0 || now.Before(te.nextAskAt) {
+			continue
+		}
+		te.nextAskAt = now.Add(releaseInterval)
+		for holder, partitions := range te.byHolder() {
+			co.askRelease(te, holder, partitions)
+		}
+	}
+}
+
+func (te *tenure) byHolder() map[uint64][]uint32 {
+	byHolder := map[uint64][]uint32{}
+	for pt, waits := range te.pending {
+		for holder := range waits {
+			byHolder[holder] = append(byHolder[holder], pt)
+		}
+	}
+	return byHolder
+}
+
+func (co *Controller) askRelease(te *tenure, holder uint64, partitions []uint32) {
+	me, ok := co.ds.member(holder)
+	if !ok || te.asking[holder] {
+		return
+	}
+	te.asking[holder] = true
+	request := &peerproto.ReleaseRequest{
+		Service: te.service, MapVersion: co.ds.tables[te.service].Map.Version,
+		Partitions: partitions, Holder: holder,
+	}
+	service := te.service
+	co.spawn(func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		answer, err := co.peers.Release(ctx, me.Address, request)
+		return released{service: service, holder: holder, partitions: answer.GetReleased(), err: err}
+	})
+}
+
+func (co *Controller) onReleased(ev released) {
+	te := co.tenures[ev.service]
+	delete(te.asking, ev.holder)
+	for _, pt := range ev.partitions {
+		waits, ok := te.pending[pt]
+		if !ok {
+			continue
+		}
+		delete(waits, ev.holder)
+		if te.releasedBy[pt] == nil {
+			te.releasedBy[pt] = map[uint64]bool{}
+		}
+		te.releasedBy[pt][ev.holder] = true
+		co.obtainIfReleased(te, pt)
+	}
+}
+
+// onRelease tells which partitions this instance doesn't serve and never will
+// under the asker's map. It says so only once it follows a map at least as new
+// in which it is not the owner, and no work runs there any more.
+func (co *Controller) onRelease(re *peerproto.ReleaseRequest) []uint32 {
+	tb := co.ds.tables[re.GetService()]
+	isBehind := tb == nil || tb.Map.Version < re.GetMapVersion()
+	if re.GetHolder() != co.self.Incarnation || isBehind {
+		return nil
+	}
+	var free []uint32
+	for _, pt := range re.GetPartitions() {
+		owner, _ := tb.Owner(pt)
+		if owner.Incarnation == co.self.Incarnation || !co.pu.IsIdle(re.GetService(), pt) {
+			continue
+		}
+		free = append(free, pt)
+	}
+	return free
+}
--- /dev/null
+++ b/instance/forwarder/dispatch.go
@@ -0,0 +1,258 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"cornellanding.example/core/admitter"
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/retrier"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/gatekeeper"
+	"cornellanding.example/wire/peerproto"
+)
+
+const (
+	// ownerCandidates is how many owners in a row are tried.
+	ownerCandidates = 3
+	minRetryDelay   = 2 * time.Millisecond
+	maxRetryDelay   = 40 * time.Millisecond
+	answerReserve   = timer.Millisecond
+)
+
+// budget is a retry budget that several goroutines share.
+type budget struct {
+	mu sync.Mutex
+	bu *retrier.Budget
+}
+
+func (bu *budget) deposit() {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	if bu.bu == nil {
+		bu.bu = retrier.NewBudget()
+	}
+	bu.bu.Deposit()
+}
+
+func (bu *budget) withdraw() bool {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	return bu.bu.Withdraw()
+}
+
+// attempt is the result of one forward.
+type attempt struct {
+	to      placer.Member
+	answer  *peerproto.ForwardResponse
+	wasSent bool
+	err     error
+}
+
+// outcome returns what is known of the request after the attempt.
+func (at attempt) outcome() uint32 {
+	switch {
+	case at.err == nil:
+		return at.answer.GetOutcome()
+	case at.wasSent:
+		return gatekeeper.OutcomeUnknown
+	default:
+		return gatekeeper.OutcomeNotRun
+	}
+}
+
+// dispatch forwards a call until it is answered or refused for good.
+func (fo *Forwarder) dispatch(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *refusal) {
+	fo.retries.deposit()
+	sv, ok := fo.pu.View().Services[ca.route.Service]
+	if !ok {
+		return nil, &refusal{status: http.StatusServiceUnavailable, code: CodeNoOwner, reason: "the service is not known"}
+	}
+	if sv.Class == cataloguer.Shared {
+		return fo.dispatchShared(ctx, ca)
+	}
+	return fo.dispatchExclusive(ctx, ca)
+}
+
+// dispatchExclusive tries the owner, and after a failure the members next in
+// order, since one of them takes over.
+func (fo *Forwarder) dispatchExclusive(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *refusal) {
+	delay := minRetryDelay
+	last := attempt{}
+	failures := 0
+	for {
+		order := fo.order(ca)
+		if len(order) > 0 {
+			last = fo.try(ctx, ca, order[failures%len(order)])
+			if isFinal(last, ca) {
+				return fo.conclude(last)
+			}
+			if last.outcome() == gatekeeper.OutcomeUnknown {
+				return fo.resolve(ctx, ca, last)
+			}
+			failures = nextFailures(failures, last)
+		}
+		if !pause(ctx, delay) {
+			return nil, notInTime(last)
+		}
+		delay = min(2*delay, maxRetryDelay)
+	}
+}
+
+func (fo *Forwarder) order(ca *call) []placer.Member {
+	tb := fo.pu.View().Tables[ca.route.Service]
+	if tb == nil {
+		return nil
+	}
+	return tb.Order(tb.Partition(ca.key), ownerCandidates)
+}
+
+// nextFailures moves on to the next candidate only if the last one did not
+// answer at all. One that answers tells that it is alive, and so that the
+// owner is the first candidate of the latest map.
+func nextFailures(failures int, last attempt) int {
+	if last.err != nil {
+		return failures + 1
+	}
+	return 0
+}
+
+// isFinal reports whether an attempt ends the call: it was answered, or refused
+// for a reason that another attempt would not change.
+func isFinal(at attempt, ca *call) bool {
+	if at.err != nil {
+		return false
+	}
+	if at.answer.GetOutcome() == gatekeeper.OutcomeAnswered {
+		return true
+	}
+	switch at.answer.GetCode() {
+	case admitter.CodeOverloaded, admitter.CodeDeadline, admitter.CodeQuarantined, admitter.CodeDuplicate,
+		gatekeeper.CodeReused, gatekeeper.CodeNoRoom:
+		return true
+	case gatekeeper.CodeLost:
+		return !ca.idempotent
+	default:
+		return false
+	}
+}
+
+// conclude turns a final attempt into an answer or a refusal.
+func (fo *Forwarder) conclude(at attempt) (*peerproto.ForwardResponse, *refusal) {
+	if at.answer.GetOutcome() == gatekeeper.OutcomeAnswered {
+		return at.answer, nil
+	}
+	rf := &refusal{
+		status: statusOf(at.answer.GetCode()), code: at.answer.GetCode(), reason: at.answer.GetReason(),
+		outcome: gatekeeper.OutcomeName(at.answer.GetOutcome()), retryAfter: timer.Span(at.answer.GetRetryAfter()),
+	}
+	return nil, rf
+}
+
+func statusOf(code string) int {
+	switch code {
+	case admitter.CodeDeadline:
+		return http.StatusGatewayTimeout
+	case admitter.CodeDuplicate, gatekeeper.CodeReused:
+		return http.StatusConflict
+	case admitter.CodeQuarantined:
+		return http.StatusUnprocessableEntity
+	case gatekeeper.CodeLost:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// resolve deals with an attempt whose outcome is unknown. An idempotent request
+// is sent again within the retry budget. Another one is asked for again at the
+// same incarnation only, whose gate refuses to run a second copy.
+func (fo *Forwarder) resolve(ctx context.Context, ca *call, last attempt) (*peerproto.ForwardResponse, *refusal) {
+	ca.mayHaveRun = true
+	for last.outcome() == gatekeeper.OutcomeUnknown {
+		isRetried := pause(ctx, minRetryDelay) && fo.retries.withdraw()
+		if !isRetried {
+			return nil, unknown(last)
+		}
+		if ca.idempotent {
+			return fo.again(ctx, ca)
+		}
+		next := fo.try(ctx, ca, last.to)
+		if next.err != nil {
+			return nil, unknown(last)
+		}
+		if isFinal(next, ca) && next.answer.GetCode() != admitter.CodeDuplicate {
+			return fo.conclude(next)
+		}
+		if next.answer.GetOutcome() == gatekeeper.OutcomeNotRun {
+			// The gate may have forgotten nothing, but another incarnation
+			// can't speak for the first copy.
+			return nil, unknown(last)
+		}
+	}
+	return nil, unknown(last)
+}
+
+func (fo *Forwarder) again(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *refusal) {
+	if fo.pu.View().Services[ca.route.Service].Class == cataloguer.Shared {
+		return fo.dispatchShared(ctx, ca)
+	}
+	return fo.dispatchExclusive(ctx, ca)
+}
+
+func unknown(last attempt) *refusal {
+	reason := "the connection to the owner broke while the request may have run"
+	if last.err == nil && last.answer.GetReason() != "" {
+		reason = last.answer.GetReason()
+	}
+	return &refusal{
+		status: http.StatusBadGateway, code: CodeLost, reason: reason,
+		outcome: gatekeeper.OutcomeName(gatekeeper.OutcomeUnknown),
+	}
+}
+
+// notInTime refuses a call that no attempt has run.
+func notInTime(last attempt) *refusal {
+	rf := &refusal{status: http.StatusServiceUnavailable, code: CodeNoOwner, reason: "no owner served the key in time", retryAfter: timer.Second}
+	if last.err == nil && last.answer.GetCode() != "" {
+		rf.code, rf.reason = last.answer.GetCode(), last.answer.GetReason()
+	}
+	return rf
+}
+
+func pause(ctx context.Context, du time.Duration) bool {
+	ti := time.NewTimer(du)
+	defer ti.Stop()
+	select {
+	case <-ti.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// try forwards a call once.
+func (fo *Forwarder) try(ctx context.Context, ca *call, to placer.Member) attempt {
+	ca.attempts++
+	ca.servedBy = to.BackendServer
+	remaining := ca.deadlineAt.Sub(fo.pu.Now()) - answerReserve
+	if remaining <= 0 {
+		return attempt{to: to, answer: &peerproto.ForwardResponse{
+			Outcome: gatekeeper.OutcomeNotRun, Code: CodeDeadline, Reason: "the deadline passed",
+		}}
+	}
+	rq := &peerproto.ForwardRequest{
+		RequestId: ca.id, Route: ca.route.Name, Service: ca.route.Service, Workspace: ca.workspace, Key: ca.key,
+		Method: ca.route.Method, PathAndQuery: ca.target, Headers: ca.headers, Body: ca.body,
+		Remaining: int64(remaining), IdempotencyKey: ca.idemKey, Attempt: uint32(ca.attempts), To: to.Incarnation,
+		Idempotent: ca.idempotent, Priority: uint32(ca.route.Priority),
+	}
+	answer, wasSent, err := fo.gates.Forward(ctx, to.Address, rq)
+	if err == nil && answer.GetRequestId() != ca.id {
+		return attempt{to: to, wasSent: true, err: errCrossed}
+	}
+	return attempt{to: to, answer: answer, wasSent: wasSent, err: err}
+}
--- /dev/null
+++ b/instance/forwarder/forwarder.go
@@ -0,0 +1,319 @@
+// Package forwarder accepts callers' requests and forwards each to the gate
+// that may run it.
+//
+// It authenticates the workspace key and takes it off the request, keeps the
+// workspace within its limits, finds the owner of the entity key or balances
+// over a shared service, retries what provably did not run, and hedges late
+// idempotent reads.
+//
+// # Usage
+//
+//	fo, err := forwarder.New(pu, gates, homes, forwarder.WithLogger(lo))
+//	server.HandlePrefix("/", fo)
+package forwarder
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/publisher"
+	"cornellanding.example/wire/peerproto"
+	"github.com/hashicorp/go-hclog"
+)
+
+// MaxRequest bounds a request's body, in bytes.
+const MaxRequest = 1 << 20
+
+// The codes of refusals by the entry instance.
+const (
+	CodeUnknownRoute = "unknownRoute"
+	CodeUnknownKey   = "unknownKey"
+	CodeStaleKeys    = "keysNotFresh"
+	CodeRate         = "rateExceeded"
+	CodeTooLarge     = "requestTooLarge"
+	CodeBadRequest   = "badRequest"
+	CodeNoOwner      = "noOwner"
+	CodeDeadline     = "deadline"
+	CodeLost         = "answerLost"
+)
+
+// Headers between callers and the instance.
+const (
+	headerIdempotency = "Idempotency-Key"
+	headerTimeout     = "X-Request-Timeout"
+	headerRequestID   = "X-Request-Id"
+	maxIDLength       = 128
+	requestIDBytes    = 8
+)
+
+// Gates is the port to the gates of all instances, the own one included.
+type Gates interface {
+	// Forward returns an error if there is no authentic answer. WasSent is
+	// false only if the request provably never left.
+	Forward(ctx context.Context, address string, rq *peerproto.ForwardRequest) (answer *peerproto.ForwardResponse, wasSent bool, err error)
+}
+
+// Homes is the port to the homes of workspaces' buckets.
+type Homes interface {
+	Grant(ctx context.Context, address string, rq *peerproto.GrantRequest) (*peerproto.GrantResponse, error)
+}
+
+// Observer is told of each answer, for metrics.
+type Observer interface {
+	Answered(service, route, code string, status int, latency timer.Span)
+}
+
+// Option sets one option of New.
+type Option func(*Forwarder)
+
+// WithLogger sets the log of decisions.
+func WithLogger(lo hclog.Logger) Option { return func(fo *Forwarder) { fo.lo = lo } }
+
+// WithSample logs one in so many decisions that succeeded, none if 0.
+func WithSample(every int) Option { return func(fo *Forwarder) { fo.sampleEvery = uint64(every) } }
+
+// WithObserver sets who is told of each answer.
+func WithObserver(ob Observer) Option { return func(fo *Forwarder) { fo.observer = ob } }
+
+// Forwarder is the entry side of an instance.
+type Forwarder struct {
+	pu          *publisher.Publisher
+	gates       Gates
+	shares      *shares
+	choices     *choices
+	lo          hclog.Logger
+	sampleEvery uint64
+	observer    Observer
+	decided     atomic.Uint64
+	retries     budget
+
+	muxMu      sync.Mutex
+	mux        atomic.Pointer[http.ServeMux]
+	muxVersion atomic.Uint64
+}
+
+// New returns a forwarder.
+func New(pu *publisher.Publisher, gates Gates, homes Homes, opts ...Option) (*Forwarder, error) {
+	if pu == nil || gates == nil || homes == nil {
+		return nil, errors.New("forwarder: publisher, gates and homes are needed")
+	}
+	fo := &Forwarder{pu: pu, gates: gates, shares: newShares(pu, homes), choices: newChoices(), lo: hclog.NewNullLogger()}
+	for _, opt := range opts {
+		opt(fo)
+	}
+	return fo, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (fo *Forwarder) ServeHTTP(wr http.ResponseWriter, re *http.Request) {
+	fo.routes().ServeHTTP(wr, re)
+}
+
+// routes returns the multiplexer of the configuration in force.
+func (fo *Forwarder) routes() *http.ServeMux {
+	vi := fo.pu.View()
+	if mu := fo.mux.Load(); mu != nil && fo.muxVersion.Load() == vi.Config.Version {
+		return mu
+	}
+	fo.muxMu.Lock()
+	defer fo.muxMu.Unlock()
+	mu := http.NewServeMux()
+	for _, rt := range vi.Config.Catalogue.Routes {
+		mu.HandleFunc(rt.Method+" "+rt.Path, func(wr http.ResponseWriter, re *http.Request) { fo.serve(wr, re, rt) })
+	}
+	mu.HandleFunc("/", fo.serveUnknown)
+	fo.mux.Store(mu)
+	fo.muxVersion.Store(vi.Config.Version)
+	return mu
+}
+
+func (fo *Forwarder) serveUnknown(wr http.ResponseWriter, _ *http.Request) {
+	fo.refuse(wr, newCall(fo.pu.Now()), refusal{status: http.StatusNotFound, code: CodeUnknownRoute, outcome: "notRun", reason: "no route has this method and path"})
+}
+
+// call is one caller's request.
+type call struct {
+	id         string
+	route      cataloguer.Route
+	workspace  string
+	key        string
+	startedAt  timer.Instant
+	deadlineAt timer.Instant
+	body       []byte
+	headers    []*peerproto.Header
+	target     string
+	idempotent bool
+	idemKey    string
+	attempts   int
+	servedBy   string
+	// mayHaveRun says that a copy was sent whose outcome is not known.
+	mayHaveRun bool
+}
+
+func newCall(now timer.Instant) *call {
+	var id [requestIDBytes]byte
+	// Read of crypto/rand never fails.
+	_, _ = rand.Read(id[:])
+	return &call{id: hex.EncodeToString(id[:]), startedAt: now}
+}
+
+func (fo *Forwarder) serve(wr http.ResponseWriter, re *http.Request, rt cataloguer.Route) {
+	ca := newCall(fo.pu.Now())
+	ca.route = rt
+	if rf := fo.read(ca, re); rf != nil {
+		fo.refuse(wr, ca, *rf)
+		return
+	}
+	if rf := fo.authenticate(ca, re); rf != nil {
+		fo.refuse(wr, ca, *rf)
+		return
+	}
+	ctx, cancel := context.WithTimeout(re.Context(), ca.deadlineAt.Sub(fo.pu.Now()).Duration())
+	defer cancel()
+	if rf := fo.limit(ctx, ca); rf != nil {
+		fo.refuse(wr, ca, *rf)
+		return
+	}
+	answer, rf := fo.dispatch(ctx, ca)
+	if rf != nil {
+		fo.refuse(wr, ca, *rf)
+		return
+	}
+	fo.answer(wr, ca, answer)
+}
+
+// read takes what the request consists of.
+func (fo *Forwarder) read(ca *call, re *http.Request) *refusal {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, re.Body, MaxRequest))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, reason: "the body is larger than 1 MiB"}
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, code: CodeBadRequest, reason: "the body can't be read"}
+	}
+	ca.body = body
+	ca.target = re.URL.RequestURI()
+	ca.headers = passedOn(re.Header)
+	if rf := ca.readKey(re); rf != nil {
+		return rf
+	}
+	if rf := ca.readDeadline(re); rf != nil {
+		return rf
+	}
+	ca.idempotent = ca.route.Idempotent
+	ca.idemKey = re.Header.Get(headerIdempotency)
+	if len(ca.idemKey) > maxIDLength {
+		return &refusal{status: http.StatusBadRequest, code: CodeBadRequest, reason: "Idempotency-Key is longer than 128 bytes"}
+	}
+	return nil
+}
+
+func (ca *call) readKey(re *http.Request) *refusal {
+	switch ca.route.KeySource {
+	case cataloguer.KeyFromPath:
+		ca.key = re.PathValue("key")
+	case cataloguer.KeyFromHeader:
+		ca.key = re.Header.Get(ca.route.KeyName)
+	case cataloguer.KeyFromQuery:
+		ca.key = re.URL.Query().Get(ca.route.KeyName)
+	case cataloguer.KeyAbsent:
+		return nil
+	}
+	if ca.key == "" || len(ca.key) > 1024 || strings.ContainsAny(ca.key, "\r\n\x00") {
+		return &refusal{status: http.StatusBadRequest, code: CodeBadRequest, reason: "the entity key is missing or malformed"}
+	}
+	return nil
+}
+
+func (ca *call) readDeadline(re *http.Request) *refusal {
+	span := ca.route.Timeout
+	if value := re.Header.Get(headerTimeout); value != "" {
+		asked, err := time.ParseDuration(value)
+		if err != nil || asked <= 0 {
+			return &refusal{status: http.StatusBadRequest, code: CodeBadRequest, reason: "X-Request-Timeout must be a duration above 0, such as 500ms"}
+		}
+		span = min(span, timer.FromDuration(asked))
+	}
+	ca.deadlineAt = ca.startedAt.Add(span)
+	return nil
+}
+
+// withheld are headers that never reach a backend server: the caller's key,
+// headers of one connection, and those that only the gate may set.
+var withheld = map[string]bool{
+	"Authorization": true, "Proxy-Authorization": true, "Cookie": true,
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
+	"Fencing-Epoch": true, "Entity-Key": true, "Request-Id": true, "Request-Timeout": true,
+	"Workspace": true, "Request-Outcome": true, "Cornellanding-Tag": true, "X-Request-Timeout": true, "X-Request-Id": true,
+}
+
+func passedOn(header http.Header) []*peerproto.Header {
+	named := connectionHeaders(header)
+	var passed []*peerproto.Header
+	for name, values := range header {
+		if withheld[name] || named[name] {
+			continue
+		}
+		for _, value := range values {
+			passed = append(passed, &peerproto.Header{Name: name, Value: value})
+		}
+	}
+	return passed
+}
+
+// connectionHeaders lists the headers that Connection names, RFC 9110 section
+// 7.6.1.
+func connectionHeaders(header http.Header) map[string]bool {
+	named := map[string]bool{}
+	for _, value := range header.Values("Connection") {
+		for _, name := range strings.Split(value, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
+// authenticate finds the workspace of the caller's key.
+func (fo *Forwarder) authenticate(ca *call, re *http.Request) *refusal {
+	if ca.route.Access == cataloguer.OpenAccess {
+		return nil
+	}
+	if !fo.pu.IsFresh() {
+		return &refusal{status: http.StatusServiceUnavailable, code: CodeStaleKeys, reason: "the knowledge of withdrawn keys is too old", retryAfter: timer.Second}
+	}
+	key, ok := strings.CutPrefix(re.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return &refusal{status: http.StatusUnauthorized, code: CodeUnknownKey, reason: "a workspace key is needed"}
+	}
+	workspace, ok := fo.pu.View().Workspaces[sha256.Sum256([]byte(key))]
+	if !ok {
+		return &refusal{status: http.StatusUnauthorized, code: CodeUnknownKey, reason: "the workspace key is not known"}
+	}
+	ca.workspace = workspace
+	return nil
+}
+
+// limit takes a token of the workspace's bucket.
+func (fo *Forwarder) limit(ctx context.Context, ca *call) *refusal {
+	if ca.route.Access == cataloguer.OpenAccess {
+		return nil
+	}
+	retryAfter, ok := fo.shares.take(ctx, ca.workspace)
+	if ok {
+		return nil
+	}
+	return &refusal{status: http.StatusTooManyRequests, code: CodeRate, reason: "the workspace's rate and burst are used up", retryAfter: retryAfter}
+}
--- /dev/null
+++ b/instance/forwarder/shared.go
@@ -0,0 +1,169 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cornellanding.example/core/balancer"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/retrier"
+	"cornellanding.example/instance/gatekeeper"
+	"cornellanding.example/wire/peerproto"
+)
+
+// errCrossed is an answer to another request.
+var errCrossed = errors.New("forwarder: the answer belongs to another request")
+
+// choices balances over the backend servers of shared services.
+type choices struct {
+	mu       sync.Mutex
+	services map[string]*choice
+}
+
+type choice struct {
+	mu         sync.Mutex
+	ba         *balancer.Balancer
+	he         *retrier.Hedger
+	mapVersion uint64
+}
+
+func newChoices() *choices { return &choices{services: map[string]*choice{}} }
+
+func (cs *choices) of(tb *placer.Table) *choice {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	ch := cs.services[tb.Map.Service]
+	if ch == nil {
+		ch = &choice{ba: balancer.New(), he: retrier.NewHedger()}
+		cs.services[tb.Map.Service] = ch
+	}
+	ch.follow(tb.Map)
+	return ch
+}
+
+// follow takes the members of a new map.
+func (ch *choice) follow(ma placer.Map) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	if ch.mapVersion == ma.Version {
+		return
+	}
+	ch.mapVersion = ma.Version
+	var incarnations []uint64
+	for _, me := range ma.Members {
+		if me.Weight > 0 {
+			incarnations = append(incarnations, me.Incarnation)
+		}
+	}
+	ch.ba.SetMembers(incarnations)
+}
+
+func (ch *choice) choose(excluded []uint64) (uint64, bool) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	incarnation, ok := ch.ba.Choose(rand.Uint64(), excluded)
+	if ok {
+		ch.ba.Start(incarnation)
+	}
+	return incarnation, ok
+}
+
+func (ch *choice) delay() time.Duration {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	return ch.he.Delay().Duration()
+}
+
+// dispatchShared tries servers until one answers. A late answer to an
+// idempotent request is hedged with a second copy; the first answer wins and
+// the other copy is cancelled.
+func (fo *Forwarder) dispatchShared(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *refusal) {
+	var tried []uint64
+	last := attempt{}
+	delay := minRetryDelay
+	for {
+		tb := fo.pu.View().Tables[ca.route.Service]
+		if tb != nil {
+			ch := fo.choices.of(tb)
+			var isChosen bool
+			last, isChosen = fo.tryShared(ctx, ca, tb, ch, &tried)
+			switch {
+			case !isChosen:
+				tried = nil
+			case isFinal(last, ca):
+				return fo.conclude(last)
+			case last.outcome() == gatekeeper.OutcomeUnknown && !(ca.idempotent && fo.retries.withdraw()):
+				return fo.resolve(ctx, ca, last)
+			default:
+				ca.mayHaveRun = ca.mayHaveRun || last.outcome() == gatekeeper.OutcomeUnknown
+			}
+		}
+		if !pause(ctx, delay) {
+			return nil, notInTime(last)
+		}
+		delay = min(2*delay, maxRetryDelay)
+	}
+}
+
+// tryShared runs one attempt, hedged if the route allows it.
+func (fo *Forwarder) tryShared(ctx context.Context, ca *call, tb *placer.Table, ch *choice, tried *[]uint64) (attempt, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan attempt, 2)
+	if !fo.launch(ctx, ca, tb, ch, tried, results) {
+		return attempt{}, false
+	}
+	if !ca.idempotent {
+		return <-results, true
+	}
+	hedge := time.NewTimer(ch.delay())
+	defer hedge.Stop()
+	underWay := 1
+	for {
+		select {
+		case at := <-results:
+			underWay--
+			isUnknown := at.outcome() == gatekeeper.OutcomeUnknown
+			ca.mayHaveRun = ca.mayHaveRun || isUnknown
+			if underWay == 0 || isFinal(at, ca) {
+				ca.mayHaveRun = ca.mayHaveRun || underWay > 0
+				return at, true
+			}
+		case <-hedge.C:
+			if fo.retries.withdraw() && fo.launch(ctx, ca, tb, ch, tried, results) {
+				underWay++
+			}
+		}
+	}
+}
+
+// launch sends one copy to a server that has not been tried.
+func (fo *Forwarder) launch(ctx context.Context, ca *call, tb *placer.Table, ch *choice, tried *[]uint64, results chan<- attempt) bool {
+	incarnation, ok := ch.choose(*tried)
+	if !ok {
+		return false
+	}
+	*tried = append(*tried, incarnation)
+	to, ok := tb.Map.ByIncarnation(incarnation)
+	if !ok {
+		return false
+	}
+	copied := *ca
+	ca.attempts++
+	ca.servedBy = to.BackendServer
+	go func() {
+		startedAt := fo.pu.Now()
+		at := fo.try(ctx, &copied, to)
+		latency := fo.pu.Now().Sub(startedAt)
+		isFailed := at.outcome() != gatekeeper.OutcomeAnswered && ctx.Err() == nil
+		ch.mu.Lock()
+		ch.ba.Finish(incarnation, latency, isFailed)
+		ch.he.Observe(latency)
+		ch.mu.Unlock()
+		results <- at
+	}()
+	return true
+}
--- /dev/null
+++ b/instance/forwarder/shares.go
@@ -0,0 +1,189 @@
+package forwarder
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/limiter"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/publisher"
+	"cornellanding.example/wire/peerproto"
+)
+
+const (
+	// grantPatience is how long a request waits for its workspace's bucket.
+	grantPatience = 300 * time.Millisecond
+	grantTimeout  = 200 * time.Millisecond
+	grantRetry    = 10 * timer.Millisecond
+	// maxWaiters bounds the requests of one workspace that wait for tokens.
+	maxWaiters = 64
+)
+
+// shares holds this entry's part of each workspace's bucket.
+type shares struct {
+	pu    *publisher.Publisher
+	homes Homes
+
+	mu         sync.Mutex
+	workspaces map[string]*share
+}
+
+// share is one workspace's part. Changed is closed and replaced when tokens or
+// a refusal arrive.
+type share struct {
+	mu      sync.Mutex
+	sh      *limiter.Share
+	changed chan struct{}
+	waiters atomic.Int32
+}
+
+func newShares(pu *publisher.Publisher, homes Homes) *shares {
+	return &shares{pu: pu, homes: homes, workspaces: map[string]*share{}}
+}
+
+func (ss *shares) of(workspace string) *share {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	sh := ss.workspaces[workspace]
+	if sh == nil {
+		sh = &share{sh: limiter.NewShare(ss.pu.Self().Incarnation), changed: make(chan struct{})}
+		ss.workspaces[workspace] = sh
+	}
+	return sh
+}
+
+// take uses one token. It waits for the home's answer if none is at hand, and
+// for the next token if the home has one soon. Otherwise it returns when to try
+// again.
+func (ss *shares) take(ctx context.Context, workspace string) (timer.Span, bool) {
+	sh := ss.of(workspace)
+	ctx, cancel := context.WithTimeout(ctx, grantPatience)
+	defer cancel()
+	next := ss.takeOnce(sh, workspace, true)
+	if next.isTaken {
+		return 0, true
+	}
+	if !sh.enter() {
+		return next.retryAfter, false
+	}
+	defer sh.waiters.Add(-1)
+	for next.await(ctx) {
+		next = ss.takeOnce(sh, workspace, false)
+		if next.isTaken {
+			return 0, true
+		}
+	}
+	return max(next.retryAfter, timer.Millisecond), false
+}
+
+// enter counts a waiting request, or reports false if too many wait.
+func (sh *share) enter() bool {
+	if sh.waiters.Add(1) > maxWaiters {
+		sh.waiters.Add(-1)
+		return false
+	}
+	return true
+}
+
+// step is the result of one try to take a token.
+type step struct {
+	isTaken bool
+	// changed is closed when the home has answered, if it was asked.
+	changed    <-chan struct{}
+	retryAfter timer.Span
+}
+
+// await waits until another try makes sense. It reports false if the context
+// ends before that.
+func (st step) await(ctx context.Context) bool {
+	if st.changed == nil {
+		deadline, _ := ctx.Deadline()
+		return time.Until(deadline) > st.retryAfter.Duration() && pause(ctx, st.retryAfter.Duration())
+	}
+	select {
+	case <-st.changed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// takeOnce uses a token if there is one, and asks the home if tokens run low.
+func (ss *shares) takeOnce(sh *share, workspace string, isFirst bool) step {
+	now := ss.pu.Now()
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	isTaken := false
+	if isFirst {
+		isTaken = sh.sh.Take(now)
+	} else {
+		isTaken = sh.sh.Retake(now)
+	}
+	if sh.sh.NeedsAsk(now) {
+		ask := sh.sh.Ask(now)
+		go ss.ask(sh, workspace, ask)
+	}
+	switch {
+	case isTaken:
+		return step{isTaken: true}
+	case sh.sh.IsAsking():
+		return step{changed: sh.changed, retryAfter: timer.Second}
+	default:
+		return step{retryAfter: max(timer.Millisecond, sh.sh.RetryAt().Sub(now))}
+	}
+}
+
+// ask asks the home, again until it is found or the time is up.
+func (ss *shares) ask(sh *share, workspace string, ask limiter.Ask) {
+	ctx, cancel := context.WithTimeout(context.Background(), grantPatience)
+	defer cancel()
+	rq := &peerproto.GrantRequest{
+		Workspace: workspace, Want: ask.Want, From: ask.Entry, Sequence: ask.Sequence,
+	}
+	for _, us := range ask.Uses {
+		rq.Uses = append(rq.Uses, &peerproto.GrantUse{Sequence: us.Sequence, Tokens: us.Tokens})
+	}
+	answer, ok := ss.askHome(ctx, workspace, rq)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	now := ss.pu.Now()
+	if ok {
+		sh.sh.Receive(ask, limiter.Grant{Tokens: answer.GetTokens(), RetryAfter: timer.Span(answer.GetRetryAfter())}, now)
+	} else {
+		sh.sh.Fail(now.Add(grantRetry))
+	}
+	close(sh.changed)
+	sh.changed = make(chan struct{})
+}
+
+// askHome returns false if no home answered. An ask without an answer is not
+// repeated at the same home: it may have been granted.
+func (ss *shares) askHome(ctx context.Context, workspace string, rq *peerproto.GrantRequest) (*peerproto.GrantResponse, bool) {
+	for {
+		home, ok := ss.home(workspace)
+		if ok {
+			rq.Home = home.Incarnation
+			callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
+			answer, err := ss.homes.Grant(callCtx, home.Address, rq)
+			cancel()
+			if err == nil && !answer.GetNotHome() {
+				return answer, true
+			}
+		}
+		if !pause(ctx, grantRetry.Duration()) {
+			return nil, false
+		}
+	}
+}
+
+func (ss *shares) home(workspace string) (placer.Member, bool) {
+	tb := ss.pu.View().Tables[folder.LimitsService]
+	if tb == nil {
+		return placer.Member{}, false
+	}
+	return tb.Owner(tb.Partition(workspace))
+}
--- /dev/null
+++ b/instance/gatekeeper/gatekeeper.go
@@ -0,0 +1,389 @@
+// Package gatekeeper runs requests on the backend server beside the instance.
+//
+// It is the only way into that server. It checks ownership under a valid lease,
+// after queueing and immediately before the start; admits, deduplicates and
+// times out; and says of each refusal whether the request ran.
+//
+// # Usage
+//
+//	ga, err := gatekeeper.New(pu, "127.0.0.1:9001", gatekeeper.WithLogger(lo))
+//	answer := ga.Forward(ctx, request)
+package gatekeeper
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"cornellanding.example/core/admitter"
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/publisher"
+	"cornellanding.example/wire/peerproto"
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+)
+
+// The outcomes of a forwarded request.
+const (
+	OutcomeUnknown  = 0
+	OutcomeNotRun   = 1
+	OutcomeAnswered = 2
+)
+
+// The codes of refusals beyond those of package admitter.
+const (
+	CodeNotOwner         = "notOwner"
+	CodeWrongIncarnation = "wrongIncarnation"
+	CodeUnknownService   = "unknownService"
+	CodeUnreachable      = "backendServerUnreachable"
+	CodeLost             = "answerLost"
+	CodeShed             = "backendServerShed"
+	CodeNoRoom           = "noRoom"
+	CodeReused           = "idempotencyKeyReused"
+)
+
+// coldSpan is how long a backend server that fell over is taken to be cold.
+const coldSpan = timer.Second
+
+// Option sets one option of New.
+type Option func(*Gatekeeper)
+
+// WithLogger sets the log of decisions.
+func WithLogger(lo hclog.Logger) Option { return func(ga *Gatekeeper) { ga.lo = lo } }
+
+// WithSample logs one in so many decisions that succeeded, none if 0.
+func WithSample(every int) Option { return func(ga *Gatekeeper) { ga.sampleEvery = uint64(every) } }
+
+// Gatekeeper is the gate of one backend server.
+type Gatekeeper struct {
+	pu          *publisher.Publisher
+	bs          *backend
+	lo          hclog.Logger
+	sampleEvery uint64
+
+	mu       sync.Mutex
+	gate     *admitter.Gate
+	dd       *admitter.Deduper
+	qu       *admitter.Quarantine
+	waiting  map[admitter.Ticket]chan bool
+	limits   cataloguer.ServiceLimits
+	decided  uint64
+	admitted uint64
+}
+
+// New returns a gate for the backend server at address, as IP:port.
+func New(pu *publisher.Publisher, address string, opts ...Option) (*Gatekeeper, error) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return nil, fmt.Errorf("gatekeeper: address %q: %w", address, err)
+	}
+	ga := &Gatekeeper{
+		pu: pu, bs: newBackend(address), lo: hclog.NewNullLogger(),
+		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan bool{},
+	}
+	for _, opt := range opts {
+		opt(ga)
+	}
+	return ga, nil
+}
+
+// Close drops the pooled connections.
+func (ga *Gatekeeper) Close() { ga.bs.close() }
+
+// Load returns how many requests run and wait, and the concurrency in force.
+func (ga *Gatekeeper) Load() (running, waiting, limit int) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.gate == nil {
+		return 0, 0, 0
+	}
+	return ga.gate.Running(), ga.gate.Waiting(), ga.gate.Limit()
+}
+
+// Forward runs a request or refuses it. It never returns an error: the answer
+// tells the outcome.
+func (ga *Gatekeeper) Forward(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
+	answer := ga.forward(ctx, rq)
+	answer.RequestId = rq.GetRequestId()
+	running, waiting, _ := ga.Load()
+	answer.Running, answer.Waiting = uint32(running), uint32(waiting)
+	ga.log(rq, answer)
+	return answer
+}
+
+func (ga *Gatekeeper) log(rq *peerproto.ForwardRequest, answer *peerproto.ForwardResponse) {
+	ga.mu.Lock()
+	ga.decided++
+	isSampled := ga.sampleEvery > 0 && ga.decided%ga.sampleEvery == 0
+	ga.mu.Unlock()
+	if answer.GetOutcome() == OutcomeAnswered && !isSampled {
+		return
+	}
+	ga.lo.Info("gate", "requestId", rq.GetRequestId(), "route", rq.GetRoute(), "workspace", rq.GetWorkspace(),
+		"outcome", OutcomeName(answer.GetOutcome()), "code", answer.GetCode(), "status", answer.GetStatus(),
+		"attempt", rq.GetAttempt())
+}
+
+// OutcomeName returns the name of an outcome in answers and logs.
+func OutcomeName(outcome uint32) string {
+	switch outcome {
+	case OutcomeNotRun:
+		return "notRun"
+	case OutcomeAnswered:
+		return "answered"
+	default:
+		return "unknown"
+	}
+}
+
+func refuse(code, reason string) *peerproto.ForwardResponse {
+	return &peerproto.ForwardResponse{Outcome: OutcomeNotRun, Code: code, Reason: reason}
+}
+
+func (ga *Gatekeeper) forward(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
+	self := ga.pu.Self()
+	if rq.GetTo() != self.Incarnation {
+		return refuse(CodeWrongIncarnation, "this instance is another incarnation")
+	}
+	sv, ok := ga.pu.View().Services[rq.GetService()]
+	if !ok || rq.GetService() != self.Service {
+		return refuse(CodeUnknownService, "this instance does not serve "+rq.GetService())
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(rq.GetRemaining()))
+	defer cancel()
+	jo := &job{rq: rq, sv: sv, deadlineAt: ga.pu.Now().Add(timer.Span(rq.GetRemaining())), fingerprint: fingerprint(rq)}
+	if sv.Class == cataloguer.Exclusive {
+		jo.partition = ga.pu.View().Tables[sv.Name].Partition(rq.GetKey())
+		if !ga.pu.Owns(sv.Name, jo.partition) {
+			return refuse(CodeNotOwner, "this instance does not own the key")
+		}
+	}
+	return ga.once(ctx, jo)
+}
+
+// job is one request on its way through the gate.
+type job struct {
+	rq          *peerproto.ForwardRequest
+	sv          cataloguer.Service
+	partition   uint32
+	deadlineAt  timer.Instant
+	fingerprint uint64
+}
+
+func fingerprint(rq *peerproto.ForwardRequest) uint64 {
+	di := xxhash.New()
+	for _, part := range []string{rq.GetRoute(), rq.GetMethod(), rq.GetPathAndQuery(), rq.GetKey()} {
+		// A digest's Write never fails.
+		_, _ = di.WriteString(part)
+		_, _ = di.Write([]byte{0})
+	}
+	_, _ = di.Write(rq.GetBody())
+	return di.Sum64()
+}
+
+func (jo *job) identity() admitter.Identity {
+	id := jo.rq.GetIdempotencyKey()
+	if id == "" {
+		id = "request " + jo.rq.GetRequestId()
+	}
+	return admitter.Identity{Workspace: jo.rq.GetWorkspace(), Route: jo.rq.GetRoute(), ID: id}
+}
+
+// once refuses the second copy of a non-idempotent request.
+func (ga *Gatekeeper) once(ctx context.Context, jo *job) *peerproto.ForwardResponse {
+	if jo.rq.GetIdempotent() {
+		return ga.admit(ctx, jo)
+	}
+	id := jo.identity()
+	ga.mu.Lock()
+	state, kept, hasRoom := ga.dd.Begin(id, jo.fingerprint, ga.pu.Now())
+	ga.mu.Unlock()
+	if !hasRoom {
+		return refuse(CodeNoRoom, "too many requests are remembered")
+	}
+	if state != admitter.FirstCopy {
+		return duplicate(state, kept)
+	}
+	answer := ga.admit(ctx, jo)
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	switch answer.GetOutcome() {
+	case OutcomeNotRun:
+		ga.dd.Cancel(id)
+	case OutcomeAnswered:
+		ga.dd.Finish(id, toKept(answer))
+	default:
+		ga.dd.Lose(id)
+	}
+	return answer
+}
+
+func duplicate(state admitter.DuplicateState, kept admitter.Answer) *peerproto.ForwardResponse {
+	switch state {
+	case admitter.Answered:
+		answer := &peerproto.ForwardResponse{Outcome: OutcomeAnswered, Status: uint32(kept.Status), Body: kept.Body}
+		for _, he := range kept.Headers {
+			answer.Headers = append(answer.Headers, &peerproto.Header{Name: he.Name, Value: he.Value})
+		}
+		return answer
+	case admitter.DifferentBody:
+		return refuse(CodeReused, "the idempotency key was used for another request")
+	case admitter.StillRunning:
+		return &peerproto.ForwardResponse{Code: admitter.CodeDuplicate, Reason: "a copy of this request is running"}
+	default:
+		return &peerproto.ForwardResponse{Code: CodeLost, Reason: "a copy of this request began and its answer was lost"}
+	}
+}
+
+func toKept(answer *peerproto.ForwardResponse) admitter.Answer {
+	kept := admitter.Answer{Status: int(answer.GetStatus()), Body: answer.GetBody()}
+	for _, he := range answer.GetHeaders() {
+		kept.Headers = append(kept.Headers, admitter.Header{Name: he.GetName(), Value: he.GetValue()})
+	}
+	return kept
+}
+
+// admit queues the request and runs it when its turn comes.
+func (ga *Gatekeeper) admit(ctx context.Context, jo *job) *peerproto.ForwardResponse {
+	refusal := ga.enqueue(ctx, jo)
+	if refusal != nil {
+		return refusal
+	}
+	startedAt := ga.pu.Now()
+	answer, isOverloaded := ga.start(ctx, jo)
+	ga.finish(admitter.Completion{Latency: ga.pu.Now().Sub(startedAt), Overloaded: isOverloaded})
+	return answer
+}
+
+// enqueue waits for a slot. It returns nil once the request has one.
+func (ga *Gatekeeper) enqueue(ctx context.Context, jo *job) *peerproto.ForwardResponse {
+	ga.mu.Lock()
+	ga.follow(jo.sv.Limits)
+	if ga.qu.IsHeld(jo.fingerprint, ga.pu.Now()) {
+		ga.mu.Unlock()
+		return refuse(admitter.CodeQuarantined, "this request crashed backend servers before")
+	}
+	decision := ga.gate.Arrive(admitter.Request{
+		Workspace: jo.rq.GetWorkspace(), Priority: cataloguer.Priority(jo.rq.GetPriority()), DeadlineAt: jo.deadlineAt,
+	}, ga.pu.Now())
+	switch de := decision.(type) {
+	case admitter.Run:
+		ga.mu.Unlock()
+		return nil
+	case admitter.Wait:
+		turn := make(chan bool, 1)
+		ga.waiting[de.Ticket] = turn
+		for _, shed := range de.Shed {
+			ga.wake(shed, false)
+		}
+		ga.mu.Unlock()
+		return ga.await(ctx, de.Ticket, turn)
+	case admitter.Refuse:
+		ga.mu.Unlock()
+		answer := refuse(de.Code, de.Reason)
+		answer.RetryAfter = int64(de.RetryAfter)
+		return answer
+	default:
+		panic(fmt.Sprintf("gatekeeper: unknown decision %T", decision))
+	}
+}
+
+// follow takes the catalogue's limits when they change.
+func (ga *Gatekeeper) follow(li cataloguer.ServiceLimits) {
+	if ga.gate != nil && li == ga.limits {
+		return
+	}
+	ga.limits = li
+	if ga.gate != nil {
+		ga.gate.SetLimits(li.Slots, li.ColdStartSlots, li.Queue)
+		return
+	}
+	ga.bs.setConnections(li.Connections)
+	gate, err := admitter.New(
+		admitter.Slots(li.Slots), admitter.QueueLength(li.Queue),
+		admitter.ColdStart(li.ColdStartSlots, ga.pu.Now().Add(coldSpan)), admitter.ColdSpan(coldSpan),
+	)
+	if err != nil {
+		panic(fmt.Sprintf("gatekeeper: a validated catalogue has bad limits: %v", err))
+	}
+	ga.gate = gate
+}
+
+// wake tells a waiting request whether it runs. The lock must be held.
+func (ga *Gatekeeper) wake(ticket admitter.Ticket, isStarted bool) {
+	if turn := ga.waiting[ticket]; turn != nil {
+		delete(ga.waiting, ticket)
+		turn <- isStarted
+	}
+}
+
+// await waits for the request's turn until its deadline.
+func (ga *Gatekeeper) await(ctx context.Context, ticket admitter.Ticket, turn <-chan bool) *peerproto.ForwardResponse {
+	select {
+	case isStarted := <-turn:
+		if isStarted {
+			return nil
+		}
+		return refuse(admitter.CodeOverloaded, "shed for more important work")
+	case <-ctx.Done():
+	}
+	ga.mu.Lock()
+	wasWaiting := ga.gate.Abandon(ticket)
+	delete(ga.waiting, ticket)
+	ga.mu.Unlock()
+	if !wasWaiting {
+		ga.giveBack(turn)
+	}
+	return refuse(admitter.CodeDeadline, "the deadline passed in the queue")
+}
+
+// giveBack frees a slot that was given while the request gave up.
+func (ga *Gatekeeper) giveBack(turn <-chan bool) {
+	select {
+	case isStarted := <-turn:
+		if isStarted {
+			ga.finish(admitter.Completion{})
+		}
+	default:
+	}
+}
+
+func (ga *Gatekeeper) finish(co admitter.Completion) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	for _, ticket := range ga.gate.Finish(co, ga.pu.Now()) {
+		ga.wake(ticket, true)
+	}
+}
+
+// start checks ownership once more and runs the request under the lease.
+func (ga *Gatekeeper) start(ctx context.Context, jo *job) (answer *peerproto.ForwardResponse, isOverloaded bool) {
+	if ctx.Err() != nil {
+		return refuse(admitter.CodeDeadline, "the deadline passed before the start"), false
+	}
+	if jo.sv.Class == cataloguer.Shared {
+		return ga.run(ctx, jo, 0)
+	}
+	epoch, ok := ga.pu.Enter(jo.sv.Name, jo.partition)
+	if !ok {
+		return refuse(CodeNotOwner, "the key moved while the request waited"), false
+	}
+	defer ga.pu.Leave(jo.sv.Name, jo.partition)
+	guarded, release := ga.pu.Guard(ctx)
+	defer release()
+	return ga.run(guarded, jo, epoch)
+}
+
+func (ga *Gatekeeper) run(ctx context.Context, jo *job, epoch uint64) (*peerproto.ForwardResponse, bool) {
+	ga.mu.Lock()
+	ga.admitted++
+	ga.qu.Start(jo.fingerprint)
+	ga.mu.Unlock()
+	answer, result := ga.bs.run(ctx, jo, epoch)
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.qu.Finish(jo.fingerprint, result == resultCrashed, ga.pu.Now())
+	return answer, result == resultCrashed || result == resultShed
+}
--- /dev/null
+++ b/instance/router/peerserver.go
@@ -0,0 +1,74 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"cornellanding.example/wire/peerproto"
+)
+
+const controlPatience = 2 * time.Second
+
+// peerServer implements the peer protocol for one incarnation.
+type peerServer struct {
+	in *incarnation
+}
+
+// Sync implements peerproto.Peer.
+func (ps *peerServer) Sync(ctx context.Context, re *peerproto.SyncRequest) (*peerproto.SyncResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlPatience)
+	defer cancel()
+	have := map[string]uint64{}
+	for _, dv := range re.GetHave() {
+		have[dv.GetName()] = dv.GetVersion()
+	}
+	docs, err := ps.in.co.Sync(ctx, have)
+	if err != nil {
+		return nil, err
+	}
+	answer := &peerproto.SyncResponse{}
+	for _, do := range docs {
+		answer.Newer = append(answer.Newer, &peerproto.Document{Name: do.Name, Version: do.Version, Content: do.Content})
+	}
+	return answer, nil
+}
+
+// Revoke implements peerproto.Peer.
+func (ps *peerServer) Revoke(ctx context.Context, re *peerproto.RevokeRequest) (*peerproto.RevokeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlPatience)
+	defer cancel()
+	self := ps.in.pu.Self().Incarnation
+	if re.GetWatcher() != self {
+		return &peerproto.RevokeResponse{Watcher: self}, nil
+	}
+	vote, err := ps.in.co.Revoke(ctx, re.GetHolder(), re.GetProbe())
+	if err != nil {
+		return nil, err
+	}
+	answer := &peerproto.RevokeResponse{Watcher: vote.Watcher, Revoked: vote.Revoked}
+	if !vote.Revoked {
+		answer.RetryAfter = int64(vote.RetryAt.Sub(ps.in.pu.Now()))
+	}
+	return answer, nil
+}
+
+// Release implements peerproto.Peer.
+func (ps *peerServer) Release(ctx context.Context, re *peerproto.ReleaseRequest) (*peerproto.ReleaseResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlPatience)
+	defer cancel()
+	free, err := ps.in.co.Release(ctx, re)
+	if err != nil {
+		return nil, err
+	}
+	return &peerproto.ReleaseResponse{Released: free}, nil
+}
+
+// Grant implements peerproto.Peer.
+func (ps *peerServer) Grant(_ context.Context, re *peerproto.GrantRequest) (*peerproto.GrantResponse, error) {
+	return ps.in.gr.Grant(re), nil
+}
+
+// Forward implements peerproto.Peer.
+func (ps *peerServer) Forward(ctx context.Context, re *peerproto.ForwardRequest) (*peerproto.ForwardResponse, error) {
+	return ps.in.ga.Forward(ctx, re), nil
+}
--- /dev/null
+++ b/instance/router/router.go
@@ -0,0 +1,292 @@
+// Package router assembles an instance: the program beside one backend server.
+//
+// # Usage
+//
+//	ro, err := router.New(settings, router.WithLogger(lo))
+//	err = ro.Run(ctx)   // until ctx ends: then a planned stop
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/administrator"
+	"cornellanding.example/instance/controller"
+	"cornellanding.example/instance/forwarder"
+	"cornellanding.example/instance/gatekeeper"
+	"cornellanding.example/instance/granter"
+	"cornellanding.example/instance/messenger"
+	"cornellanding.example/instance/meter"
+	"cornellanding.example/instance/publisher"
+	"cornellanding.example/platform/storer"
+	"cornellanding.example/platform/tabler"
+	"cornellanding.example/wire/parser"
+	"cornellanding.example/wire/peerproto"
+	"cornellanding.example/wire/signer"
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	leaveTimeout = 30 * time.Second
+	// lameDuck is how long callers are still served after readiness ends.
+	lameDuck       = 200 * time.Millisecond
+	rejoinDelay    = 100 * time.Millisecond
+	incarnationMin = uint64(1)
+)
+
+// Option sets one option of New.
+type Option func(*Router)
+
+// WithLogger sets the log.
+func WithLogger(lo hclog.Logger) Option { return func(ro *Router) { ro.lo = lo } }
+
+// WithClock sets the clock. The default is the boot clock.
+func WithClock(clk timer.Clock) Option { return func(ro *Router) { ro.clock = clk } }
+
+// Router is one instance over all its incarnations.
+type Router struct {
+	se      parser.Settings
+	lo      hclog.Logger
+	clock   timer.Clock
+	si      *signer.Signer
+	pe      *peers
+	me      *messenger.Messenger
+	table   tabler.Table
+	objects storer.Objects
+	meter   *meter.Meter
+	current atomic.Pointer[incarnation]
+	servers *servers
+	kill    context.CancelFunc
+	killed  context.Context
+}
+
+// incarnation is all that a revocation ends.
+type incarnation struct {
+	pu *publisher.Publisher
+	co *controller.Controller
+	ga *gatekeeper.Gatekeeper
+	fo *forwarder.Forwarder
+	gr *granter.Granter
+	ad http.Handler
+	// peer serves the other instances.
+	peer http.Handler
+}
+
+// New binds the instance's addresses.
+func New(se parser.Settings, opts ...Option) (*Router, error) {
+	ro := &Router{se: se, clock: timer.Boot{}, meter: meter.New()}
+	for _, opt := range opts {
+		opt(ro)
+	}
+	if ro.lo == nil {
+		ro.lo = NewLogger(se.Log)
+	}
+	useLog(ro.lo)
+	ro.killed, ro.kill = context.WithCancel(context.Background())
+	var err error
+	if ro.si, err = signer.New(se.FleetKey); err != nil {
+		return nil, err
+	}
+	if ro.table, err = tabler.NewClient(se.TableAddress); err != nil {
+		return nil, err
+	}
+	if ro.objects, err = storer.NewClient(se.ObjectsAddress); err != nil {
+		return nil, err
+	}
+	ro.pe = newPeers(ro.si)
+	if ro.me, err = messenger.Listen(se.PeerAddress, ro.si); err != nil {
+		return nil, err
+	}
+	if ro.servers, err = listen(ro); err != nil {
+		ro.me.Close()
+		return nil, err
+	}
+	ro.gauges()
+	return ro, nil
+}
+
+// NewLogger returns the JSON log that the settings ask for.
+func NewLogger(se parser.LogSettings) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name: "cornellanding", Level: hclog.LevelFromString(se.Level), JSONFormat: true, Output: os.Stderr,
+	})
+}
+
+func (ro *Router) gauges() {
+	ro.meter.Gauge("lease_valid", "1 if the instance's lease is valid.", func() float64 {
+		if in := ro.current.Load(); in != nil && in.pu.HasLease() {
+			return 1
+		}
+		return 0
+	})
+	ro.meter.Gauge("config_version", "Version of the configuration in force.", func() float64 {
+		in := ro.current.Load()
+		if in == nil {
+			return 0
+		}
+		return float64(in.pu.View().Config.Version)
+	})
+	ro.meter.Gauge("control_sent_bytes", "Payload of control datagrams sent.", func() float64 {
+		return float64(ro.me.Counts().SentBytes)
+	})
+	ro.meter.Gauge("control_received_bytes", "Payload of control datagrams received.", func() float64 {
+		return float64(ro.me.Counts().ReceivedBytes)
+	})
+}
+
+// Counts returns the totals of the control datagrams.
+func (ro *Router) Counts() messenger.Counts { return ro.me.Counts() }
+
+// Tables returns the maps that the instance follows, by service.
+func (ro *Router) Tables() map[string]*placer.Table {
+	in := ro.current.Load()
+	if in == nil {
+		return nil
+	}
+	return in.pu.View().Tables
+}
+
+// Kill ends the instance at once, as a lost VM would.
+func (ro *Router) Kill() { ro.kill() }
+
+// Run serves until ctx ends, and then stops as planned: it hands over what it
+// owns and lets running work finish.
+func (ro *Router) Run(ctx context.Context) error {
+	defer ro.close()
+	go ro.me.Receive(ro.onDatagram)
+	ro.servers.start()
+	for {
+		err := ro.runIncarnation(ctx)
+		switch {
+		case errors.Is(err, controller.ErrRevoked):
+			ro.lo.Warn("incarnation ended", "error", err)
+			time.Sleep(rejoinDelay)
+		case errors.Is(err, controller.ErrLeft):
+			return nil
+		default:
+			return err
+		}
+	}
+}
+
+func (ro *Router) close() {
+	ro.servers.close()
+	ro.me.Close()
+	ro.pe.close()
+}
+
+func (ro *Router) onDatagram(da *peerproto.Datagram) {
+	if in := ro.current.Load(); in != nil {
+		in.co.Datagram(da)
+	}
+}
+
+// runIncarnation runs until a revocation, a planned stop, or Kill.
+func (ro *Router) runIncarnation(ctx context.Context) error {
+	in, err := ro.newIncarnation()
+	if err != nil {
+		return err
+	}
+	ro.current.Store(in)
+	defer in.ga.Close()
+	runCtx, cancel := context.WithCancel(ro.killed)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- in.co.Run(runCtx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ro.stop(in, done)
+	}
+}
+
+// stop is the planned stop: callers are told to go elsewhere, ownership is
+// handed over, and running work finishes.
+func (ro *Router) stop(in *incarnation, done <-chan error) error {
+	in.pu.SetStopping()
+	ctx, cancel := context.WithTimeout(ro.killed, leaveTimeout)
+	defer cancel()
+	if err := in.co.Leave(ctx); err != nil {
+		ro.lo.Warn("planned stop without a handover", "error", err)
+	}
+	ro.servers.drain(ctx)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("router: planned stop: %w", ctx.Err())
+	}
+}
+
+func newIncarnationNumber() uint64 {
+	var raw [8]byte
+	// Read of crypto/rand never fails.
+	_, _ = rand.Read(raw[:])
+	return max(incarnationMin, binary.LittleEndian.Uint64(raw[:])>>1)
+}
+
+func (ro *Router) newIncarnation() (*incarnation, error) {
+	in := &incarnation{}
+	in.pu = publisher.New(ro.clock, publisher.Self{
+		BackendServer: ro.se.BackendServer.Name, Service: ro.se.BackendServer.Service,
+		DataCentre: ro.se.DataCentre, Region: ro.se.Region, Address: ro.se.PeerAddress,
+		Incarnation: newIncarnationNumber(),
+	})
+	var err error
+	in.ga, err = gatekeeper.New(in.pu, ro.se.BackendServer.Address,
+		gatekeeper.WithLogger(ro.lo), gatekeeper.WithSample(ro.se.Log.SampleEvery))
+	if err != nil {
+		return nil, err
+	}
+	in.gr = granter.New(in.pu)
+	in.co, err = controller.New(
+		controller.WithTable(ro.table), controller.WithObjects(ro.objects), controller.WithPeers(ro.pe),
+		controller.WithSender(ro.me), controller.WithPublisher(in.pu), controller.WithLogger(ro.lo),
+		controller.WithLeaseTerm(ro.se.LeaseTerm), controller.WithFreshness(ro.se.Freshness),
+	)
+	if err != nil {
+		return nil, err
+	}
+	local := &localGate{in: in, pe: ro.pe}
+	in.fo, err = forwarder.New(in.pu, local, local, forwarder.WithLogger(ro.lo),
+		forwarder.WithSample(ro.se.Log.SampleEvery), forwarder.WithObserver(ro.meter))
+	if err != nil {
+		return nil, err
+	}
+	api := administrator.NewAPI(in.pu, administrator.NewEditor(ro.table, ro.objects), in.co, ro.se.OperatorKeyDigest)
+	in.ad = api.Handler(ro.meter.Handler())
+	in.peer = ro.si.Handler(peerproto.NewPeerServer(&peerServer{in: in}), ro.meter.Rejected)
+	return in, nil
+}
+
+// localGate takes the short way to the own gate and bucket homes.
+type localGate struct {
+	in *incarnation
+	pe *peers
+}
+
+// Forward implements forwarder.Gates.
+func (lg *localGate) Forward(ctx context.Context, address string, rq *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+	if rq.GetTo() == lg.in.pu.Self().Incarnation {
+		return lg.in.ga.Forward(ctx, rq), true, nil
+	}
+	return lg.pe.Forward(ctx, address, rq)
+}
+
+// Grant implements forwarder.Homes.
+func (lg *localGate) Grant(ctx context.Context, address string, rq *peerproto.GrantRequest) (*peerproto.GrantResponse, error) {
+	if rq.GetHome() == lg.in.pu.Self().Incarnation {
+		return lg.in.gr.Grant(rq), nil
+	}
+	return lg.pe.Grant(ctx, address, rq)
+}
--- /dev/null
+++ b/wire/encoder/document.go
@@ -0,0 +1,304 @@
+// Package encoder maps agreed documents and table rows to and from their
+// stored form, JSON with camelCase names.
+//
+// # Usage
+//
+//	content, err := encoder.EncodeMap(ma)
+//	ma, err = encoder.DecodeMap(content)
+package encoder
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+)
+
+// DecodeError is stored content that can't be decoded.
+type DecodeError struct {
+	Document string
+	Err      error
+}
+
+// Error implements error.
+func (er *DecodeError) Error() string {
+	return fmt.Sprintf("encoder: %s: %v", er.Document, er.Err)
+}
+
+// Unwrap returns the cause.
+func (er *DecodeError) Unwrap() error { return er.Err }
+
+func decode(document string, content []byte, into any) error {
+	if err := json.Unmarshal(content, into); err != nil {
+		return &DecodeError{Document: document, Err: err}
+	}
+	return nil
+}
+
+type wireMember struct {
+	BackendServer string `json:"backendServer"`
+	Incarnation   uint64 `json:"incarnation"`
+	DataCentre    string `json:"dataCentre"`
+	Address       string `json:"address"`
+	Weight        uint32 `json:"weight"`
+}
+
+type wireChange struct {
+	Version uint64     `json:"version"`
+	Member  wireMember `json:"member"`
+	Added   bool       `json:"added,omitempty"`
+	At      int64      `json:"at,omitempty"`
+}
+
+type wireMap struct {
+	Service    string       `json:"service"`
+	Version    uint64       `json:"version"`
+	Partitions uint32       `json:"partitions"`
+	Settled    uint64       `json:"settled"`
+	Members    []wireMember `json:"members"`
+	Changes    []wireChange `json:"changes,omitempty"`
+}
+
+// EncodeMap returns the stored form of a map.
+func EncodeMap(ma placer.Map) ([]byte, error) {
+	wm := wireMap{Service: ma.Service, Version: ma.Version, Partitions: ma.Partitions, Settled: ma.Settled}
+	for _, me := range ma.Members {
+		wm.Members = append(wm.Members, wireMember(me))
+	}
+	for _, ch := range ma.Changes {
+		wm.Changes = append(wm.Changes, wireChange{Version: ch.Version, Member: wireMember(ch.Member), Added: ch.Added, At: ch.At})
+	}
+	return json.Marshal(wm)
+}
+
+// DecodeMap reads the stored form of a map.
+func DecodeMap(content []byte) (placer.Map, error) {
+	var wm wireMap
+	if err := decode("map", content, &wm); err != nil {
+		return placer.Map{}, err
+	}
+	ma := placer.Map{Service: wm.Service, Version: wm.Version, Partitions: wm.Partitions, Settled: wm.Settled}
+	for _, me := range wm.Members {
+		ma.Members = append(ma.Members, placer.Member(me))
+	}
+	for _, ch := range wm.Changes {
+		change := placer.WeightChange{Version: ch.Version, Member: placer.Member(ch.Member), Added: ch.Added, At: ch.At}
+		ma.Changes = append(ma.Changes, change)
+	}
+	return ma, nil
+}
+
+type wireWatch struct {
+	BackendServer string `json:"backendServer"`
+	Incarnation   uint64 `json:"incarnation"`
+}
+
+type wireRow struct {
+	BackendServer string      `json:"backendServer"`
+	Service       string      `json:"service"`
+	DataCentre    string      `json:"dataCentre"`
+	Region        string      `json:"region"`
+	Address       string      `json:"address"`
+	Weight        uint32      `json:"weight"`
+	State         string      `json:"state"`
+	Incarnation   uint64      `json:"incarnation"`
+	Watchers      []wireWatch `json:"watchers,omitempty"`
+}
+
+// EncodeAnnouncement returns the stored form of an instance's row. The row's
+// version is the table's own.
+func EncodeAnnouncement(an folder.Announcement) ([]byte, error) {
+	wr := wireRow{
+		BackendServer: an.BackendServer, Service: an.Service, DataCentre: an.DataCentre, Region: an.Region,
+		Address: an.Address, Weight: an.Weight, State: string(an.State), Incarnation: an.Lease.Incarnation,
+	}
+	for _, wt := range an.Lease.Watchers {
+		wr.Watchers = append(wr.Watchers, wireWatch(wt))
+	}
+	return json.Marshal(wr)
+}
+
+// DecodeAnnouncement reads the stored form of a row that the table holds at
+// version.
+func DecodeAnnouncement(content []byte, version uint64) (folder.Announcement, error) {
+	var wr wireRow
+	if err := decode("instance row", content, &wr); err != nil {
+		return folder.Announcement{}, err
+	}
+	an := folder.Announcement{
+		BackendServer: wr.BackendServer, Service: wr.Service, DataCentre: wr.DataCentre, Region: wr.Region,
+		Address: wr.Address, Weight: wr.Weight, State: folder.State(wr.State),
+		Lease: leaser.Row{Incarnation: wr.Incarnation, Version: version},
+	}
+	for _, wt := range wr.Watchers {
+		an.Lease.Watchers = append(an.Lease.Watchers, leaser.Watch(wt))
+	}
+	return an, nil
+}
+
+type wireDataCentre struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+type wireService struct {
+	Name           string `json:"name"`
+	Owner          string `json:"owner"`
+	Class          string `json:"class"`
+	Partitions     uint32 `json:"partitions,omitempty"`
+	Fenced         bool   `json:"fenced,omitempty"`
+	Slots          int    `json:"slots"`
+	Connections    int    `json:"connections"`
+	Queue          int    `json:"queue"`
+	ColdStartSlots int    `json:"coldStartSlots"`
+}
+
+type wireWorkspace struct {
+	Name  string  `json:"name"`
+	Owner string  `json:"owner"`
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+}
+
+type wireRoute struct {
+	Name       string `json:"name"`
+	Service    string `json:"service"`
+	Method     string `json:"method"`
+	Path       string `json:"path"`
+	Access     string `json:"access"`
+	Idempotent bool   `json:"idempotent,omitempty"`
+	Priority   uint8  `json:"priority"`
+	KeySource  string `json:"keySource"`
+	KeyName    string `json:"keyName,omitempty"`
+	TimeoutNs  int64  `json:"timeoutNs"`
+}
+
+type wireKey struct {
+	Digest    string `json:"digest"`
+	Workspace string `json:"workspace"`
+}
+
+type wireConfigChange struct {
+	ID       string `json:"id"`
+	Version  uint64 `json:"version"`
+	Operator string `json:"operator"`
+	Summary  string `json:"summary"`
+	At       int64  `json:"at"`
+}
+
+type wireConfig struct {
+	Version     uint64             `json:"version"`
+	DataCentres []wireDataCentre   `json:"dataCentres"`
+	Services    []wireService      `json:"services"`
+	Workspaces  []wireWorkspace    `json:"workspaces"`
+	Routes      []wireRoute        `json:"routes"`
+	Keys        []wireKey          `json:"keys"`
+	Drained     []string           `json:"drained,omitempty"`
+	Out         []string           `json:"out,omitempty"`
+	Changes     []wireConfigChange `json:"changes,omitempty"`
+}
+
+// EncodeConfig returns the stored form of a configuration.
+func EncodeConfig(co cataloguer.Config) ([]byte, error) {
+	wc := wireConfig{Version: co.Version, Drained: co.Drained, Out: co.Out}
+	for _, dc := range co.Catalogue.DataCentres {
+		wc.DataCentres = append(wc.DataCentres, wireDataCentre(dc))
+	}
+	for _, sv := range co.Catalogue.Services {
+		wc.Services = append(wc.Services, fromService(sv))
+	}
+	for _, ws := range co.Catalogue.Workspaces {
+		wc.Workspaces = append(wc.Workspaces, wireWorkspace(ws))
+	}
+	for _, rt := range co.Catalogue.Routes {
+		wc.Routes = append(wc.Routes, fromRoute(rt))
+	}
+	for _, ke := range co.Keys {
+		wc.Keys = append(wc.Keys, wireKey{Digest: hex.EncodeToString(ke.Digest[:]), Workspace: ke.Workspace})
+	}
+	for _, ch := range co.Changes {
+		wc.Changes = append(wc.Changes, wireConfigChange(ch))
+	}
+	return json.Marshal(wc)
+}
+
+// DecodeConfig reads the stored form of a configuration and validates it.
+func DecodeConfig(content []byte) (cataloguer.Config, error) {
+	var wc wireConfig
+	if err := decode("configuration", content, &wc); err != nil {
+		return cataloguer.Config{}, err
+	}
+	co := cataloguer.Config{Version: wc.Version, Drained: wc.Drained, Out: wc.Out}
+	for _, dc := range wc.DataCentres {
+		co.Catalogue.DataCentres = append(co.Catalogue.DataCentres, cataloguer.DataCentre(dc))
+	}
+	for _, sv := range wc.Services {
+		co.Catalogue.Services = append(co.Catalogue.Services, toService(sv))
+	}
+	for _, ws := range wc.Workspaces {
+		co.Catalogue.Workspaces = append(co.Catalogue.Workspaces, cataloguer.Workspace(ws))
+	}
+	for _, rt := range wc.Routes {
+		co.Catalogue.Routes = append(co.Catalogue.Routes, toRoute(rt))
+	}
+	for _, ch := range wc.Changes {
+		co.Changes = append(co.Changes, cataloguer.Change(ch))
+	}
+	var err error
+	co.Keys, err = toKeys(wc.Keys)
+	if err != nil {
+		return cataloguer.Config{}, &DecodeError{Document: "configuration", Err: err}
+	}
+	return co, nil
+}
+
+func fromService(sv cataloguer.Service) wireService {
+	return wireService{
+		Name: sv.Name, Owner: sv.Owner, Class: string(sv.Class), Partitions: sv.Partitions, Fenced: sv.Fenced,
+		Slots: sv.Limits.Slots, Connections: sv.Limits.Connections,
+		Queue: sv.Limits.Queue, ColdStartSlots: sv.Limits.ColdStartSlots,
+	}
+}
+
+func toService(ws wireService) cataloguer.Service {
+	limits := cataloguer.ServiceLimits{
+		Slots: ws.Slots, Connections: ws.Connections, Queue: ws.Queue, ColdStartSlots: ws.ColdStartSlots,
+	}
+	return cataloguer.Service{
+		Name: ws.Name, Owner: ws.Owner, Class: cataloguer.ServiceClass(ws.Class),
+		Partitions: ws.Partitions, Fenced: ws.Fenced, Limits: limits,
+	}
+}
+
+func fromRoute(rt cataloguer.Route) wireRoute {
+	return wireRoute{
+		Name: rt.Name, Service: rt.Service, Method: rt.Method, Path: rt.Path, Access: string(rt.Access),
+		Idempotent: rt.Idempotent, Priority: uint8(rt.Priority), KeySource: string(rt.KeySource),
+		KeyName: rt.KeyName, TimeoutNs: int64(rt.Timeout),
+	}
+}
+
+func toRoute(wr wireRoute) cataloguer.Route {
+	return cataloguer.Route{
+		Name: wr.Name, Service: wr.Service, Method: wr.Method, Path: wr.Path, Access: cataloguer.Access(wr.Access),
+		Idempotent: wr.Idempotent, Priority: cataloguer.Priority(wr.Priority),
+		KeySource: cataloguer.KeySource(wr.KeySource), KeyName: wr.KeyName, Timeout: timer.Span(wr.TimeoutNs),
+	}
+}
+
+func toKeys(wks []wireKey) ([]cataloguer.Key, error) {
+	var keys []cataloguer.Key
+	for i, wk := range wks {
+		raw, err := hex.DecodeString(wk.Digest)
+		if err != nil || len(raw) != cataloguer.DigestSize {
+			return nil, fmt.Errorf("keys[%d].digest: not a digest", i)
+		}
+		keys = append(keys, cataloguer.Key{Digest: cataloguer.Digest(raw), Workspace: wk.Workspace})
+	}
+	return keys, nil
+}
--- /dev/null
+++ b/wire/parser/reader.go
@@ -0,0 +1,259 @@
+package parser
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"cornellanding.example/core/timer"
+	"go.yaml.in/yaml/v3"
+)
+
+// MaxFileSize bounds a settings file or catalogue, in bytes.
+const MaxFileSize = 16 << 20
+
+const maxValueInError = 80
+
+// FieldError is a fault in one field of a file.
+type FieldError struct {
+	File   string
+	Line   int
+	Field  string
+	Value  string
+	Reason string
+}
+
+// Error implements error.
+func (er *FieldError) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %q: %s", er.File, er.Line, er.Field, shorten(er.Value), er.Reason)
+}
+
+func shorten(value string) string {
+	if len(value) > maxValueInError {
+		return value[:maxValueInError] + "..."
+	}
+	return value
+}
+
+// document collects the faults of one file and the line of each field.
+type document struct {
+	file  string
+	lines map[string]int
+	errs  []error
+}
+
+// object is one mapping of the file. Each field is asked for once; what is
+// left over is unknown.
+type object struct {
+	doc    *document
+	path   string
+	line   int
+	fields map[string]*yaml.Node
+	asked  map[string]bool
+}
+
+func open(file string, content []byte) (*document, *object) {
+	doc := &document{file: file, lines: map[string]int{}}
+	if len(content) > MaxFileSize {
+		doc.fail(1, "", fmt.Sprint(len(content)), fmt.Sprintf("is larger than %d bytes", MaxFileSize))
+		return doc, doc.empty("")
+	}
+	de := yaml.NewDecoder(bytes.NewReader(content))
+	var root yaml.Node
+	if err := de.Decode(&root); err != nil {
+		doc.fail(1, "", "", "is not YAML: "+err.Error())
+		return doc, doc.empty("")
+	}
+	if err := de.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
+		doc.fail(1, "", "", "holds more than one YAML document")
+	}
+	return doc, doc.object("", root.Content[0])
+}
+
+func (doc *document) empty(path string) *object {
+	return &object{doc: doc, path: path, asked: map[string]bool{}}
+}
+
+func (doc *document) fail(line int, field, value, reason string) {
+	doc.errs = append(doc.errs, &FieldError{File: doc.file, Line: line, Field: field, Value: value, Reason: reason})
+}
+
+func (doc *document) object(path string, node *yaml.Node) *object {
+	ob := doc.empty(path)
+	ob.line = node.Line
+	doc.lines[path] = node.Line
+	if node.Kind != yaml.MappingNode {
+		doc.fail(node.Line, path, node.Value, "must be a mapping")
+		return ob
+	}
+	ob.fields = map[string]*yaml.Node{}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		name, value := node.Content[i], node.Content[i+1]
+		if ob.fields[name.Value] != nil {
+			doc.fail(name.Line, join(path, name.Value), value.Value, "stands twice")
+		}
+		ob.fields[name.Value] = value
+		doc.lines[join(path, name.Value)] = name.Line
+	}
+	return ob
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func (ob *object) take(name string) *yaml.Node {
+	ob.asked[name] = true
+	node := ob.fields[name]
+	if node != nil && node.Kind == yaml.AliasNode {
+		ob.fail(name, node, "aliases are not supported")
+		return nil
+	}
+	return node
+}
+
+func (ob *object) fail(name string, node *yaml.Node, reason string) {
+	line, value := ob.line, ""
+	if node != nil {
+		line, value = node.Line, node.Value
+	}
+	ob.doc.fail(line, join(ob.path, name), value, reason)
+}
+
+// close reports the fields that nobody asked for.
+func (ob *object) close() {
+	for name, node := range ob.fields {
+		if !ob.asked[name] {
+			ob.fail(name, node, "unknown field")
+		}
+	}
+}
+
+func (ob *object) scalar(name string) (*yaml.Node, bool) {
+	node := ob.take(name)
+	if node == nil {
+		return nil, false
+	}
+	if node.Kind != yaml.ScalarNode {
+		ob.fail(name, node, "must be a single value")
+		return nil, false
+	}
+	return node, true
+}
+
+func (ob *object) text(name string) string {
+	node, ok := ob.scalar(name)
+	if !ok {
+		return ""
+	}
+	return node.Value
+}
+
+func (ob *object) required(name string) string {
+	value := ob.text(name)
+	if value == "" {
+		ob.fail(name, ob.fields[name], "is needed")
+	}
+	return value
+}
+
+func (ob *object) number(name string, fallback float64) float64 {
+	node, ok := ob.scalar(name)
+	if !ok {
+		return fallback
+	}
+	value, err := strconv.ParseFloat(node.Value, 64)
+	if err != nil {
+		ob.fail(name, node, "must be a number")
+		return fallback
+	}
+	return value
+}
+
+func (ob *object) integer(name string, fallback int) int {
+	node, ok := ob.scalar(name)
+	if !ok {
+		return fallback
+	}
+	value, err := strconv.Atoi(node.Value)
+	if err != nil {
+		ob.fail(name, node, "must be a whole number")
+		return fallback
+	}
+	return value
+}
+
+func (ob *object) boolean(name string) bool {
+	node, ok := ob.scalar(name)
+	if !ok {
+		return false
+	}
+	value, err := strconv.ParseBool(node.Value)
+	if err != nil {
+		ob.fail(name, node, "must be true or false")
+	}
+	return value
+}
+
+func (ob *object) span(name string, fallback timer.Span) timer.Span {
+	node, ok := ob.scalar(name)
+	if !ok {
+		return fallback
+	}
+	value, err := time.ParseDuration(node.Value)
+	if err != nil || value < 0 {
+		ob.fail(name, node, "must be a duration of 0 or more, such as 500ms")
+		return fallback
+	}
+	return timer.FromDuration(value)
+}
+
+// address reads IP:port. Host names are refused: processes find each other by
+// IP number.
+func (ob *object) address(name string, isRequired bool) string {
+	node, ok := ob.scalar(name)
+	if !ok {
+		if isRequired {
+			ob.fail(name, nil, "is needed, as IP:port")
+		}
+		return ""
+	}
+	if _, err := netip.ParseAddrPort(node.Value); err != nil {
+		ob.fail(name, node, "must be IP:port")
+	}
+	return node.Value
+}
+
+func (ob *object) child(name string, isRequired bool) *object {
+	node := ob.take(name)
+	if node == nil {
+		if isRequired {
+			ob.fail(name, nil, "is needed")
+		}
+		return ob.doc.empty(join(ob.path, name))
+	}
+	return ob.doc.object(join(ob.path, name), node)
+}
+
+func (ob *object) list(name string) []*object {
+	node := ob.take(name)
+	if node == nil {
+		return nil
+	}
+	if node.Kind != yaml.SequenceNode {
+		ob.fail(name, node, "must be a list")
+		return nil
+	}
+	var items []*object
+	for i, item := range node.Content {
+		items = append(items, ob.doc.object(fmt.Sprintf("%s[%d]", join(ob.path, name), i), item))
+	}
+	return items
+}
