Explore the lease protocol exhaustively, and keep a proposal until its write is proved

Cause: the exploration showed that a holder that drops a proposal after reading the row unchanged gets two owners when its delayed write lands afterwards. The code did that. Now a write is repeated on its condition until the row has gone beyond that version.

--- /dev/null
+++ b/core/leaser/explorer_test.go
@@ -0,0 +1,394 @@
+package leaser
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"cornellanding.example/core/timer"
+	"github.com/matryer/is"
+)
+
+// The bounds of the explored model. Instants are small whole numbers, and the
+// term is too short for a drift margin: clocks run alike in the model.
+//
+// Messages are explored by their worst case. A renewal sent at any instant so
+// far may arrive at any watcher at any time, again and again. Of the
+// acknowledgements that a watcher gave, the latest is kept, and a state counts
+// as broken if the lease would be valid with all of them delivered: the lease
+// only grows with acknowledgements, and the holder's own steps do not depend on
+// them. So loss, delay, duplication and reordering are all covered.
+const (
+	modelTerm     = 2
+	modelHolder   = 100
+	modelWatchers = 4
+	maxTakers     = 2
+	never         = int8(-1)
+)
+
+// model bounds one exploration and leaves rules out, to see that they are
+// needed.
+type model struct {
+	end    int8
+	takers int
+	// isReplacing lets the holder replace its first watcher.
+	isReplacing bool
+
+	isEarlyRevoke        bool
+	countsFromReceipt    bool
+	isMinority           bool
+	isUnconditional      bool
+	isRestartedVoter     bool
+	countsOldOnly        bool
+	countsNewOnly        bool
+	dropsUnprovenAttempt bool
+}
+
+// watcherState is what one watcher keeps, and the latest renewal that it
+// acknowledged.
+type watcherState struct {
+	expiresAt int8
+	isRevoked bool
+	acked     int8
+	votes     [maxTakers]bool
+}
+
+// modelState is one state in a comparable form.
+type modelState struct {
+	now        int8
+	committed  int8 // version of the holder's row
+	isPending  bool
+	isWritten  bool // the compare-and-set was issued
+	isInFlight bool // and may still take effect
+	version    int8 // version of the table's row
+	taker      int8 // who has the row, 0 for the holder
+	restarts   int8
+	read       [maxTakers]int8 // version each taker read, 0 for none
+	ws         [modelWatchers]watcherState
+}
+
+func newModelState() modelState {
+	st := modelState{committed: 1, version: 1}
+	for i := range st.ws {
+		st.ws[i].expiresAt, st.ws[i].acked = never, never
+	}
+	return st
+}
+
+// watchersOf returns the indexes of a row version's watchers.
+func watchersOf(version int8) []int {
+	if version == 1 {
+		return []int{0, 1, 2}
+	}
+	return []int{1, 2, 3}
+}
+
+func rowOf(version int8) Row {
+	ro := Row{Incarnation: modelHolder, Version: uint64(version)}
+	for _, i := range watchersOf(version) {
+		ro.Watchers = append(ro.Watchers, Watch{Incarnation: uint64(i + 1)})
+	}
+	return ro
+}
+
+// holder builds the real holder of a state, without acknowledgements.
+func (st *modelState) holder() *Holder {
+	ho, _ := NewHolder(HolderIncarnation(modelHolder), HolderTerm(modelTerm))
+	ho.committed = rowOf(st.committed)
+	if st.isPending {
+		ro := rowOf(2)
+		ho.pending = &ro
+	}
+	return ho
+}
+
+// keep stores a real holder's state.
+func (st *modelState) keep(ho *Holder) {
+	st.committed = int8(ho.committed.Version)
+	st.isPending = ho.pending != nil
+}
+
+// watcher builds the real watcher of a state.
+func (st *modelState) watcher(i int) *Watcher {
+	wa, _ := NewWatcher(WatcherIncarnation(uint64(i+1)), WatcherTerm(modelTerm))
+	if ws := st.ws[i]; ws.expiresAt != never || ws.isRevoked {
+		wa.promises[modelHolder] = promise{expiresAt: timer.Instant(max(0, ws.expiresAt)), revoked: ws.isRevoked}
+	}
+	return wa
+}
+
+// keepWatcher stores a real watcher's state.
+func (st *modelState) keepWatcher(i int, wa *Watcher) {
+	pr, ok := wa.promises[modelHolder]
+	st.ws[i].isRevoked = pr.revoked
+	if ok && pr.expiresAt != 0 {
+		st.ws[i].expiresAt = int8(pr.expiresAt)
+	}
+}
+
+// isBroken reports whether a taker has the row while the lease is valid with
+// all acknowledgements delivered.
+func (mo model) isBroken(st modelState) bool {
+	if st.taker == 0 {
+		return false
+	}
+	ho := st.holder()
+	for i, ws := range st.ws {
+		if ws.acked == never {
+			continue
+		}
+		at := ws.acked
+		if mo.countsFromReceipt {
+			at = st.now
+		}
+		ho.Acknowledge(Ack{Watcher: uint64(i + 1), Holder: modelHolder, SentAt: timer.Instant(at)})
+	}
+	return ho.IsValid(timer.Instant(st.now))
+}
+
+// canonical orders the two watchers that both rows name, which are alike.
+func (st modelState) canonical() modelState {
+	if less(st.ws[2], st.ws[1]) {
+		st.ws[1], st.ws[2] = st.ws[2], st.ws[1]
+	}
+	return st
+}
+
+func less(le, ri watcherState) bool { return rankOf(le) < rankOf(ri) }
+
+func rankOf(ws watcherState) uint64 {
+	rank := uint64(ws.expiresAt+1)<<40 | uint64(ws.acked+1)<<32
+	for i, bit := range []bool{ws.isRevoked, ws.votes[0], ws.votes[1]} {
+		if bit {
+			rank |= 1 << i
+		}
+	}
+	return rank
+}
+
+// step is one thing that can happen.
+type step struct {
+	name string
+	next modelState
+}
+
+// steps returns what can happen in a state.
+func (mo model) steps(st modelState) []step {
+	var list []step
+	add := func(name string, ne modelState) { list = append(list, step{name: name, next: ne}) }
+	if st.now < mo.end {
+		ne := st
+		ne.now++
+		add("time passes", ne)
+	}
+	mo.holderSteps(st, add)
+	mo.networkSteps(st, add)
+	mo.tableSteps(st, add)
+	for ta := range mo.takers {
+		mo.takerSteps(st, ta, add)
+	}
+	if mo.isRestartedVoter && st.restarts == 0 {
+		for i := range st.ws {
+			ne := st
+			ne.restarts++
+			ne.ws[i].expiresAt, ne.ws[i].isRevoked = never, false
+			add(fmt.Sprint("watcher restarts ", i), ne)
+		}
+	}
+	return list
+}
+
+func (mo model) holderSteps(st modelState, add func(string, modelState)) {
+	if !mo.isReplacing || st.isWritten {
+		return
+	}
+	ho := st.holder()
+	st.isWritten, st.isInFlight = true, true
+	switch {
+	case mo.countsNewOnly:
+		ho.Commit(rowOf(2))
+	case !mo.countsOldOnly:
+		ho.Propose(rowOf(2))
+	}
+	st.keep(ho)
+	add("holder proposes", st)
+}
+
+func (mo model) networkSteps(st modelState, add func(string, modelState)) {
+	for i := range st.ws {
+		for at := int8(0); at <= st.now; at++ {
+			add(fmt.Sprint("renewal arrives ", i, at), mo.renew(st, i, at))
+		}
+	}
+}
+
+func (mo model) renew(st modelState, i int, at int8) modelState {
+	wa := st.watcher(i)
+	ack := wa.Renew(Renewal{Holder: modelHolder, SentAt: timer.Instant(at)}, timer.Instant(st.now))
+	st.keepWatcher(i, wa)
+	if !ack.Revoked {
+		st.ws[i].acked = max(st.ws[i].acked, int8(ack.SentAt))
+	}
+	return st
+}
+
+// tableSteps let a compare-and-set take effect at any time after it was issued,
+// and the holder read the row at any time.
+func (mo model) tableSteps(st modelState, add func(string, modelState)) {
+	if st.isInFlight && st.version == 1 && st.taker == 0 {
+		ne := st
+		ne.version, ne.isInFlight = 2, false
+		add("write takes effect", ne)
+	}
+	// Only a row beyond the condition's version proves what became of a write.
+	isProof := st.version > 1 || mo.dropsUnprovenAttempt
+	if st.isWritten && st.taker == 0 && isProof {
+		ne := st
+		ho := st.holder()
+		ho.Commit(rowOf(st.version))
+		ne.keep(ho)
+		add("holder reads the row", ne)
+	}
+}
+
+func (mo model) takerSteps(st modelState, ta int, add func(string, modelState)) {
+	if st.taker != 0 {
+		return
+	}
+	if st.read[ta] != st.version {
+		ne := st
+		ne.read[ta] = st.version
+		for i := range ne.ws {
+			ne.ws[i].votes[ta] = false
+		}
+		add(fmt.Sprint("taker reads ", ta), ne)
+	}
+	if st.read[ta] == 0 {
+		return
+	}
+	votes, named := 0, watchersOf(st.read[ta])
+	for _, i := range named {
+		if st.ws[i].votes[ta] {
+			votes++
+			continue
+		}
+		add(fmt.Sprint("taker asks ", ta, i), mo.revoke(st, ta, i))
+	}
+	need := Majority(len(named))
+	if mo.isMinority {
+		need--
+	}
+	if votes >= need && (st.read[ta] == st.version || mo.isUnconditional) {
+		ne := st
+		ne.taker = int8(ta + 1)
+		add(fmt.Sprint("taker writes ", ta), ne)
+	}
+}
+
+func (mo model) revoke(st modelState, ta, i int) modelState {
+	now := timer.Instant(st.now)
+	if mo.isEarlyRevoke {
+		now += 100
+	}
+	wa := st.watcher(i)
+	vote := wa.Revoke(modelHolder, now)
+	st.keepWatcher(i, wa)
+	st.ws[i].votes[ta] = vote.Revoked
+	return st
+}
+
+// explored is a state with the way to it.
+type explored struct {
+	state  modelState
+	parent int32
+}
+
+// explore visits all states, or as many as limit, breadth first. It returns how
+// many, whether those were all, and the way to the first broken one.
+func (mo model) explore(limit int) (visited int, isComplete bool, trace []string) {
+	first := newModelState().canonical()
+	seen := map[modelState]struct{}{first: {}}
+	list := []explored{{state: first, parent: -1}}
+	for i := 0; i < len(list); i++ {
+		if len(list) >= limit {
+			return len(list), false, nil
+		}
+		for _, sp := range mo.steps(list[i].state) {
+			ne := sp.next.canonical()
+			if _, ok := seen[ne]; ok {
+				continue
+			}
+			seen[ne] = struct{}{}
+			list = append(list, explored{state: ne, parent: int32(i)})
+			if mo.isBroken(ne) {
+				return len(list), false, mo.way(list)
+			}
+		}
+	}
+	return len(list), true, nil
+}
+
+// way names the steps to the last state of the list.
+func (mo model) way(list []explored) []string {
+	var names []string
+	for i := len(list) - 1; list[i].parent >= 0; i = int(list[i].parent) {
+		for _, sp := range mo.steps(list[list[i].parent].state) {
+			if sp.next.canonical() == list[i].state {
+				names = append(names, sp.name)
+				break
+			}
+		}
+	}
+	slices.Reverse(names)
+	return names
+}
+
+// largeVariable lets a person run the larger explorations.
+const largeVariable = "CORNELLANDING_EXPLORE"
+
+func TestExploreTakeover(t *testing.T) {
+	cases := map[string]struct {
+		model   model
+		isLarge bool
+	}{
+		"one taker and a replacement":          {model: model{end: 3, takers: 1, isReplacing: true}},
+		"two takers and a replacement":         {model: model{end: 2, takers: 2, isReplacing: true}},
+		"two takers and a replacement, longer": {model: model{end: 4, takers: 2, isReplacing: true}, isLarge: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			if tc.isLarge && os.Getenv(largeVariable) == "" {
+				t.Skip("set " + largeVariable + "=1 to run it")
+			}
+			is := is.New(t)
+			visited, isComplete, trace := tc.model.explore(40_000_000)
+			t.Logf("visited %d states", visited)
+			is.Equal(strings.Join(trace, "; "), "") // no state has two owners
+			is.True(isComplete)
+		})
+	}
+}
+
+func TestExploreLeftOutRules(t *testing.T) {
+	cases := map[string]model{
+		"revoking before the promise expired":          {isEarlyRevoke: true},
+		"counting from the receipt":                    {countsFromReceipt: true},
+		"a minority of watchers":                       {isMinority: true},
+		"an unconditional write":                       {isUnconditional: true, isReplacing: true},
+		"a restarted watcher votes":                    {isRestartedVoter: true},
+		"only the old watchers during a replacement":   {countsOldOnly: true, isReplacing: true},
+		"only the new watchers during a replacement":   {countsNewOnly: true, isReplacing: true},
+		"dropping a proposal whose write may yet land": {dropsUnprovenAttempt: true, isReplacing: true},
+	}
+	for name, mo := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			mo.end, mo.takers = 2, 1
+			visited, _, trace := mo.explore(2_000_000)
+			t.Logf("visited %d states: %s", visited, strings.Join(trace, "; "))
+			is.True(len(trace) > 0) // the rule is needed
+		})
+	}
+}
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -276,20 +276,22 @@
 	}
 }
 
-// onRow takes the own row as it was read back.
+// onRow takes the own row as it was read back. A row that is absent or whose
+// write's outcome is not proved leaves the lease as it is: a proposal then goes
+// on to need both sets of watchers.
 func (co *Controller) onRow(ev rowCommitted, now timer.Instant) {
 	co.isJoining, co.isRewatching = false, false
-	isReplaced := ev.row.Version != 0 && ev.row.Incarnation != co.self.Incarnation
-	if co.isJoined && (ev.isEnded || isReplaced) {
+	isFound := ev.row.Version != 0
+	if co.isJoined && isFound && (ev.isEnded || ev.row.Incarnation != co.self.Incarnation) {
 		co.err = ErrRevoked
 		return
 	}
+	if isFound && ev.row.Incarnation == co.self.Incarnation {
+		co.ho.Commit(ev.row)
+	}
 	if ev.err != nil {
 		co.lo.Warn("row not written", "error", ev.err)
 		co.nextJoinAt = now.Add(joinBackoff)
-		if ev.row.Version != 0 && ev.row.Incarnation == co.self.Incarnation {
-			co.ho.Commit(ev.row)
-		}
 		return
 	}
 	if !co.isJoined {
@@ -297,7 +299,6 @@
 		co.needsFold = true
 	}
 	co.isJoined = true
-	co.ho.Commit(ev.row)
 	co.nextRenewAt = now
 }
 
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -203,9 +203,6 @@
 		// lease does not lapse in between.
 		sleep(ctx, watcherWarmUp)
 		found, err := co.ledger.writeRow(ctx, an)
-		if err == nil && found.State != folder.Active {
-			err = ErrRevoked
-		}
 		return rowCommitted{row: found.Lease, err: err, isEnded: found.Lease.Version != 0 && found.State != folder.Active}
 	})
 }
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -17,11 +18,12 @@
 )
 
 const (
-	tableTimeout  = 2 * time.Second
-	foldAttempts  = 40
-	foldJitter    = 20 * time.Millisecond
-	writeAttempts = 20
-	writeBackoff  = 50 * time.Millisecond
+	tableTimeout = 2 * time.Second
+	foldAttempts = 40
+	foldJitter   = 20 * time.Millisecond
+	writeBackoff = 50 * time.Millisecond
+	// maxWriteBackoff bounds the load on a table that comes back.
+	maxWriteBackoff = time.Second
 )
 
 // ledger does the slow work on the table and the object store, outside the
@@ -88,44 +90,63 @@
 	return encoder.DecodeAnnouncement(ro.Value, ro.Version)
 }
 
-// writeRow writes a row on condition of the version in its lease and reads the
-// outcome back, however the write's answer fared. A lost answer is thereby
-// told apart from a lost write.
+// writeRow writes a row on condition of the version in its lease, and does not
+// return before it is proved what became of the write, or ctx ends.
+//
+// An answer may be lost after the write took effect, and a write without an
+// answer may take effect later. So reading the row at its former version proves
+// nothing: the write is repeated on the same condition until the row has gone
+// beyond that version. It returns the row as found.
 func (le *ledger) writeRow(ctx context.Context, an folder.Announcement) (folder.Announcement, error) {
 	value, err := encoder.EncodeAnnouncement(an)
 	if err != nil {
 		return folder.Announcement{}, fmt.Errorf("controller: encode row: %w", err)
 	}
+	mayLand := false
+	backoff := writeBackoff
+	for {
+		err := le.commitRow(ctx, an, value)
+		if err == nil {
+			an.Lease.Version++
+			return an, nil
+		}
+		mayLand = mayLand || !isRefusal(err)
+		found, readErr := le.readRow(ctx, an.BackendServer)
+		isUnchanged := readErr == nil && found.Lease.Version == an.Lease.Version
+		switch {
+		case readErr == nil && !isUnchanged:
+			return found, judge(an, found, err)
+		case isUnchanged && !mayLand:
+			return found, err
+		}
+		if !sleep(ctx, backoff) {
+			return folder.Announcement{}, fmt.Errorf("controller: outcome of a row's write is unknown: %w", err)
+		}
+		backoff = min(2*backoff, maxWriteBackoff)
+	}
+}
+
+func (le *ledger) commitRow(ctx context.Context, an folder.Announcement, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
 	key := MemberPrefix + an.BackendServer
-	commitCtx, cancel := context.WithTimeout(ctx, tableTimeout)
-	err = le.table.Commit(commitCtx, tabler.Transaction{
+	return le.table.Commit(ctx, tabler.Transaction{
 		Conditions: []tabler.Condition{{Key: key, Version: an.Lease.Version}},
 		Writes:     []tabler.Write{{Key: key, Value: value}},
 	})
-	cancel()
-	if err == nil {
-		an.Lease.Version++
-		return an, nil
-	}
-	return le.settleRow(ctx, an, err)
 }
 
-// settleRow reads a row until it is known what became of a write.
-func (le *ledger) settleRow(ctx context.Context, an folder.Announcement, cause error) (folder.Announcement, error) {
-	for range writeAttempts {
-		found, err := le.readRow(ctx, an.BackendServer)
-		if err == nil {
-			return found, le.judge(an, found, cause)
-		}
-		if !sleep(ctx, writeBackoff) {
-			break
-		}
-	}
-	return folder.Announcement{}, fmt.Errorf("controller: outcome of a row's write is unknown: %w", cause)
+// isRefusal reports whether an error proves that a call wrote nothing.
+func isRefusal(err error) bool {
+	var (
+		conflict *tabler.ConflictError
+		refused  *tabler.RefusedError
+	)
+	return errors.As(err, &conflict) || errors.As(err, &refused)
 }
 
-// judge reports nil if found is what was written.
-func (le *ledger) judge(written, found folder.Announcement, cause error) error {
+// judge reports nil if found is what was written, else the cause.
+func judge(written, found folder.Announcement, cause error) error {
 	isSame := found.Lease.Version == written.Lease.Version+1 &&
 		found.Lease.Incarnation == written.Lease.Incarnation &&
 		found.State == written.State && found.Weight == written.Weight &&
