Hand a workspace's bucket over with its partition, and let entries hold and return tokens

Entries held 50 ms of demand, less than the loss of a home takes.

Change: a release carries the bucket's state, valid only if no owner after its epoch was lost; entries hold 500 ms of demand and return what they don't use; requests wait for tokens up to half of their time left.

--- a/bench/demonstrator/demonstrator.go
+++ b/bench/demonstrator/demonstrator.go
@@ -15,7 +15,6 @@
 	"cornellanding.example/bench/launcher"
 	"cornellanding.example/bench/loader"
 	"cornellanding.example/bench/reporter"
-	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/instance/administrator"
 	"github.com/hashicorp/go-hclog"
@@ -103,7 +102,7 @@
 		time.Sleep(time.Until(startedAt.Add(time.Duration(share * float64(se.For)))))
 	}
 	at(killAt)
-	victim := exclusiveVM(de)
+	victim := ownerOfHottest(de)
 	kill, err := observe(de, "loss of "+victim.Name, func(me placer.Member) bool { return me.BackendServer == victim.Name }, func() error {
 		se.say("killing %s", victim.Name)
 		de.KillVM(victim.Name)
@@ -129,12 +128,12 @@
 	return []reporter.Loss{kill, out, back}, err
 }
 
-func exclusiveVM(de *launcher.Deployment) *launcher.VM {
-	for _, vm := range de.VMs() {
-		for _, sv := range de.Catalogue.Services {
-			if sv.Name == vm.Service && sv.Class == cataloguer.Exclusive {
-				return vm
-			}
+// ownerOfHottest returns the VM that owns the key with the most load, so that
+// the loss is seen by many requests.
+func ownerOfHottest(de *launcher.Deployment) *launcher.VM {
+	for _, tb := range de.Tables() {
+		if owner, ok := tb.Owner(tb.Partition(loader.HottestKey)); ok {
+			return de.VM(owner.BackendServer)
 		}
 	}
 	return nil
--- a/bench/loader/loader.go
+++ b/bench/loader/loader.go
@@ -47,6 +47,9 @@
 	readShare     = 0.5
 )
 
+// HottestKey is the entity key that is called most.
+const HottestKey = "k0"
+
 // Result is one request and its answer.
 type Result struct {
 	// ID is the request's body, unique to it.
--- a/core/limiter/home.go
+++ b/core/limiter/home.go
@@ -26,6 +26,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"cornellanding.example/core/timer"
 )
@@ -56,18 +57,20 @@
 	Entry uint64
 	// Sequence orders the entry's asks, from 1.
 	Sequence uint64
-	// Uses reports tokens used since the last ask.
+	// Uses reports what became of earlier grants since the last ask.
 	Uses []Use
 	Want float64
 	// SentAt is on the entry's clock and not sent.
 	SentAt timer.Instant
 }
 
-// Use reports how many tokens of an earlier grant were used.
+// Use reports how many tokens of an earlier grant were used, and how many the
+// entry gave up unused.
 type Use struct {
 	// Sequence is that of the ask that got the grant.
 	Sequence uint64
 	Tokens   float64
+	Returned float64
 }
 
 // Grant answers an ask.
@@ -111,6 +114,7 @@
 	lots     []lot
 	// assumedUntil is when the predecessor's last grants have expired.
 	assumedUntil timer.Instant
+	handedOver   *State
 	// sequences holds the latest ask of each entry.
 	sequences map[uint64]uint64
 }
@@ -133,6 +137,10 @@
 		return ho, nil
 	}
 	ho.assumedUntil = ho.filledAt.Add(GrantTerm)
+	if ho.handedOver != nil {
+		ho.restore(*ho.handedOver)
+		ho.handedOver = nil
+	}
 	return ho, nil
 }
 
@@ -212,13 +220,18 @@
 	return Grant{Tokens: tokens}
 }
 
-// settle takes what an entry reported off the lot it belongs to. A report of a
-// lot that has expired changes nothing.
+// settle takes what an entry reported off the lot it belongs to, and puts what
+// it returned back. A report of a lot that has expired changes nothing.
 func (ho *Home) settle(entry uint64, us Use) {
 	for i := range ho.lots {
-		if ho.lots[i].entry == entry && ho.lots[i].sequence == us.Sequence {
-			ho.lots[i].tokens -= min(max(0, us.Tokens), ho.lots[i].tokens)
+		lo := &ho.lots[i]
+		if lo.entry != entry || lo.sequence != us.Sequence {
+			continue
 		}
+		lo.tokens -= min(max(0, us.Tokens), lo.tokens)
+		returned := min(max(0, us.Returned), lo.tokens)
+		lo.tokens -= returned
+		ho.level = min(ho.level+returned, ho.room())
 	}
 }
 
@@ -235,3 +248,55 @@
 
 // Forget drops the sequence of an entry that is gone for good.
 func (ho *Home) Forget(entry uint64) { delete(ho.sequences, entry) }
+
+// Lot is a grant that is neither reported nor expired, in a handover.
+type Lot struct {
+	Entry    uint64
+	Sequence uint64
+	Tokens   float64
+	// Remaining is how long it may still be used.
+	Remaining timer.Span
+}
+
+// State is what a home hands over to the next one.
+type State struct {
+	Level     float64
+	Lots      []Lot
+	Sequences map[uint64]uint64
+	// Assumed is how long grants of a lost predecessor may still be used.
+	Assumed timer.Span
+}
+
+// Export returns the bucket's state at now. The home must grant nothing any
+// more.
+func (ho *Home) Export(now timer.Instant) State {
+	ho.advance(now)
+	st := State{Level: ho.level, Sequences: maps.Clone(ho.sequences)}
+	for _, lo := range ho.lots {
+		st.Lots = append(st.Lots, Lot{Entry: lo.entry, Sequence: lo.sequence, Tokens: lo.tokens, Remaining: lo.expiresAt.Sub(now)})
+	}
+	if ho.assumedUntil != 0 {
+		st.Assumed = ho.assumedUntil.Sub(now)
+	}
+	return st
+}
+
+// HomeState starts with what the former home handed over, in place of
+// assumptions.
+func HomeState(st State) HomeOption {
+	return func(ho *Home) { ho.handedOver = &st }
+}
+
+func (ho *Home) restore(st State) {
+	ho.assumedUntil = 0
+	if st.Assumed > 0 {
+		ho.assumedUntil = ho.filledAt.Add(st.Assumed)
+	}
+	for _, lo := range st.Lots {
+		ho.lots = append(ho.lots, lot{
+			entry: lo.Entry, sequence: lo.Sequence, tokens: lo.Tokens, expiresAt: ho.filledAt.Add(lo.Remaining),
+		})
+	}
+	maps.Copy(ho.sequences, st.Sequences)
+	ho.level = min(max(0, st.Level), ho.room())
+}
--- a/core/limiter/share.go
+++ b/core/limiter/share.go
@@ -4,12 +4,17 @@
 
 const (
 	// demandWindow is how far ahead an ask looks.
-	demandWindow = 50 * timer.Millisecond
+	demandWindow = 500 * timer.Millisecond
 	// demandWeight smooths the demand seen between two asks.
 	demandWeight = 0.3
+	// demandParts bounds how far a short interval is extrapolated.
+	demandParts = 4
 	// lowShare is the share of the window's demand below which the share asks
 	// ahead.
 	lowShare = 0.5
+	// returnBefore is how long before the end of their term unused tokens are
+	// given up, so that the home can grant them again.
+	returnBefore = 200 * timer.Millisecond
 )
 
 // held is a grant in the hands of an entry.
@@ -18,6 +23,7 @@
 	tokens   float64
 	// used waits to be reported.
 	used      float64
+	returned  float64
 	expiresAt timer.Instant
 }
 
@@ -97,7 +103,7 @@
 	sh.sequence++
 	sh.isAsking = true
 	ask := Ask{
-		Entry: sh.entry, Sequence: sh.sequence, Uses: sh.report(),
+		Entry: sh.entry, Sequence: sh.sequence, Uses: sh.report(now),
 		Want: max(1, sh.demand-sh.tokens()), SentAt: now,
 	}
 	sh.taken = 0
@@ -105,15 +111,19 @@
 	return ask
 }
 
-// report lists the uses not yet reported and drops the grants used up.
-func (sh *Share) report() []Use {
+// report lists the uses not yet reported, gives up what is about to expire, and
+// drops the grants used up.
+func (sh *Share) report(now timer.Instant) []Use {
 	var uses []Use
 	kept := sh.grants[:0]
 	for _, gr := range sh.grants {
-		if gr.used > 0 {
-			uses = append(uses, Use{Sequence: gr.sequence, Tokens: gr.used})
+		if gr.expiresAt.Sub(now) < returnBefore {
+			gr.returned, gr.tokens = gr.tokens, 0
 		}
-		gr.used = 0
+		if gr.used > 0 || gr.returned > 0 {
+			uses = append(uses, Use{Sequence: gr.sequence, Tokens: gr.used, Returned: gr.returned})
+		}
+		gr.used, gr.returned = 0, 0
 		if gr.tokens >= 1 {
 			kept = append(kept, gr)
 		}
@@ -122,10 +132,12 @@
 	return uses
 }
 
+// updateDemand smooths the requests seen since the last ask, scaled to the
+// window. A short interval counts for little more than what was seen in it.
 func (sh *Share) updateDemand(now timer.Instant) {
-	elapsed := max(now.Sub(sh.askedAt), timer.Millisecond)
+	elapsed := max(now.Sub(sh.askedAt), demandWindow/demandParts)
 	seen := sh.taken * float64(demandWindow) / float64(elapsed)
-	sh.demand += demandWeight * (min(seen, max(sh.taken, 1)*4) - sh.demand)
+	sh.demand += demandWeight * (seen - sh.demand)
 }
 
 // Receive takes the home's answer to ask.
--- a/core/placer/explain.go
+++ b/core/placer/explain.go
@@ -41,20 +41,25 @@
 	return ex
 }
 
-// since walks back through the changes to the one that made the member owner.
+// since walks back through the generations to the one that made the member
+// owner.
 func (tb *Table) since(pt uint32, owner Member) (uint64, int64) {
-	current := append([]Member(nil), tb.Map.Members...)
-	for i := len(tb.Map.Changes) - 1; i >= 0; i-- {
-		ch := tb.Map.Changes[i]
-		current = undo(current, ch)
-		isInsideVersion := i > 0 && tb.Map.Changes[i-1].Version == ch.Version
-		if isInsideVersion {
-			continue
-		}
-		index := best(seedsOf(current), pt)
-		if index < 0 || current[index].Incarnation != owner.Incarnation {
-			return ch.Version, ch.At
+	gens := tb.Map.Generations()
+	for i := 1; i < len(gens); i++ {
+		index := best(seedsOf(gens[i].Members), pt)
+		if index < 0 || gens[i].Members[index].Incarnation != owner.Incarnation {
+			return gens[i-1].Version, tb.Map.committedAt(gens[i-1].Version)
 		}
 	}
 	return 0, 0
 }
+
+// committedAt returns the wall clock of a version on record, or 0.
+func (ma Map) committedAt(version uint64) int64 {
+	for _, ch := range ma.Changes {
+		if ch.Version == version {
+			return ch.At
+		}
+	}
+	return 0
+}
--- a/core/placer/map.go
+++ b/core/placer/map.go
@@ -154,17 +154,24 @@
 	return ne
 }
 
+// Generation is a member list and the version from which it was in force.
+type Generation struct {
+	Version uint64
+	Members []Member
+}
+
 // Generations returns the member lists from Settled to Version, newest first.
 // The first is Members itself. Versions that changed no member are left out.
-func (ma Map) Generations() [][]Member {
-	gens := [][]Member{ma.Members}
+func (ma Map) Generations() []Generation {
+	gens := []Generation{{Version: ma.Version, Members: ma.Members}}
 	current := slices.Clone(ma.Members)
 	for i := len(ma.Changes) - 1; i >= 0; i-- {
 		ch := ma.Changes[i]
 		current = undo(current, ch)
-		isLastOfVersion := i == 0 || ma.Changes[i-1].Version != ch.Version
-		if isLastOfVersion {
-			gens = append(gens, slices.Clone(current))
+		gens[len(gens)-1].Version = ch.Version
+		isFirstOfVersion := i == 0 || ma.Changes[i-1].Version != ch.Version
+		if isFirstOfVersion {
+			gens = append(gens, Generation{Version: ma.Settled, Members: slices.Clone(current)})
 		}
 	}
 	return gens
--- a/core/placer/table.go
+++ b/core/placer/table.go
@@ -138,14 +138,14 @@
 func (tb *Table) PriorOwners(incarnation uint64) map[uint32][]Member {
 	prior := map[uint32][]Member{}
 	owned := tb.OwnedBy(incarnation)
-	for _, members := range tb.Map.Generations()[1:] {
-		seeds := seedsOf(members)
+	for _, ge := range tb.Map.Generations()[1:] {
+		seeds := seedsOf(ge.Members)
 		for _, pt := range owned {
 			index := best(seeds, pt)
 			if index < 0 {
 				continue
 			}
-			live, ok := tb.Map.ByIncarnation(members[index].Incarnation)
+			live, ok := tb.Map.ByIncarnation(ge.Members[index].Incarnation)
 			if !ok || live.Incarnation == incarnation || slices.Contains(prior[pt], live) {
 				continue
 			}
@@ -154,3 +154,21 @@
 	}
 	return prior
 }
+
+// LostUntil returns the version at which the partition last passed on from an
+// owner that is gone, or 0 if no owner on record is gone. What a live prior
+// owner knows of the partition is complete only if it obtained it at that
+// version or later.
+func (tb *Table) LostUntil(pt uint32) uint64 {
+	gens := tb.Map.Generations()
+	for i := 1; i < len(gens); i++ {
+		index := best(seedsOf(gens[i].Members), pt)
+		if index < 0 {
+			continue
+		}
+		if _, isLive := tb.Map.ByIncarnation(gens[i].Members[index].Incarnation); !isLive {
+			return gens[i-1].Version
+		}
+	}
+	return 0
+}
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -69,9 +69,20 @@
 	Send(to netip.AddrPort, da *peerproto.Datagram) error
 }
 
+// Buckets is the port to the workspaces' buckets whose home this instance is.
+type Buckets interface {
+	// Export returns the buckets of a partition that is served no longer.
+	Export(pt uint32) []*peerproto.Bucket
+	// Import is called before a partition is served at an epoch.
+	Import(pt uint32, epoch uint64, buckets []*peerproto.Bucket, isFirst bool)
+}
+
 // Option sets one option of New.
 type Option func(*Controller)
 
+// WithBuckets sets the workspaces' buckets.
+func WithBuckets(bu Buckets) Option { return func(co *Controller) { co.buckets = bu } }
+
 // WithTable sets the table service.
 func WithTable(ta tabler.Table) Option { return func(co *Controller) { co.ledger.table = ta } }
 
@@ -100,6 +111,7 @@
 type Controller struct {
 	ledger    ledger
 	peers     Peers
+	buckets   Buckets
 	sender    Sender
 	pu        *publisher.Publisher
 	lo        hclog.Logger
@@ -151,8 +163,8 @@
 	for _, opt := range opts {
 		opt(co)
 	}
-	if co.ledger.table == nil || co.ledger.objects == nil || co.peers == nil || co.sender == nil || co.pu == nil {
-		return nil, errors.New("controller: table, objects, peers, sender and publisher are needed")
+	if co.ledger.table == nil || co.ledger.objects == nil || co.peers == nil || co.sender == nil || co.pu == nil || co.buckets == nil {
+		return nil, errors.New("controller: table, objects, peers, buckets, sender and publisher are needed")
 	}
 	co.self = co.pu.Self()
 	var err error
@@ -429,8 +441,8 @@
 }
 
 // Release answers a new owner's request.
-func (co *Controller) Release(ctx context.Context, re *peerproto.ReleaseRequest) ([]uint32, error) {
-	reply := make(chan []uint32, 1)
+func (co *Controller) Release(ctx context.Context, re *peerproto.ReleaseRequest) (*peerproto.ReleaseResponse, error) {
+	reply := make(chan *peerproto.ReleaseResponse, 1)
 	return ask(ctx, co, reply, releaseAsked{request: re, reply: reply})
 }
 
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -25,7 +25,7 @@
 // releaseAsked is a new owner's request to release partitions.
 type releaseAsked struct {
 	request *peerproto.ReleaseRequest
-	reply   chan<- []uint32
+	reply   chan<- *peerproto.ReleaseResponse
 }
 
 // syncAsked is a peer's request for newer documents.
@@ -60,10 +60,10 @@
 
 // released brings a prior owner's answer.
 type released struct {
-	service    string
-	holder     uint64
-	partitions []uint32
-	err        error
+	service string
+	holder  uint64
+	answer  *peerproto.ReleaseResponse
+	err     error
 }
 
 // takeoverEnded ends a takeover of a holder.
--- a/instance/controller/tenure.go
+++ b/instance/controller/tenure.go
@@ -17,14 +17,16 @@
 	pending map[uint32]map[uint64]bool
 	// releasedBy keeps the releases already given for a pending partition.
 	releasedBy map[uint32]map[uint64]bool
-	asking     map[uint64]bool
-	nextAskAt  timer.Instant
+	// buckets keeps what came with the releases of the limits service.
+	buckets   map[uint32][]*peerproto.Bucket
+	asking    map[uint64]bool
+	nextAskAt timer.Instant
 }
 
 func newTenure(service string) *tenure {
 	return &tenure{
 		service: service, pending: map[uint32]map[uint64]bool{},
-		releasedBy: map[uint32]map[uint64]bool{}, asking: map[uint64]bool{},
+		releasedBy: map[uint32]map[uint64]bool{}, buckets: map[uint32][]*peerproto.Bucket{}, asking: map[uint64]bool{},
 	}
 }
 
@@ -74,6 +76,7 @@
 func (co *Controller) drop(te *tenure, pt uint32) {
 	co.pu.Drop(te.service, pt)
 	delete(te.releasedBy, pt)
+	delete(te.buckets, pt)
 }
 
 // obtainIfReleased begins to serve a partition once every prior owner has
@@ -85,7 +88,30 @@
 	}
 	delete(te.pending, pt)
 	delete(te.releasedBy, pt)
-	co.pu.Obtain(te.service, pt, co.ds.tables[te.service].Map.Version)
+	tb := co.ds.tables[te.service]
+	if te.service == folder.LimitsService {
+		co.importBuckets(te, tb, pt)
+	}
+	co.pu.Obtain(te.service, pt, tb.Map.Version)
+}
+
+// importBuckets hands over the buckets that are complete: those of a prior
+// owner after which no owner was lost.
+func (co *Controller) importBuckets(te *tenure, tb *placer.Table, pt uint32) {
+	lostUntil := tb.LostUntil(pt)
+	latest := uint64(0)
+	for _, bu := range te.buckets[pt] {
+		latest = max(latest, bu.GetEpoch())
+	}
+	var complete []*peerproto.Bucket
+	for _, bu := range te.buckets[pt] {
+		if bu.GetEpoch() == latest && latest >= lostUntil {
+			complete = append(complete, bu)
+		}
+	}
+	isFirst := latest == 0 && lostUntil == 0 && tb.Map.Settled == 0
+	co.buckets.Import(pt, tb.Map.Version, complete, isFirst)
+	delete(te.buckets, pt)
 }
 
 // obtain asks prior owners for what is pending.
@@ -126,14 +152,17 @@
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
 		answer, err := co.peers.Release(ctx, me.Address, request)
-		return released{service: service, holder: holder, partitions: answer.GetReleased(), err: err}
+		return released{service: service, holder: holder, answer: answer, err: err}
 	})
 }
 
 func (co *Controller) onReleased(ev released) {
 	te := co.tenures[ev.service]
 	delete(te.asking, ev.holder)
-	for _, pt := range ev.partitions {
+	for _, bu := range ev.answer.GetBuckets() {
+		te.buckets[bu.GetPartition()] = append(te.buckets[bu.GetPartition()], bu)
+	}
+	for _, pt := range ev.answer.GetReleased() {
 		waits, ok := te.pending[pt]
 		if !ok {
 			continue
@@ -150,19 +179,22 @@
 // onRelease tells which partitions this instance doesn't serve and never will
 // under the asker's map. It says so only once it follows a map at least as new
 // in which it is not the owner, and no work runs there any more.
-func (co *Controller) onRelease(re *peerproto.ReleaseRequest) []uint32 {
+func (co *Controller) onRelease(re *peerproto.ReleaseRequest) *peerproto.ReleaseResponse {
+	answer := &peerproto.ReleaseResponse{}
 	tb := co.ds.tables[re.GetService()]
 	isBehind := tb == nil || tb.Map.Version < re.GetMapVersion()
 	if re.GetHolder() != co.self.Incarnation || isBehind {
-		return nil
+		return answer
 	}
-	var free []uint32
 	for _, pt := range re.GetPartitions() {
 		owner, _ := tb.Owner(pt)
 		if owner.Incarnation == co.self.Incarnation || !co.pu.IsIdle(re.GetService(), pt) {
 			continue
 		}
-		free = append(free, pt)
+		answer.Released = append(answer.Released, pt)
+		if re.GetService() == folder.LimitsService {
+			answer.Buckets = append(answer.Buckets, co.buckets.Export(pt)...)
+		}
 	}
-	return free
+	return answer
 }
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -15,8 +15,12 @@
 )
 
 const (
-	// grantPatience is how long a request waits for its workspace's bucket.
-	grantPatience = 300 * time.Millisecond
+	// grantPatience is how long a request waits for its workspace's bucket, at
+	// the most: longer than the loss of a bucket's home takes.
+	grantPatience = 1500 * time.Millisecond
+	// patienceShare is the inverse share of the request's time left that it
+	// waits.
+	patienceShare = 2
 	grantTimeout  = 200 * time.Millisecond
 	grantRetry    = 10 * timer.Millisecond
 	// maxWaiters bounds the requests of one workspace that wait for tokens.
@@ -61,7 +65,11 @@
 // again.
 func (ss *shares) take(ctx context.Context, workspace string) (timer.Span, bool) {
 	sh := ss.of(workspace)
-	ctx, cancel := context.WithTimeout(ctx, grantPatience)
+	patience := grantPatience
+	if deadline, ok := ctx.Deadline(); ok {
+		patience = min(patience, time.Until(deadline)/patienceShare)
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	next := ss.takeOnce(sh, workspace, true)
 	if next.isTaken {
--- a/instance/granter/granter.go
+++ b/instance/granter/granter.go
@@ -12,6 +12,7 @@
 import (
 	"sync"
 
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/limiter"
 	"cornellanding.example/core/timer"
@@ -35,11 +36,21 @@
 	pu    *publisher.Publisher
 	mu    sync.Mutex
 	homes map[string]*home
+	// handed holds buckets as handed over, until their first use.
+	handed  map[string]handed
+	tenures map[uint32]tenure
+}
+
+// tenure is a partition of the limits service as obtained.
+type tenure struct {
+	epoch      uint64
+	obtainedAt timer.Instant
+	isFirst    bool
 }
 
 // New returns a granter without buckets.
 func New(pu *publisher.Publisher) *Granter {
-	return &Granter{pu: pu, homes: map[string]*home{}}
+	return &Granter{pu: pu, homes: map[string]*home{}, handed: map[string]handed{}, tenures: map[uint32]tenure{}}
 }
 
 // Grant answers an entry instance.
@@ -60,7 +71,11 @@
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 	now := gr.pu.Now()
-	ho := gr.homeOf(ws.Name, ws.Rate, ws.Burst, epoch, now)
+	te := gr.tenures[pt]
+	if te.epoch != epoch {
+		return notHome
+	}
+	ho := gr.homeOf(ws, te, now)
 	if ho == nil {
 		return notHome
 	}
@@ -71,25 +86,36 @@
 func toAsk(rq *peerproto.GrantRequest) limiter.Ask {
 	ask := limiter.Ask{Entry: rq.GetFrom(), Sequence: rq.GetSequence(), Want: rq.GetWant()}
 	for _, us := range rq.GetUses() {
-		ask.Uses = append(ask.Uses, limiter.Use{Sequence: us.GetSequence(), Tokens: us.GetTokens()})
+		ask.Uses = append(ask.Uses, limiter.Use{Sequence: us.GetSequence(), Tokens: us.GetTokens(), Returned: us.GetReturned()})
 	}
 	return ask
 }
 
-// homeOf returns the workspace's bucket. One obtained anew starts empty.
-func (gr *Granter) homeOf(workspace string, rate, burst float64, epoch uint64, now timer.Instant) *limiter.Home {
-	present := gr.homes[workspace]
-	if present != nil && present.epoch == epoch {
-		if present.rate != rate || present.burst != burst {
-			present.ho.SetLimits(rate, burst, now)
-			present.rate, present.burst = rate, burst
+// homeOf returns the workspace's bucket. One that was not handed over starts
+// empty when the partition was obtained, or full if it never had an owner
+// before.
+func (gr *Granter) homeOf(ws cataloguer.Workspace, te tenure, now timer.Instant) *limiter.Home {
+	present := gr.homes[ws.Name]
+	if present != nil && present.epoch == te.epoch {
+		if present.rate != ws.Rate || present.burst != ws.Burst {
+			present.ho.SetLimits(ws.Rate, ws.Burst, now)
+			present.rate, present.burst = ws.Rate, ws.Burst
 		}
 		return present.ho
 	}
-	ho, err := limiter.NewHome(limiter.HomeRate(rate), limiter.HomeBurst(burst), limiter.HomeSince(now))
+	opts := []limiter.HomeOption{limiter.HomeRate(ws.Rate), limiter.HomeBurst(ws.Burst), limiter.HomeSince(te.obtainedAt)}
+	former, ok := gr.handed[ws.Name]
+	switch {
+	case ok && former.epoch == te.epoch:
+		opts = append(opts, limiter.HomeState(former.state))
+	case te.isFirst:
+		opts = append(opts, limiter.HomeFull())
+	}
+	ho, err := limiter.NewHome(opts...)
 	if err != nil {
 		return nil
 	}
-	gr.homes[workspace] = &home{epoch: epoch, rate: rate, burst: burst, ho: ho}
+	delete(gr.handed, ws.Name)
+	gr.homes[ws.Name] = &home{epoch: te.epoch, rate: ws.Rate, burst: ws.Burst, ho: ho}
 	return ho
 }
--- a/instance/router/peerserver.go
+++ b/instance/router/peerserver.go
@@ -56,11 +56,7 @@
 func (ps *peerServer) Release(ctx context.Context, re *peerproto.ReleaseRequest) (*peerproto.ReleaseResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlPatience)
 	defer cancel()
-	free, err := ps.in.co.Release(ctx, re)
-	if err != nil {
-		return nil, err
-	}
-	return &peerproto.ReleaseResponse{Released: free}, nil
+	return ps.in.co.Release(ctx, re)
 }
 
 // Grant implements peerproto.Peer.
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -251,7 +251,7 @@
 	in.gr = granter.New(in.pu)
 	in.co, err = controller.New(
 		controller.WithTable(ro.table), controller.WithObjects(ro.objects), controller.WithPeers(ro.pe),
-		controller.WithSender(ro.me), controller.WithPublisher(in.pu), controller.WithLogger(ro.lo),
+		controller.WithBuckets(in.gr), controller.WithSender(ro.me), controller.WithPublisher(in.pu), controller.WithLogger(ro.lo),
 		controller.WithLeaseTerm(ro.se.LeaseTerm), controller.WithFreshness(ro.se.Freshness),
 	)
 	if err != nil {
