--- /dev/null
+++ b/bench/coster/coster.go
@@ -0,0 +1,204 @@
+// Package coster measures what the router adds to a request.
+//
+// It calls one backend server stand-in directly, through the owner's instance,
+// and through another instance, in turn and in one process.
+//
+// # Usage
+//
+//	costs, err := coster.Measure(ctx, 2000)
+package coster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"cornellanding.example/bench/launcher"
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/instance/administrator"
+	"cornellanding.example/platform/emulator"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	warmUp       = 200
+	workers      = 8
+	workspace    = "juazeiro"
+	path         = "/stock/k1"
+	key          = "k1"
+	unlimited    = 1_000_000
+)
+
+// Cost is what one way to the backend server costs.
+type Cost struct {
+	Way string
+	// P50 and P99 are latencies, one request at a time.
+	P50 time.Duration
+	P99 time.Duration
+	// CPU is processor time for each request, of client, router and stand-in
+	// together.
+	CPU time.Duration
+	// Allocations are for each request, likewise.
+	Allocations float64
+	// Rate is in requests a second with several clients on all cores.
+	Rate float64
+}
+
+type way struct {
+	name    string
+	address string
+}
+
+// Measure runs count requests each way.
+func Measure(ctx context.Context, count int) ([]Cost, error) {
+	de, err := launcher.New(launcher.WithBackendOptions(emulator.WithServiceTime(0), emulator.WithSlots(1000), emulator.WithoutRecords()))
+	if err != nil {
+		return nil, err
+	}
+	defer de.Close()
+	readyCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := de.AwaitReady(readyCtx); err != nil {
+		return nil, err
+	}
+	if err := lift(ctx, de); err != nil {
+		return nil, err
+	}
+	ways, err := waysOf(de)
+	if err != nil {
+		return nil, err
+	}
+	var costs []Cost
+	for _, wa := range ways {
+		cost, err := measure(wa, de.Keys[workspace], count)
+		if err != nil {
+			return nil, err
+		}
+		costs = append(costs, cost)
+	}
+	return costs, nil
+}
+
+// lift removes the workspace's limit, which is not what is measured.
+func lift(ctx context.Context, de *launcher.Deployment) error {
+	cat := de.Catalogue
+	cat.Workspaces = slices.Clone(cat.Workspaces)
+	for i := range cat.Workspaces {
+		if cat.Workspaces[i].Name == workspace {
+			cat.Workspaces[i].Rate, cat.Workspaces[i].Burst = unlimited, unlimited
+		}
+	}
+	if err := de.Edit(ctx, administrator.CatalogueApply{Catalogue: cat}); err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	return nil
+}
+
+func waysOf(de *launcher.Deployment) ([]way, error) {
+	for service, tb := range de.Tables() {
+		owner, ok := tb.Owner(tb.Partition(key))
+		if !ok {
+			continue
+		}
+		for _, vm := range de.VMs() {
+			isOther := vm.Service == service && vm.Name != owner.BackendServer
+			if isOther {
+				own := de.VM(owner.BackendServer)
+				return []way{
+					{name: "direct", address: own.ServerAddress()},
+					{name: "owner's instance", address: own.CallerAddress},
+					{name: "another instance", address: vm.CallerAddress},
+				}, nil
+			}
+		}
+	}
+	return nil, fmt.Errorf("coster: no owner of %s in %v", key, cataloguer.Exclusive)
+}
+
+func measure(wa way, workspaceKey string, count int) (Cost, error) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
+	defer client.CloseIdleConnections()
+	call := func() error { return get(client, "http://"+wa.address+path, workspaceKey) }
+	for range warmUp {
+		if err := call(); err != nil {
+			return Cost{}, fmt.Errorf("coster: %s: %w", wa.name, err)
+		}
+	}
+	cost := Cost{Way: wa.name}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	cpu := processorTime()
+	latencies := make([]time.Duration, 0, count)
+	for range count {
+		startedAt := time.Now()
+		if err := call(); err != nil {
+			return Cost{}, fmt.Errorf("coster: %s: %w", wa.name, err)
+		}
+		latencies = append(latencies, time.Since(startedAt))
+	}
+	cost.CPU = (processorTime() - cpu) / time.Duration(count)
+	runtime.ReadMemStats(&after)
+	cost.Allocations = float64(after.Mallocs-before.Mallocs) / float64(count)
+	slices.Sort(latencies)
+	cost.P50, cost.P99 = latencies[count/2], latencies[count*99/100]
+	rate, err := throughput(call, count)
+	cost.Rate = rate
+	return cost, err
+}
+
+func throughput(call func() error, count int) (float64, error) {
+	var wg sync.WaitGroup
+	errs := make(chan error, workers)
+	startedAt := time.Now()
+	for range workers {
+		wg.Go(func() {
+			for range count / workers {
+				if err := call(); err != nil {
+					errs <- err
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	select {
+	case err := <-errs:
+		return 0, err
+	default:
+		return float64(count) / time.Since(startedAt).Seconds(), nil
+	}
+}
+
+func get(client *http.Client, url, workspaceKey string) error {
+	re, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	re.Header.Set("Authorization", "Bearer "+workspaceKey)
+	answer, err := client.Do(re)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(answer.Body)
+	if err == nil && answer.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", answer.StatusCode, strings.TrimSpace(string(content)))
+	}
+	return err
+}
+
+// processorTime returns the user and system time of this process so far.
+func processorTime() time.Duration {
+	var ru syscall.Rusage
+	// Getrusage fails only for an unknown target.
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &ru)
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -65,6 +65,9 @@
 	isUp     bool
 }
 
+// ServerAddress returns the address of the backend server.
+func (vm *VM) ServerAddress() string { return vm.settings.BackendServer.Address }
+
 // Option sets one option of New.
 type Option func(*Deployment)
 
--- a/bench/reporter/reporter.go
+++ b/bench/reporter/reporter.go
@@ -86,8 +86,20 @@
 	Violations []checker.Violation `json:"violations"`
 }
 
-// New works out the measures.
+// New works out the measures and checks the invariants.
 func New(hi checker.History, losses []Loss) Report {
+	rp := Seen(hi)
+	rp.Violations = checker.Check(hi)
+	rp.count()
+	for _, lo := range losses {
+		rp.Losses = append(rp.Losses, effect(lo, hi.Results))
+	}
+	rp.Imbalance = imbalance(hi)
+	return rp
+}
+
+// Seen works out what callers see, without the backend servers' records.
+func Seen(hi checker.History) Report {
 	rp := Report{Requests: len(hi.Results), Outcomes: map[string]int{}, Codes: map[string]int{}}
 	for _, re := range hi.Results {
 		rp.Outcomes[string(re.Outcome)]++
@@ -98,13 +110,7 @@
 			rp.Wrongful++
 		}
 	}
-	rp.Violations = checker.Check(hi)
-	rp.count()
 	rp.Latencies = latencies(hi.Results)
-	for _, lo := range losses {
-		rp.Losses = append(rp.Losses, effect(lo, hi.Results))
-	}
-	rp.Imbalance = imbalance(hi)
 	rp.Worst = worst(hi.Results)
 	return rp
 }
--- a/instance/administrator/editor.go
+++ b/instance/administrator/editor.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/placer"
 	"cornellanding.example/platform/storer"
 	"cornellanding.example/platform/tabler"
 	"cornellanding.example/wire/encoder"
@@ -28,6 +29,7 @@
 
 const (
 	configKey     = "config"
+	mapPrefix     = "map/"
 	changeIDBytes = 8
 	settleTries   = 20
 	settleBackoff = 50 * time.Millisecond
@@ -148,6 +150,20 @@
 	return encoder.DecodeConfig(content)
 }
 
+// Map returns the map of a service in the table, at version 0 if there is none.
+func (ed *Editor) Map(ctx context.Context, service string) (placer.Map, error) {
+	key := mapPrefix + service
+	rows, err := ed.table.Read(ctx, tabler.Query{Keys: []string{key}})
+	if err != nil {
+		return placer.Map{}, err
+	}
+	ro := tabler.Find(rows, key)
+	if ro.Version == 0 {
+		return placer.Map{Service: service}, nil
+	}
+	return encoder.DecodeMap(ro.Value)
+}
+
 // Committed is a configuration as it was committed, in its stored form too.
 type Committed struct {
 	Config  cataloguer.Config
