Recover callers of a frozen owner, and fold simultaneous losses into one map version

Cause (drills with real processes): a resumed instance was not told that it was revoked, since watchers dropped renewals of senders outside the maps; its entry side went on with the view of its old incarnation; and VMs lost together made several map versions, each of which a bucket's home counted as a loss.

Change: watchers answer every authentic renewal; the entry side and the agreed documents outlive an incarnation; an idempotent request leaves an owner that lost its lease; folds after a takeover wait 30 ms; entries together hold at most a third of a burst.

--- a/bench/driller/processes.go
+++ b/bench/driller/processes.go
@@ -16,7 +16,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -25,6 +24,7 @@
 	"syscall"
 	"time"
 
+	"cornellanding.example/bench/allocator"
 	"cornellanding.example/bench/checker"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/examples"
@@ -102,15 +102,6 @@
 	return fl, fl.awaitReady(ctx)
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 func (fl *fleet) spawn(binary string, args ...string) (*exec.Cmd, error) {
 	cmd := exec.Command(binary, args...)
 	cmd.Stderr = fl.logWriter
@@ -119,7 +110,7 @@
 
 func (fl *fleet) startPlatform(ctx context.Context) error {
 	var err error
-	if fl.table, err = freeAddress(); err != nil {
+	if fl.table, err = allocator.Address(); err != nil {
 		return err
 	}
 	if fl.platform, err = fl.spawn(fl.se.Bench, "platform", "--listen", fl.table); err != nil {
@@ -186,7 +177,7 @@
 
 func (fl *fleet) startServer(machine *vm) error {
 	var err error
-	if machine.serverAddress, err = freeAddress(); err != nil {
+	if machine.serverAddress, err = allocator.Address(); err != nil {
 		return err
 	}
 	args := []string{
@@ -204,7 +195,7 @@
 func (fl *fleet) startInstance(machine *vm) error {
 	for _, address := range []*string{&machine.callerAddress, &machine.peerAddress, &machine.adminAddress} {
 		var err error
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = allocator.Address(); err != nil {
 			return err
 		}
 	}
@@ -257,32 +248,39 @@
 func (fl *fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for !fl.isReady(ctx) {
+	for {
+		why := fl.notReady(ctx)
+		if why == "" {
+			return nil
+		}
 		if ctx.Err() != nil {
-			return fmt.Errorf("driller: not ready: %w", ctx.Err())
+			return fmt.Errorf("driller: not ready: %s", why)
 		}
 		time.Sleep(pollInterval)
 	}
-	return nil
 }
 
-func (fl *fleet) isReady(ctx context.Context) bool {
+// notReady tells why the fleet is not ready, or returns nothing.
+func (fl *fleet) notReady(ctx context.Context) string {
 	up := len(fl.entries())
 	for _, machine := range fl.vms {
 		if !machine.isUp {
 			continue
 		}
 		st, err := administrator.NewClient(machine.adminAddress, operatorKey).Status(ctx)
-		if err != nil || !st.HasLease || !st.IsFresh || len(st.Members) != up {
-			return false
+		switch {
+		case err != nil:
+			return fmt.Sprintf("%s: %v", machine.name, err)
+		case !st.HasLease || !st.IsFresh || len(st.Members) != up:
+			return fmt.Sprintf("%s: %d instances are up, status %+v", machine.name, up, st)
 		}
-		for _, pending := range st.Pending {
+		for service, pending := range st.Pending {
 			if pending > 0 {
-				return false
+				return fmt.Sprintf("%s: %d partitions of %s pending", machine.name, pending, service)
 			}
 		}
 	}
-	return true
+	return ""
 }
 
 func (fl *fleet) setUp(machine *vm, isUp bool) {
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -22,6 +22,7 @@
 	"sync"
 	"time"
 
+	"cornellanding.example/bench/allocator"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
@@ -250,7 +251,7 @@
 	se := vm.settings
 	var err error
 	for _, address := range []*string{&se.CallerAddress, &se.PeerAddress, &se.AdministratorAddress} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = allocator.Address(); err != nil {
 			return err
 		}
 	}
@@ -268,15 +269,6 @@
 	return nil
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("launcher: %w", err)
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // VMs lists all VMs.
 func (de *Deployment) VMs() []*VM {
 	de.mu.Lock()
--- a/core/limiter/home.go
+++ b/core/limiter/home.go
@@ -38,7 +38,7 @@
 	GrantTerm = timer.Second
 	// outstandingShare is the inverse share of the burst that may be granted
 	// and unreported.
-	outstandingShare = 2
+	outstandingShare = 3
 	// outstandingRetry is when to ask again if too much is outstanding.
 	outstandingRetry = 20 * timer.Millisecond
 )
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -104,6 +104,17 @@
 // WithLeaseTerm sets the watchers' term.
 func WithLeaseTerm(term timer.Span) Option { return func(co *Controller) { co.leaseTerm = term } }
 
+// WithFormer carries over what a former incarnation of this process knew:
+// documents only go forwards, so they hold for the next one too.
+func WithFormer(former *Controller) Option {
+	return func(co *Controller) {
+		if former != nil {
+			co.ds = former.ds
+			co.freshAt = former.freshAt
+		}
+	}
+}
+
 // WithFreshness sets how old the knowledge of withdrawn keys may be.
 func WithFreshness(span timer.Span) Option { return func(co *Controller) { co.freshness = span } }
 
@@ -126,7 +137,6 @@
 	wa      *leaser.Watcher
 	ds      *documents
 	warner  *warner.Warner
-	heard   map[uint64]timer.Instant
 	tenures map[string]*tenure
 
 	// learned holds when versions of the limits map were seen, those after
@@ -149,6 +159,7 @@
 	nextJoinAt    timer.Instant
 	nextRenewAt   timer.Instant
 	nextPollAt    timer.Instant
+	nextFoldAt    timer.Instant
 	nextRewatchAt timer.Instant
 	freshAt       timer.Instant
 	tableError    string
@@ -160,7 +171,7 @@
 func New(opts ...Option) (*Controller, error) {
 	co := &Controller{
 		leaseTerm: leaser.DefaultTerm, events: make(chan event, eventQueue), ds: newDocuments(),
-		warner: warner.New(), heard: map[uint64]timer.Instant{}, tenures: map[string]*tenure{},
+		warner: warner.New(), tenures: map[string]*tenure{},
 		isSyncing: map[uint64]bool{}, avoid: map[uint64]timer.Instant{},
 		takeovers: map[uint64]bool{}, nextTakeover: map[uint64]timer.Instant{}, lo: hclog.NewNullLogger(),
 	}
@@ -171,6 +182,8 @@
 		return nil, errors.New("controller: table, objects, peers, buckets, sender and publisher are needed")
 	}
 	co.self = co.pu.Self()
+	co.pu.Publish(co.ds.view())
+	co.pu.SetFresh(co.freshAt.Add(co.freshness))
 	var err error
 	co.ho, err = leaser.NewHolder(leaser.HolderIncarnation(co.self.Incarnation), leaser.HolderTerm(co.leaseTerm))
 	if err != nil {
@@ -228,7 +241,7 @@
 	now := co.pu.Now()
 	switch ev := ev.(type) {
 	case datagramArrived:
-		co.onDatagram(ev.datagram, ev.at)
+		co.onDatagram(ev.datagram, ev.from)
 	case revokeAsked:
 		ev.reply <- co.onRevoke(ev, now)
 	case releaseAsked:
@@ -266,7 +279,7 @@
 	co.watch(now)
 	co.rewatch(now)
 	co.obtain(now)
-	co.refold()
+	co.refold(now)
 	co.proceedLeaving()
 	co.observe(now)
 }
@@ -318,9 +331,11 @@
 	co.nextRenewAt = now
 }
 
-// refold brings the maps up to date if something changed.
-func (co *Controller) refold() {
-	if !co.needsFold || co.isFolding {
+// refold brings the maps up to date if something changed. After a takeover it
+// waits a moment, since VMs are often lost together and one version for all of
+// them moves each partition once.
+func (co *Controller) refold(now timer.Instant) {
+	if !co.needsFold || co.isFolding || now.Before(co.nextFoldAt) {
 		return
 	}
 	co.isFolding, co.needsFold = true, false
@@ -416,9 +431,9 @@
 
 // Datagram hands an authentic datagram to the control thread. It drops it if
 // the thread is far behind: leases then lapse, which is safe.
-func (co *Controller) Datagram(da *peerproto.Datagram) {
+func (co *Controller) Datagram(da *peerproto.Datagram, from netip.AddrPort) {
 	select {
-	case co.events <- datagramArrived{datagram: da, at: co.pu.Now()}:
+	case co.events <- datagramArrived{datagram: da, from: from}:
 	default:
 	}
 }
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"net/netip"
+
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/wire/peerproto"
@@ -12,7 +14,7 @@
 // datagramArrived is a datagram from a peer.
 type datagramArrived struct {
 	datagram *peerproto.Datagram
-	at       timer.Instant
+	from     netip.AddrPort
 }
 
 // revokeAsked is a peer's or the own takeover's request for a vote.
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -18,6 +18,7 @@
 	voteAttempts   = 12
 	minVoteWait    = 5 * time.Millisecond
 	nanosPerMillis = 1_000_000
+	foldDelay      = 30 * timer.Millisecond
 )
 
 // renew sends a datagram to each watcher.
@@ -35,28 +36,30 @@
 }
 
 func (co *Controller) send(to placer.Member, da *peerproto.Datagram, now timer.Instant) {
-	address, err := netip.ParseAddrPort(to.Address)
-	if err != nil {
-		return
+	if address, err := netip.ParseAddrPort(to.Address); err == nil {
+		co.sendTo(address, to.Incarnation, da, now)
 	}
-	da.From, da.To = co.self.Incarnation, to.Incarnation
+}
+
+func (co *Controller) sendTo(address netip.AddrPort, incarnation uint64, da *peerproto.Datagram, now timer.Instant) {
+	da.From, da.To = co.self.Incarnation, incarnation
 	da.Documents = co.ds.hash
 	if co.freshAt != 0 {
 		da.FreshnessAge = uint32(now.Sub(co.freshAt)/nanosPerMillis) + 1
 	}
 	if err := co.sender.Send(address, da); err != nil {
-		co.lo.Trace("datagram not sent", "to", to.BackendServer, "error", err)
+		co.lo.Trace("datagram not sent", "to", address, "error", err)
 	}
 }
 
-// onDatagram takes what a peer sent.
-func (co *Controller) onDatagram(da *peerproto.Datagram, at timer.Instant) {
+// onDatagram takes what a peer sent. Renewals are answered whether or not the
+// maps name the sender: a new one is not yet in them, and a revoked one must
+// learn of it.
+func (co *Controller) onDatagram(da *peerproto.Datagram, address netip.AddrPort) {
 	if da.GetTo() != co.self.Incarnation {
 		return
 	}
 	now := co.pu.Now()
-	co.heard[da.GetFrom()] = at
-	from, isKnown := co.ds.member(da.GetFrom())
 	if da.GetAckSentAt() != 0 {
 		co.ho.Acknowledge(leaser.Ack{
 			Watcher: da.GetFrom(), Holder: co.self.Incarnation,
@@ -64,9 +67,10 @@
 		})
 		co.takeFreshness(da)
 	}
-	if da.GetRenewalSentAt() != 0 && isKnown {
-		co.answer(from, da, now)
+	if da.GetRenewalSentAt() != 0 {
+		co.answer(da, address, now)
 	}
+	from, isKnown := co.ds.member(da.GetFrom())
 	if da.GetDocuments() != co.ds.hash && isKnown {
 		co.fetchFrom(from)
 	}
@@ -74,9 +78,9 @@
 
 // answer acknowledges a renewal. The promise counts from now, not from the
 // datagram's arrival, which is the later and so the safe instant.
-func (co *Controller) answer(from placer.Member, da *peerproto.Datagram, now timer.Instant) {
+func (co *Controller) answer(da *peerproto.Datagram, address netip.AddrPort, now timer.Instant) {
 	ack := co.wa.Renew(leaser.Renewal{Holder: da.GetFrom(), SentAt: timer.Instant(da.GetRenewalSentAt())}, now)
-	co.send(from, &peerproto.Datagram{AckSentAt: int64(ack.SentAt), Revoked: ack.Revoked}, now)
+	co.sendTo(address, da.GetFrom(), &peerproto.Datagram{AckSentAt: int64(ack.SentAt), Revoked: ack.Revoked}, now)
 }
 
 // takeFreshness counts a peer's freshness from when this instance sent the
@@ -252,6 +256,7 @@
 	}
 	co.lo.Info("takeover done", "incarnation", ev.holder)
 	co.needsFold = co.needsFold || ev.isTaken
+	co.nextFoldAt = now.Add(foldDelay)
 }
 
 // takeOver revokes a holder with a majority of the watchers its row names, and
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -21,6 +21,8 @@
 	minRetryDelay   = 2 * time.Millisecond
 	maxRetryDelay   = 40 * time.Millisecond
 	answerReserve   = timer.Millisecond
+	// ownerCheck is how often a waiting idempotent call looks for a new owner.
+	ownerCheck = 20 * time.Millisecond
 )
 
 // budget is a retry budget that several goroutines share.
@@ -86,7 +88,7 @@
 	for {
 		order := fo.order(ca)
 		if len(order) > 0 {
-			last = fo.try(ctx, ca, order[failures%len(order)])
+			last = fo.tryOwner(ctx, ca, order[failures%len(order)])
 			if isFinal(last, ca) {
 				return fo.conclude(last)
 			}
@@ -120,6 +122,42 @@
 	return 0
 }
 
+// tryOwner forwards a call once. An idempotent one does not wait for a member
+// that lost the key meanwhile, which may never answer.
+func (fo *Forwarder) tryOwner(ctx context.Context, ca *call, to placer.Member) attempt {
+	if !ca.idempotent {
+		return fo.try(ctx, ca, to)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	copied := *ca
+	ca.attempts++
+	ca.servedBy = to.BackendServer
+	result := make(chan attempt, 1)
+	go func() { result <- fo.try(ctx, &copied, to) }()
+	ticker := time.NewTicker(ownerCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case at := <-result:
+			return at
+		case <-ticker.C:
+			if fo.isGone(ca.route.Service, to) {
+				return attempt{to: to, wasSent: true, err: errOwnerGone}
+			}
+		}
+	}
+}
+
+func (fo *Forwarder) isGone(service string, me placer.Member) bool {
+	tb := fo.pu.View().Tables[service]
+	if tb == nil {
+		return false
+	}
+	_, isMember := tb.Map.ByIncarnation(me.Incarnation)
+	return !isMember
+}
+
 // isFinal reports whether an attempt ends the call: it was answered, or refused
 // for a reason that another attempt would not change.
 func isFinal(at attempt, ca *call) bool {
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -47,6 +47,7 @@
 	CodeNoOwner      = "noOwner"
 	CodeDeadline     = "deadline"
 	CodeLost         = "answerLost"
+	CodeStarting     = "starting"
 )
 
 // Headers between callers and the instance.
@@ -58,6 +59,14 @@
 	requestIDBytes    = 8
 )
 
+// Source is the port to what the control thread publishes. It outlives the
+// instance's incarnations.
+type Source interface {
+	View() *publisher.View
+	Now() timer.Instant
+	IsFresh() bool
+}
+
 // Gates is the port to the gates of all instances, the own one included.
 type Gates interface {
 	// Forward returns an error if there is no authentic answer. WasSent is
@@ -89,7 +98,7 @@
 
 // Forwarder is the entry side of an instance.
 type Forwarder struct {
-	pu          *publisher.Publisher
+	pu          Source
 	gates       Gates
 	shares      *shares
 	choices     *choices
@@ -105,9 +114,9 @@
 }
 
 // New returns a forwarder.
-func New(pu *publisher.Publisher, gates Gates, homes Homes, opts ...Option) (*Forwarder, error) {
+func New(pu Source, gates Gates, homes Homes, opts ...Option) (*Forwarder, error) {
 	if pu == nil || gates == nil || homes == nil {
-		return nil, errors.New("forwarder: publisher, gates and homes are needed")
+		return nil, errors.New("forwarder: source, gates and homes are needed")
 	}
 	fo := &Forwarder{pu: pu, gates: gates, shares: newShares(pu, homes), choices: newChoices(), lo: hclog.NewNullLogger()}
 	for _, opt := range opts {
@@ -143,7 +152,11 @@
 }
 
 func (fo *Forwarder) serveUnknown(wr http.ResponseWriter, _ *http.Request) {
-	fo.refuse(wr, newCall(fo.pu.Now()), refusal{status: http.StatusNotFound, code: CodeUnknownRoute, outcome: "notRun", reason: "no route has this method and path"})
+	if fo.pu.View().Config.Version == 0 {
+		fo.refuse(wr, newCall(fo.pu.Now()), refusal{status: http.StatusServiceUnavailable, code: CodeStarting, reason: "the instance has no catalogue yet", retryAfter: timer.Second})
+		return
+	}
+	fo.refuse(wr, newCall(fo.pu.Now()), refusal{status: http.StatusNotFound, code: CodeUnknownRoute, reason: "no route has this method and path"})
 }
 
 // call is one caller's request.
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -14,8 +14,12 @@
 	"cornellanding.example/wire/peerproto"
 )
 
-// errCrossed is an answer to another request.
-var errCrossed = errors.New("forwarder: the answer belongs to another request")
+var (
+	// errCrossed is an answer to another request.
+	errCrossed = errors.New("forwarder: the answer belongs to another request")
+	// errOwnerGone is an owner that lost its lease while a call waited for it.
+	errOwnerGone = errors.New("forwarder: the owner is gone")
+)
 
 // choices balances over the backend servers of shared services.
 type choices struct {
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,7 +11,6 @@
 	"cornellanding.example/core/limiter"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
-	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/peerproto"
 )
 
@@ -30,8 +30,9 @@
 
 // shares holds this entry's part of each workspace's bucket.
 type shares struct {
-	pu    *publisher.Publisher
+	pu    Source
 	homes Homes
+	entry uint64
 
 	mu         sync.Mutex
 	workspaces map[string]*share
@@ -46,8 +47,8 @@
 	waiters atomic.Int32
 }
 
-func newShares(pu *publisher.Publisher, homes Homes) *shares {
-	return &shares{pu: pu, homes: homes, workspaces: map[string]*share{}}
+func newShares(pu Source, homes Homes) *shares {
+	return &shares{pu: pu, homes: homes, entry: rand.Uint64(), workspaces: map[string]*share{}}
 }
 
 func (ss *shares) of(workspace string) *share {
@@ -55,7 +56,7 @@
 	defer ss.mu.Unlock()
 	sh := ss.workspaces[workspace]
 	if sh == nil {
-		sh = &share{sh: limiter.NewShare(ss.pu.Self().Incarnation), changed: make(chan struct{})}
+		sh = &share{sh: limiter.NewShare(ss.entry), changed: make(chan struct{})}
 		ss.workspaces[workspace] = sh
 	}
 	return sh
--- a/instance/messenger/messenger.go
+++ b/instance/messenger/messenger.go
@@ -75,10 +75,10 @@
 
 // Receive passes each authentic datagram to handle until Close. Others are
 // counted and dropped.
-func (me *Messenger) Receive(handle func(*peerproto.Datagram)) {
+func (me *Messenger) Receive(handle func(da *peerproto.Datagram, from netip.AddrPort)) {
 	buffer := make([]byte, maxDatagram)
 	for {
-		length, _, err := me.conn.ReadFromUDPAddrPort(buffer)
+		length, from, err := me.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
@@ -89,7 +89,7 @@
 			me.rejected.Add(1)
 			continue
 		}
-		handle(da)
+		handle(da, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
 
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,7 @@
 	table   tabler.Table
 	objects storer.Objects
 	meter   *meter.Meter
+	fo      *forwarder.Forwarder
 	current atomic.Pointer[incarnation]
 	servers *servers
 	kill    context.CancelFunc
@@ -74,7 +76,6 @@
 	pu *publisher.Publisher
 	co *controller.Controller
 	ga *gatekeeper.Gatekeeper
-	fo *forwarder.Forwarder
 	gr *granter.Granter
 	ad http.Handler
 	// peer serves the other instances.
@@ -110,6 +111,13 @@
 		ro.me.Close()
 		return nil, err
 	}
+	local := &localGate{ro: ro}
+	ro.fo, err = forwarder.New(&source{ro: ro}, local, local, forwarder.WithLogger(ro.lo),
+		forwarder.WithSample(se.Log.SampleEvery), forwarder.WithObserver(ro.meter))
+	if err != nil {
+		ro.close()
+		return nil, err
+	}
 	ro.gauges()
 	return ro, nil
 }
@@ -163,6 +171,7 @@
 func (ro *Router) Run(ctx context.Context) error {
 	defer ro.close()
 	go ro.me.Receive(ro.onDatagram)
+	go ro.fo.Run(ro.killed)
 	ro.servers.start()
 	for {
 		err := ro.runIncarnation(ctx)
@@ -184,9 +193,9 @@
 	ro.pe.close()
 }
 
-func (ro *Router) onDatagram(da *peerproto.Datagram) {
+func (ro *Router) onDatagram(da *peerproto.Datagram, from netip.AddrPort) {
 	if in := ro.current.Load(); in != nil {
-		in.co.Datagram(da)
+		in.co.Datagram(da, from)
 	}
 }
 
@@ -202,7 +211,6 @@
 	defer cancel()
 	done := make(chan error, 1)
 	go func() { done <- in.co.Run(runCtx) }()
-	go in.fo.Run(runCtx)
 	select {
 	case err := <-done:
 		return err
@@ -238,6 +246,10 @@
 
 func (ro *Router) newIncarnation() (*incarnation, error) {
 	in := &incarnation{}
+	var former *controller.Controller
+	if last := ro.current.Load(); last != nil {
+		former = last.co
+	}
 	in.pu = publisher.New(ro.clock, publisher.Self{
 		BackendServer: ro.se.BackendServer.Name, Service: ro.se.BackendServer.Service,
 		DataCentre: ro.se.DataCentre, Region: ro.se.Region, Address: ro.se.PeerAddress,
@@ -253,41 +265,48 @@
 	in.co, err = controller.New(
 		controller.WithTable(ro.table), controller.WithObjects(ro.objects), controller.WithPeers(ro.pe),
 		controller.WithBuckets(in.gr), controller.WithSender(ro.me), controller.WithPublisher(in.pu), controller.WithLogger(ro.lo),
-		controller.WithLeaseTerm(ro.se.LeaseTerm), controller.WithFreshness(ro.se.Freshness),
+		controller.WithLeaseTerm(ro.se.LeaseTerm), controller.WithFreshness(ro.se.Freshness), controller.WithFormer(former),
 	)
 	if err != nil {
 		return nil, err
 	}
-	local := &localGate{in: in, pe: ro.pe}
-	in.fo, err = forwarder.New(in.pu, local, local, forwarder.WithLogger(ro.lo),
-		forwarder.WithSample(ro.se.Log.SampleEvery), forwarder.WithObserver(ro.meter))
-	if err != nil {
-		return nil, err
-	}
 	api := administrator.NewAPI(in.pu, administrator.NewEditor(ro.table, ro.objects), in.co, ro.se.OperatorKeyDigest)
 	in.ad = api.Handler(ro.meter.Handler())
 	in.peer = ro.si.Handler(peerproto.NewPeerServer(&peerServer{in: in}), ro.meter.Rejected)
 	return in, nil
 }
 
+// source reads what the present incarnation publishes.
+type source struct {
+	ro *Router
+}
+
+// View implements forwarder.Source.
+func (so *source) View() *publisher.View { return so.ro.current.Load().pu.View() }
+
+// Now implements forwarder.Source.
+func (so *source) Now() timer.Instant { return so.ro.clock.Now() }
+
+// IsFresh implements forwarder.Source.
+func (so *source) IsFresh() bool { return so.ro.current.Load().pu.IsFresh() }
+
 // localGate takes the short way to the own gate and bucket homes.
 type localGate struct {
-	in *incarnation
-	pe *peers
+	ro *Router
 }
 
 // Forward implements forwarder.Gates.
 func (lg *localGate) Forward(ctx context.Context, address string, rq *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
-	if rq.GetTo() == lg.in.pu.Self().Incarnation {
-		return lg.in.ga.Forward(ctx, rq), true, nil
+	if in := lg.ro.current.Load(); rq.GetTo() == in.pu.Self().Incarnation {
+		return in.ga.Forward(ctx, rq), true, nil
 	}
-	return lg.pe.Forward(ctx, address, rq)
+	return lg.ro.pe.Forward(ctx, address, rq)
 }
 
 // Grant implements forwarder.Homes.
 func (lg *localGate) Grant(ctx context.Context, address string, rq *peerproto.GrantRequest) (*peerproto.GrantResponse, error) {
-	if rq.GetHome() == lg.in.pu.Self().Incarnation {
-		return lg.in.gr.Grant(rq), nil
+	if in := lg.ro.current.Load(); rq.GetHome() == in.pu.Self().Incarnation {
+		return in.gr.Grant(rq), nil
 	}
-	return lg.pe.Grant(ctx, address, rq)
+	return lg.ro.pe.Grant(ctx, address, rq)
 }
--- a/instance/router/servers.go
+++ b/instance/router/servers.go
@@ -39,7 +39,7 @@
 		})
 	}
 	var err error
-	ss.caller, err = newServer(ro.se.CallerAddress, pick(func(in *incarnation) http.Handler { return in.fo }))
+	ss.caller, err = newServer(ro.se.CallerAddress, pick(func(*incarnation) http.Handler { return ro.fo }))
 	if err != nil {
 		return nil, err
 	}
