--- /dev/null
+++ b/instance/gatekeeper/gatekeeper_test.go
@@ -0,0 +1,198 @@
+package gatekeeper
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cornellanding.example/core/admitter"
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/publisher"
+	"cornellanding.example/platform/emulator"
+	"cornellanding.example/wire/peerproto"
+	"github.com/matryer/is"
+)
+
+const incarnation = 7
+
+// gate is a gatekeeper with a valid lease on every partition, before a backend
+// server stand-in.
+type gate struct {
+	*Gatekeeper
+	pu *publisher.Publisher
+	bs *emulator.BackendServer
+	// calls counts the requests that reached the server's socket.
+	calls atomic.Int32
+}
+
+func newGate(t *testing.T, opts ...emulator.BackendServerOption) *gate {
+	t.Helper()
+	ga := &gate{bs: emulator.NewBackendServer("a", append([]emulator.BackendServerOption{emulator.WithServiceTime(0)}, opts...)...)}
+	server := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
+		ga.calls.Add(1)
+		ga.bs.ServeHTTP(wr, re)
+	}))
+	t.Cleanup(server.Close)
+	ga.pu = publisher.New(timer.Boot{}, publisher.Self{BackendServer: "a", Service: "counter", Incarnation: incarnation})
+	config := cataloguer.Config{Version: 1}
+	config.Catalogue.Services = []cataloguer.Service{{
+		Name: "counter", Class: cataloguer.Exclusive, Partitions: 4,
+		Limits: cataloguer.ServiceLimits{Slots: 2, Connections: 4, Queue: 4, ColdStartSlots: 1},
+	}}
+	tb := placer.NewTable(placer.NewMap("counter", 4).Next(0).WithMember(placer.Member{BackendServer: "a", Incarnation: incarnation, Weight: 1}))
+	ga.pu.Publish(publisher.NewView(config, map[string]*placer.Table{"counter": tb}))
+	ga.pu.Resize("counter", 4)
+	for pt := range uint32(4) {
+		ga.pu.Obtain("counter", pt, 1)
+	}
+	ga.pu.SetLease(ga.pu.Now().Add(3600 * timer.Second))
+	var err error
+	ga.Gatekeeper, err = New(ga.pu, strings.TrimPrefix(server.URL, "http://"))
+	is.New(t).NoErr(err)
+	return ga
+}
+
+func request(id, body string) *peerproto.ForwardRequest {
+	return &peerproto.ForwardRequest{
+		RequestId: id, Route: "order", Service: "counter", Workspace: "w", Key: "k", Method: http.MethodPost,
+		PathAndQuery: "/orders/k", Body: []byte(body), Remaining: int64(5 * time.Second), To: incarnation,
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		spoil   func(ga *gate, rq *peerproto.ForwardRequest)
+		outcome uint32
+		code    string
+		runs    int
+	}{
+		"answered":               {spoil: func(*gate, *peerproto.ForwardRequest) {}, outcome: OutcomeAnswered, runs: 1},
+		"other incarnation":      {spoil: func(_ *gate, rq *peerproto.ForwardRequest) { rq.To = 8 }, outcome: OutcomeNotRun, code: CodeWrongIncarnation},
+		"other service":          {spoil: func(_ *gate, rq *peerproto.ForwardRequest) { rq.Service = "x" }, outcome: OutcomeNotRun, code: CodeUnknownService},
+		"no lease":               {spoil: func(ga *gate, _ *peerproto.ForwardRequest) { ga.pu.SetLease(0) }, outcome: OutcomeNotRun, code: CodeNotOwner},
+		"partition not obtained": {spoil: func(ga *gate, _ *peerproto.ForwardRequest) { ga.drop() }, outcome: OutcomeNotRun, code: CodeNotOwner},
+		"no time left":           {spoil: func(_ *gate, rq *peerproto.ForwardRequest) { rq.Remaining = 0 }, outcome: OutcomeNotRun, code: admitter.CodeDeadline},
+		"server crashes": {
+			spoil: func(ga *gate, _ *peerproto.ForwardRequest) {
+				ga.bs.SetFaults(emulator.BackendServerFaults{CrashOn: "body"})
+			},
+			outcome: OutcomeUnknown, code: CodeLost,
+		},
+		"answer is truncated": {
+			spoil: func(ga *gate, _ *peerproto.ForwardRequest) {
+				ga.bs.SetFaults(emulator.BackendServerFaults{Truncate: true})
+			},
+			outcome: OutcomeUnknown, code: CodeLost, runs: 1,
+		},
+		"server freezes": {
+			spoil: func(ga *gate, rq *peerproto.ForwardRequest) {
+				ga.bs.SetFaults(emulator.BackendServerFaults{Frozen: true})
+				rq.Remaining = int64(50 * time.Millisecond)
+			},
+			outcome: OutcomeUnknown, code: CodeLost,
+		},
+		"server sheds": {
+			spoil:   func(ga *gate, _ *peerproto.ForwardRequest) { ga.bs.SetFaults(emulator.BackendServerFaults{Shed: true}) },
+			outcome: OutcomeNotRun, code: CodeShed,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ga := newGate(t)
+			rq := request("1", "body")
+			tc.spoil(ga, rq)
+			answer := ga.Forward(context.Background(), rq)
+			is.Equal(answer.GetOutcome(), tc.outcome)
+			is.Equal(answer.GetCode(), tc.code)
+			is.True(ga.calls.Load() <= 1) // never sent twice
+			if tc.outcome == OutcomeNotRun {
+				is.Equal(len(ga.bs.Records()), 0) // "not run" is true
+			}
+			if tc.runs > 0 {
+				is.Equal(len(ga.bs.Records()), tc.runs)
+			}
+		})
+	}
+}
+
+func (ga *gate) drop() {
+	for pt := range uint32(4) {
+		ga.pu.Drop("counter", pt)
+	}
+}
+
+func TestSecondCopyDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(t)
+	first := ga.Forward(context.Background(), request("1", "body"))
+	again := ga.Forward(context.Background(), request("1", "body"))
+	is.Equal(again.GetBody(), first.GetBody()) // the kept answer comes again
+	is.Equal(len(ga.bs.Records()), 1)
+	keyed := request("2", "body")
+	keyed.IdempotencyKey = "order-9"
+	ga.Forward(context.Background(), keyed)
+	other := request("3", "another body")
+	other.IdempotencyKey = "order-9"
+	is.Equal(ga.Forward(context.Background(), other).GetCode(), CodeReused)
+	is.Equal(len(ga.bs.Records()), 2)
+}
+
+// TestBrokenConnectionIsNotReplayed provokes the resending of http.Transport:
+// a request with an Idempotency-Key on a reused connection that breaks.
+func TestBrokenConnectionIsNotReplayed(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(t)
+	is.Equal(ga.Forward(context.Background(), request("1", "")).GetOutcome(), uint32(OutcomeAnswered))
+	ga.bs.Crash()
+	before := ga.calls.Load()
+	rq := request("2", "")
+	rq.IdempotencyKey = "order-9"
+	rq.Headers = []*peerproto.Header{{Name: "Idempotency-Key", Value: "order-9"}}
+	is.Equal(ga.Forward(context.Background(), rq).GetOutcome(), uint32(OutcomeUnknown))
+	is.Equal(ga.calls.Load(), before+1) // one call, not two
+}
+
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(t)
+	ga.bs.SetFaults(emulator.BackendServerFaults{CrashOn: "poison"})
+	for _, id := range []string{"1", "2"} {
+		is.Equal(ga.Forward(context.Background(), request(id, "poison")).GetCode(), CodeLost)
+		ga.bs.Restart()
+	}
+	is.Equal(ga.Forward(context.Background(), request("3", "poison")).GetCode(), admitter.CodeQuarantined)
+	is.Equal(ga.Forward(context.Background(), request("4", "fine")).GetOutcome(), uint32(OutcomeAnswered))
+}
+
+func TestLeaseLossCancelsRunningWork(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(t, emulator.WithServiceTime(time.Minute))
+	done := make(chan *peerproto.ForwardResponse, 1)
+	go func() { done <- ga.Forward(context.Background(), request("1", "body")) }()
+	for running, _, _ := ga.Load(); running == 0; running, _, _ = ga.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	ga.pu.SetLease(0)
+	is.Equal(ga.pu.CancelIfLapsed(), false)
+	answer := <-done
+	is.Equal(answer.GetOutcome(), uint32(OutcomeUnknown)) // it may have run in part
+	is.True(ga.pu.IsIdle("counter", 0) && ga.pu.IsIdle("counter", 1) && ga.pu.IsIdle("counter", 2) && ga.pu.IsIdle("counter", 3))
+}
+
+func BenchmarkForward(b *testing.B) {
+	ga := newGate(&testing.T{}, emulator.WithoutRecords())
+	rq := request("1", "body")
+	rq.Idempotent = true
+	b.ReportAllocs()
+	for range b.N {
+		ga.Forward(context.Background(), rq)
+	}
+}
