--- /dev/null
+++ b/wire/encoder/encoder_test.go
@@ -0,0 +1,65 @@
+package encoder
+
+import (
+	"errors"
+	"testing"
+
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/examples"
+	"cornellanding.example/wire/parser"
+	"github.com/matryer/is"
+)
+
+func TestRoundTrips(t *testing.T) {
+	is := is.New(t)
+	ma := placer.NewMap("counter", 16).Next(5).WithMember(placer.Member{
+		BackendServer: "a", Incarnation: 1 << 60, DataCentre: "x", Address: "127.0.0.1:1", Weight: 4,
+	})
+	content, err := EncodeMap(ma)
+	is.NoErr(err)
+	gotMap, err := DecodeMap(content)
+	is.NoErr(err)
+	is.Equal(gotMap.Members, ma.Members)
+	is.Equal(gotMap.Changes, ma.Changes)
+
+	an := folder.Announcement{
+		BackendServer: "a", Service: "counter", DataCentre: "x", Region: "r", Address: "127.0.0.1:1", Weight: 4,
+		State: folder.Active, Lease: leaser.Row{Incarnation: 9, Version: 3, Watchers: []leaser.Watch{{BackendServer: "b", Incarnation: 2}}},
+	}
+	content, err = EncodeAnnouncement(an)
+	is.NoErr(err)
+	gotRow, err := DecodeAnnouncement(content, 3)
+	is.NoErr(err)
+	is.Equal(gotRow, an)
+
+	yaml, err := examples.Catalogue("kadrs")
+	is.NoErr(err)
+	co := cataloguer.Config{Version: 4, Drained: []string{"a"}, Out: []string{"riga-1"}, Keys: []cataloguer.Key{{Digest: cataloguer.Digest{1}, Workspace: "klaps"}}}
+	co.Catalogue, err = parser.Catalogue("kadrs", yaml)
+	is.NoErr(err)
+	co.Changes = []cataloguer.Change{{ID: "1", Version: 4, Operator: "ana", Summary: "s", At: 1}}
+	content, err = EncodeConfig(co)
+	is.NoErr(err)
+	gotConfig, err := DecodeConfig(content)
+	is.NoErr(err)
+	is.Equal(gotConfig, co)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"version":1}`))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		var de *DecodeError
+		if _, err := DecodeConfig(content); err != nil && !errors.As(err, &de) {
+			t.Fatalf("unexpected kind of error: %v", err)
+		}
+		if _, err := DecodeMap(content); err != nil && !errors.As(err, &de) {
+			t.Fatalf("unexpected kind of error: %v", err)
+		}
+		if _, err := DecodeAnnouncement(content, 1); err != nil && !errors.As(err, &de) {
+			t.Fatalf("unexpected kind of error: %v", err)
+		}
+	})
+}
--- a/wire/parser/settings.go
+++ b/wire/parser/settings.go
@@ -10,7 +10,11 @@
 	"cornellanding.example/core/timer"
 )
 
-const minFleetKeyBytes = 16
+const (
+	minFleetKeyBytes = 16
+	minLeaseTerm     = 300 * timer.Millisecond
+	maxLeaseTerm     = 30 * timer.Second
+)
 
 // BackendServerSettings describes the backend server beside the instance.
 type BackendServerSettings struct {
@@ -70,6 +74,9 @@
 		LeaseTerm:            root.span("leaseTerm", leaser.DefaultTerm),
 		Freshness:            root.span("freshness", DefaultFreshness),
 	}
+	if se.LeaseTerm < minLeaseTerm || se.LeaseTerm > maxLeaseTerm {
+		root.fail("leaseTerm", root.fields["leaseTerm"], "must be from 300ms to 30s")
+	}
 	copy(se.OperatorKeyDigest[:], root.hexadecimal("operatorKeyDigest", cataloguer.DigestSize))
 	se.BackendServer = backendServer(root.child("backendServer", true))
 	se.Log = logging(root.child("log", false))
