Keep serving through an outage of the table, and refuse only where cut off

Cause: past the freshness limit every instance refused protected routes, also when the table was down for all, so nothing could have been withdrawn.

Change: pollers' attempts spread with the datagrams, failed ones too. Recent attempts of a majority of data centres count as fresh, and changes are committed only by an instance that has such contact.

--- /dev/null
+++ b/core/freshener/freshener_test.go
@@ -0,0 +1,73 @@
+package freshener
+
+import (
+	"testing"
+
+	"cornellanding.example/core/timer"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const limit = 4 * timer.Second
+
+var three = []string{"a", "b", "c"}
+
+func seconds(count float64) timer.Instant { return timer.Instant(count * float64(timer.Second)) }
+
+func TestRead(t *testing.T) {
+	is := is.New(t)
+	fr := New(three, limit)
+	is.Equal(fr.Until(), timer.Instant(0))
+	fr.Attempt("a", seconds(1), true)
+	is.Equal(fr.Until(), seconds(5))
+	fr.Merge(Report{HasRead: true, Age: timer.Second}, seconds(3))
+	is.Equal(fr.Until(), seconds(6)) // counted from before the report was sent
+	fr.Merge(Report{HasRead: true, Age: 3 * timer.Second}, seconds(4))
+	is.Equal(fr.Until(), seconds(6)) // an older one changes nothing
+}
+
+func TestOutageAndCut(t *testing.T) {
+	is := is.New(t)
+	fr := New(three, limit)
+	fr.Attempt("a", seconds(0), true)
+	fr.Attempt("a", seconds(10), false)
+	is.Equal(fr.Until(), seconds(4)) // one data centre alone may be cut off
+	fr.Merge(Report{Attempts: []byte{unknownAge, unknownAge, 10}}, seconds(10))
+	is.Equal(fr.Until(), seconds(13)) // a majority fails: the table is down
+	is.True(fr.HasContact(seconds(12)))
+	is.Equal(fr.HasContact(seconds(14)), false)
+	fr.Merge(Report{Attempts: []byte{0}}, seconds(20))
+	is.Equal(fr.Until(), seconds(13)) // a report with other data centres is ignored
+}
+
+func TestHalfIsNoMajority(t *testing.T) {
+	is := is.New(t)
+	fr := New([]string{"a", "b", "c", "d", "e", "f"}, limit)
+	for _, centre := range three {
+		fr.Attempt(centre, seconds(10), false)
+	}
+	is.Equal(fr.Until(), timer.Instant(0)) // a region split off without the table
+	fr.Attempt("d", seconds(10), false)
+	is.Equal(fr.Until(), seconds(14))
+}
+
+// TestReportsNeverGain sends reports along random chains: what arrives is never
+// newer than what was known where it came from.
+func TestReportsNeverGain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := timer.Instant(0)
+		chain := []*Freshener{New(three, limit), New(three, limit), New(three, limit)}
+		chain[0].Attempt(rapid.SampledFrom(three).Draw(t, "centre"), 0, rapid.Bool().Draw(t, "isSuccess"))
+		chain[0].Attempt(rapid.SampledFrom(three).Draw(t, "centre"), 0, false)
+		for i := range 2 {
+			sentAfter := now
+			now = now.Add(timer.Span(rapid.Int64Range(0, int64(2*timer.Second)).Draw(t, "delay")))
+			report := chain[i].Report(now)
+			now = now.Add(timer.Span(rapid.Int64Range(0, int64(2*timer.Second)).Draw(t, "delay")))
+			chain[i+1].Merge(report, sentAfter)
+			if chain[i+1].Until() > chain[i].Until() {
+				t.Fatalf("hop %d gained: %v > %v", i, chain[i+1].Until(), chain[i].Until())
+			}
+		}
+	})
+}
--- a/instance/administrator/api.go
+++ b/instance/administrator/api.go
@@ -142,6 +142,11 @@
 		writeError(wr, http.StatusUnprocessableEntity, "rejected", err.Error())
 		return
 	}
+	if !ap.mayCommit(re.Context()) {
+		writeError(wr, http.StatusServiceUnavailable, "noContact",
+			"this instance is not in contact with a majority of the data centres, so a change would not reach all; ask another instance")
+		return
+	}
 	committed, err := ap.editor.Commit(re.Context(), body.From, body.Operator, change)
 	if err != nil {
 		ap.writeCommitError(wr, err)
@@ -151,6 +156,13 @@
 	writeJSON(wr, http.StatusOK, WireVersion{Version: committed.Config.Version})
 }
 
+// mayCommit reports whether this instance is in contact with a majority of the
+// data centres. The first catalogue needs no contact: nobody serves without it.
+func (ap *API) mayCommit(ctx context.Context) bool {
+	st, err := ap.co.Status(ctx)
+	return err == nil && (st.HasContact || st.ConfigVersion == 0)
+}
+
 // spread brings a commit into force without waiting for the next poll.
 func (ap *API) spread(ctx context.Context, committed Committed) {
 	document := controller.Document{Name: controller.ConfigKey, Version: committed.Config.Version, Content: committed.Content}
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -20,7 +20,9 @@
 	"net/netip"
 	"time"
 
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
+	"cornellanding.example/core/freshener"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
@@ -110,7 +112,7 @@
 	return func(co *Controller) {
 		if former != nil {
 			co.ds = former.ds
-			co.freshAt = former.freshAt
+			co.fr = former.fr
 		}
 	}
 }
@@ -161,7 +163,7 @@
 	nextPollAt    timer.Instant
 	nextFoldAt    timer.Instant
 	nextRewatchAt timer.Instant
-	freshAt       timer.Instant
+	fr            *freshener.Freshener
 	tableError    string
 	leave         *leaving
 	err           error
@@ -183,7 +185,10 @@
 	}
 	co.self = co.pu.Self()
 	co.pu.Publish(co.ds.view())
-	co.pu.SetFresh(co.freshAt.Add(co.freshness))
+	if co.fr == nil {
+		co.fr = freshener.New(nil, co.freshness)
+	}
+	co.pu.SetFresh(co.fr.Until())
 	var err error
 	co.ho, err = leaser.NewHolder(leaser.HolderIncarnation(co.self.Incarnation), leaser.HolderTerm(co.leaseTerm))
 	if err != nil {
@@ -378,8 +383,8 @@
 	if co.ds.config.Version != configBefore && co.isJoined && co.isPoller() {
 		co.needsFold = true
 	}
-	if ev.isTable && ev.err == nil {
-		co.setFresh(ev.readAt)
+	if ev.isTable {
+		co.noteAttempt(ev)
 	}
 }
 
@@ -390,15 +395,23 @@
 	}
 }
 
-func (co *Controller) setFresh(at timer.Instant) {
-	if co.freshAt.Before(at) {
-		co.freshAt = at
-		co.pu.SetFresh(at.Add(co.freshness))
+// noteAttempt takes a read of the table by this instance.
+func (co *Controller) noteAttempt(ev documentsFetched) {
+	co.fr.Attempt(co.self.DataCentre, ev.readAt, ev.err == nil)
+	co.pu.SetFresh(co.fr.Until())
+}
+
+func centreNames(cat cataloguer.Catalogue) []string {
+	var names []string
+	for _, dc := range cat.DataCentres {
+		names = append(names, dc.Name)
 	}
+	return names
 }
 
 // onChange publishes new documents and follows the new maps.
 func (co *Controller) onChange(now timer.Instant) {
+	co.fr.Follow(centreNames(co.ds.config.Catalogue))
 	co.noteLimitsMap(now)
 	co.followMaps()
 	co.pu.Publish(co.ds.view())
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cornellanding.example/core/folder"
+	"cornellanding.example/core/freshener"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
@@ -15,10 +16,9 @@
 )
 
 const (
-	voteAttempts   = 12
-	minVoteWait    = 5 * time.Millisecond
-	nanosPerMillis = 1_000_000
-	foldDelay      = 30 * timer.Millisecond
+	voteAttempts = 12
+	minVoteWait  = 5 * time.Millisecond
+	foldDelay    = 30 * timer.Millisecond
 )
 
 // renew sends a datagram to each watcher.
@@ -44,8 +44,11 @@
 func (co *Controller) sendTo(address netip.AddrPort, incarnation uint64, da *peerproto.Datagram, now timer.Instant) {
 	da.From, da.To = co.self.Incarnation, incarnation
 	da.Documents = co.ds.hash
-	if co.freshAt != 0 {
-		da.FreshnessAge = uint32(now.Sub(co.freshAt)/nanosPerMillis) + 1
+	report := co.fr.Report(now)
+	da.Attempts = report.Attempts
+	if report.HasRead {
+		// Rounded up, since an age must not shrink on its way.
+		da.ReadAge = uint32((report.Age+timer.Millisecond-1)/timer.Millisecond) + 1
 	}
 	if err := co.sender.Send(address, da); err != nil {
 		co.lo.Trace("datagram not sent", "to", address, "error", err)
@@ -83,15 +86,20 @@
 	co.sendTo(address, da.GetFrom(), &peerproto.Datagram{AckSentAt: int64(ack.SentAt), Revoked: ack.Revoked}, now)
 }
 
-// takeFreshness counts a peer's freshness from when this instance sent the
-// renewal that the datagram answers, so that a delayed datagram can't make old
-// knowledge look new. It counts only if both hold the same documents.
+// takeFreshness counts a peer's knowledge from when this instance sent the
+// renewal that the datagram answers. It counts only if both hold the same
+// documents.
 func (co *Controller) takeFreshness(da *peerproto.Datagram) {
-	if da.GetFreshnessAge() == 0 || da.GetDocuments() != co.ds.hash {
+	if da.GetDocuments() != co.ds.hash {
 		return
 	}
-	age := timer.Span(da.GetFreshnessAge()) * timer.Millisecond
-	co.setFresh(timer.Instant(da.GetAckSentAt()).Add(-age))
+	report := freshener.Report{Attempts: da.GetAttempts()}
+	if age := da.GetReadAge(); age > 0 {
+		report.HasRead = true
+		report.Age = timer.Span(age-1) * timer.Millisecond
+	}
+	co.fr.Merge(report, timer.Instant(da.GetAckSentAt()))
+	co.pu.SetFresh(co.fr.Until())
 }
 
 // fetchFrom asks a peer for documents that it holds and this instance lacks.
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -19,6 +19,9 @@
 
 const (
 	tableTimeout = 2 * time.Second
+	// pollTimeout is short, so that an outage is noticed while the last
+	// successful read still counts.
+	pollTimeout  = time.Second
 	foldAttempts = 40
 	foldJitter   = 20 * time.Millisecond
 	writeBackoff = 50 * time.Millisecond
@@ -35,7 +38,7 @@
 
 // readDocuments reads all documents that are newer than the versions.
 func (le *ledger) readDocuments(ctx context.Context, have map[string]uint64) ([]Document, error) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	query := tabler.Query{Keys: []string{ConfigKey}, Prefixes: []string{MapPrefix}, VersionsOnly: true}
 	rows, err := le.table.Read(ctx, query)
--- a/instance/controller/status.go
+++ b/instance/controller/status.go
@@ -27,8 +27,12 @@
 	MapVersions   map[string]uint64
 	Owned         map[string]int
 	Pending       map[string]int
-	// FreshAge is how old the knowledge of the table is.
-	FreshAge timer.Span
+	// HasContact says that this instance may commit changes: it has heard of
+	// recent reads by a majority of data centres.
+	HasContact bool
+	// ReadAge is how old the knowledge of the table is, if HasRead.
+	ReadAge  timer.Span
+	HasRead  bool
 	Warnings []warner.Warning
 	Now      timer.Instant
 }
@@ -38,8 +42,9 @@
 		BackendServer: co.self.BackendServer, Incarnation: co.self.Incarnation, IsJoined: co.isJoined,
 		HasLease: co.ho.IsValid(now), ConfigVersion: co.ds.config.Version, Now: now,
 		MapVersions: map[string]uint64{}, Owned: map[string]int{}, Pending: map[string]int{},
-		FreshAge: now.Sub(co.freshAt),
+		HasContact: co.fr.HasContact(now),
 	}
+	st.ReadAge, st.HasRead = co.fr.ReadAge(now)
 	for _, wt := range co.ho.Committed().Watchers {
 		st.Watchers = append(st.Watchers, wt.BackendServer)
 	}
@@ -65,7 +70,7 @@
 	}
 	conditions := []warner.Condition{
 		{Kind: WarningNoLease, Holds: co.isJoined && !co.ho.IsValid(now), Reason: "a majority of the watchers does not acknowledge renewals"},
-		{Kind: WarningNotFresh, Holds: co.freshAt != 0 && !co.pu.IsFresh(), Reason: "no recent knowledge of withdrawn keys"},
+		{Kind: WarningNotFresh, Holds: co.isJoined && !co.pu.IsFresh(), Reason: "no recent knowledge of withdrawn keys"},
 		{Kind: WarningTable, Holds: co.tableError != "", Reason: co.tableError},
 		{Kind: WarningWatchers, Holds: co.isJoined && watchers < 2, Reason: fmt.Sprintf("%d watchers", watchers)},
 		{Kind: WarningHandover, Holds: pending > 0, Reason: fmt.Sprintf("%d partitions wait for their former owners", pending)},
