Drive commands, failures in one process and drills with real processes from tests

Cause: the failure paths had no tests above the libraries. A lack of tokens because the home is silent is now told apart from a rate that is used up (limitsUnavailable, 503), found by cutting the owner off.

--- a/bench/driller/processes.go
+++ b/bench/driller/processes.go
@@ -40,9 +40,10 @@
 	sharedVMs    = 2
 	operatorKey  = "drill-operator-key"
 	fleetKey     = "00112233445566778899aabbccddeeff"
-	startTimeout = 30 * time.Second
+	startTimeout = 15 * time.Second
 	pollInterval = 50 * time.Millisecond
 	stopTimeout  = 40 * time.Second
+	dumpTime     = 500 * time.Millisecond
 )
 
 // vm is one VM: the processes of a backend server and of its instance.
@@ -99,7 +100,21 @@
 		fl.close()
 		return nil, err
 	}
-	return fl, fl.awaitReady(ctx)
+	if err := fl.awaitReady(ctx); err != nil {
+		fl.dump()
+		return fl, fmt.Errorf("%w; goroutines are in %s", err, fl.folder)
+	}
+	return fl, nil
+}
+
+// dump lets every instance write its goroutines to the log, and keeps the log.
+func (fl *fleet) dump() {
+	fl.se.KeepFiles = true
+	for _, machine := range fl.vms {
+		// An instance that has ended has nothing to dump.
+		_ = machine.instance.Process.Signal(syscall.SIGQUIT)
+	}
+	time.Sleep(dumpTime)
 }
 
 func (fl *fleet) spawn(binary string, args ...string) (*exec.Cmd, error) {
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -57,13 +57,14 @@
 	AdminAddress  string
 	Server        *emulator.BackendServer
 
-	settings parser.Settings
-	listener net.Listener
-	http     *http.Server
-	ro       *router.Router
-	cancel   context.CancelFunc
-	done     chan error
-	isUp     bool
+	peerAddress string
+	settings    parser.Settings
+	listener    net.Listener
+	http        *http.Server
+	ro          *router.Router
+	cancel      context.CancelFunc
+	done        chan error
+	isUp        bool
 }
 
 // ServerAddress returns the address of the backend server.
@@ -105,12 +106,13 @@
 	address  string
 	fleetKey []byte
 	mu       sync.Mutex
+	cuts     map[string]bool
 	vms      []*VM
 }
 
 // New starts a deployment. It is not ready at once: see AwaitReady.
 func New(opts ...Option) (*Deployment, error) {
-	de := &Deployment{example: "sapateira", lo: hclog.NewNullLogger(), Keys: map[string]string{}, OperatorKey: randomKey()}
+	de := &Deployment{example: "sapateira", lo: hclog.NewNullLogger(), Keys: map[string]string{}, OperatorKey: randomKey(), cuts: map[string]bool{}}
 	for _, opt := range opts {
 		opt(de)
 	}
@@ -255,13 +257,14 @@
 			return err
 		}
 	}
-	ro, err := router.New(se, router.WithLogger(de.lo.With("backendServer", vm.Name)))
+	ro, err := router.New(se, router.WithLogger(de.lo.With("backendServer", vm.Name)), router.WithReach(de.reachOf(vm)))
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	de.mu.Lock()
+	vm.peerAddress = se.PeerAddress
 	vm.CallerAddress, vm.AdminAddress = se.CallerAddress, se.AdministratorAddress
 	vm.ro, vm.cancel, vm.done, vm.isUp = ro, cancel, done, true
 	de.mu.Unlock()
@@ -396,6 +399,31 @@
 	return cl.Status(ctx)
 }
 
+// Cut cuts a VM off from all others and from the platform, or ends that. Its
+// callers still reach it.
+func (de *Deployment) Cut(name string, isCut bool) {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	de.cuts[name] = isCut
+}
+
+// reachOf tells which addresses a VM reaches.
+func (de *Deployment) reachOf(vm *VM) func(address string) bool {
+	return func(address string) bool {
+		de.mu.Lock()
+		defer de.mu.Unlock()
+		if de.cuts[vm.Name] {
+			return false
+		}
+		for _, other := range de.vms {
+			if other.peerAddress == address {
+				return !de.cuts[other.Name]
+			}
+		}
+		return true
+	}
+}
+
 // Close ends everything at once.
 func (de *Deployment) Close() {
 	for _, vm := range de.VMs() {
--- a/bench/launcher/launcher_test.go
+++ b/bench/launcher/launcher_test.go
@@ -2,53 +2,374 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"cornellanding.example/bench/checker"
+	"cornellanding.example/bench/demonstrator"
 	"cornellanding.example/bench/launcher"
+	"cornellanding.example/bench/loader"
+	"cornellanding.example/instance/administrator"
+	"cornellanding.example/platform/emulator"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
 
+// patience bounds the wait for what must happen at all. The targets in seconds
+// are measured by the drills, not asserted here.
+const patience = 30 * time.Second
+
 func start(t *testing.T, opts ...launcher.Option) *launcher.Deployment {
 	t.Helper()
 	is := is.New(t)
-	if testing.Verbose() {
-		lo := hclog.New(&hclog.LoggerOptions{Level: hclog.Debug, JSONFormat: true})
-		opts = append(opts, launcher.WithLogger(lo))
-	}
 	de, err := launcher.New(opts...)
 	is.NoErr(err)
 	t.Cleanup(de.Close)
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	is.NoErr(de.AwaitReady(ctx))
 	return de
 }
 
-func post(t *testing.T, address, path, key, body string) (int, string) {
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+}
+
+// call sends an order and fails the test only if no answer comes at all.
+func call(t *testing.T, entry, key, body string, headers ...string) answer {
+	t.Helper()
+	an, err := try(entry, key, body, headers...)
+	is.New(t).NoErr(err)
+	return an
+}
+
+func try(entry, key, body string, headers ...string) (answer, error) {
+	re, err := http.NewRequest(http.MethodPost, "http://"+entry+"/orders/k1", strings.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	re.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(headers); i += 2 {
+		re.Header.Set(headers[i], headers[i+1])
+	}
+	an, err := http.DefaultClient.Do(re)
+	if err != nil {
+		return answer{}, err
+	}
+	defer an.Body.Close()
+	content, err := io.ReadAll(an.Body)
+	return answer{status: an.StatusCode, body: string(content), header: an.Header}, err
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen in %v", what, patience)
+}
+
+// check reads the histories for broken invariants.
+func check(t *testing.T, de *launcher.Deployment, results []loader.Result) {
+	t.Helper()
+	if list := checker.Check(demonstrator.History(de, results)); len(list) > 0 {
+		t.Fatal(checker.Summary(list))
+	}
+}
+
+// ownerOf returns the VM that owns the key of the test's orders.
+func ownerOf(t *testing.T, de *launcher.Deployment) *launcher.VM {
 	t.Helper()
+	owner, ok := de.Tables()["ordering"].Owner(de.Tables()["ordering"].Partition("k1"))
+	is.New(t).True(ok)
+	return de.VM(owner.BackendServer)
+}
+
+func other(de *launcher.Deployment, vm *launcher.VM) *launcher.VM {
+	for _, candidate := range de.VMs() {
+		if candidate.Name != vm.Name && candidate.DataCentre != vm.DataCentre {
+			return candidate
+		}
+	}
+	return nil
+}
+
+func TestOrderThroughEveryEntry(t *testing.T) {
+	is := is.New(t)
+	de := start(t)
+	for i, entry := range de.Entries() {
+		an := call(t, entry, de.Keys["juazeiro"], fmt.Sprint("order-", i))
+		is.Equal(an.status, http.StatusOK)
+		is.True(strings.Contains(an.body, `"key":"k1"`))
+		is.True(strings.Contains(an.body, an.header.Get("X-Request-Id"))) // the request id is in the answer
+	}
+	check(t, de, nil)
+}
+
+func TestLostOwnerIsReplaced(t *testing.T) {
+	is := is.New(t)
+	de := start(t)
+	owner := ownerOf(t, de)
+	entry := other(de, owner).CallerAddress
+	is.Equal(call(t, entry, de.Keys["juazeiro"], "before").status, http.StatusOK)
+	de.KillVM(owner.Name)
+	eventually(t, "a takeover", func() bool { return call(t, entry, de.Keys["juazeiro"], "after").status == http.StatusOK })
+	is.True(ownerOf(t, de).Name != owner.Name)
+	is.NoErr(de.ReplaceVM(owner.Name))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	is.NoErr(de.AwaitReady(ctx)) // a replaced VM serves again
+	is.Equal(ownerOf(t, de).Name, owner.Name)
+}
+
+// TestCutOffOwnerStops cuts the owner from the others and the platform, but not
+// from its callers.
+func TestCutOffOwnerStops(t *testing.T) {
+	is := is.New(t)
+	de := start(t)
+	owner := ownerOf(t, de)
+	entry := other(de, owner).CallerAddress
+	de.Cut(owner.Name, true)
+	eventually(t, "a takeover", func() bool { return call(t, entry, de.Keys["juazeiro"], "a").status == http.StatusOK })
+	ran := len(owner.Server.Records())
+	an := call(t, owner.CallerAddress, de.Keys["juazeiro"], "b")
+	is.Equal(an.status, http.StatusServiceUnavailable) // it does not serve what it lost
+	is.True(strings.Contains(an.body, `"outcome":"notRun"`))
+	is.Equal(len(owner.Server.Records()), ran)
+	eventually(t, "refusal of protected routes", func() bool {
+		return strings.Contains(call(t, owner.CallerAddress, de.Keys["juazeiro"], "c").body, "keysNotFresh")
+	})
+	de.Cut(owner.Name, false)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	is.NoErr(de.AwaitReady(ctx)) // it comes back as a new incarnation
+	check(t, de, nil)
+}
+
+// TestWithdrawnKeyStops withdraws a key from connected callers while one
+// instance is cut off and the platform goes down right after.
+func TestWithdrawnKeyStops(t *testing.T) {
+	is := is.New(t)
+	de := start(t)
+	cut := de.VMs()[0]
+	key := de.Keys["olinda"]
+	de.Cut(cut.Name, true)
+	is.NoErr(de.Edit(context.Background(), administrator.KeyWithdraw{Workspace: "olinda"}))
+	eventually(t, "the end of the key everywhere", func() bool {
+		for _, entry := range de.Entries() {
+			an, err := try(entry, key, "x")
+			isRefused := strings.Contains(an.body, "unknownKey") || strings.Contains(an.body, "keysNotFresh")
+			if err != nil || !isRefused {
+				return false
+			}
+		}
+		return true
+	})
+	de.Platform.SetFaults(emulator.PlatformFaults{Unreachable: true})
+	de.Cut(cut.Name, false)
+	for range 20 {
+		for _, entry := range de.Entries() {
+			is.True(call(t, entry, key, "x").status != http.StatusOK) // it never works again
+		}
+	}
+	for _, entry := range de.Entries()[1:] {
+		is.Equal(call(t, entry, de.Keys["juazeiro"], "y").status, http.StatusOK) // others do
+	}
+	check(t, de, nil)
+}
+
+func TestPlannedStopRefusesNothing(t *testing.T) {
 	is := is.New(t)
-	re, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	de := start(t)
+	lo, err := loader.New(loader.WithCatalogue(de.Catalogue), loader.WithKeys(de.Keys), loader.WithEntries(de.Entries), loader.WithRate(150))
 	is.NoErr(err)
-	re.Header.Set("Authorization", "Bearer "+key)
-	answer, err := http.DefaultClient.Do(re)
+	owner := ownerOf(t, de)
+	done := make(chan []loader.Result, 1)
+	go func() { done <- lo.Run(context.Background(), 3*time.Second) }()
+	time.Sleep(500 * time.Millisecond)
+	is.NoErr(de.StopInstance(owner.Name))
+	results := <-done
+	for _, re := range results {
+		is.Equal(re.Outcome, loader.Answered) // no request is cut or refused
+	}
+	check(t, de, results)
+}
+
+func TestDataCentreOutAndBack(t *testing.T) {
+	is := is.New(t)
+	de := start(t)
+	centre := ownerOf(t, de).DataCentre
+	is.NoErr(de.Edit(context.Background(), administrator.DataCentreOut{DataCentre: centre}))
+	owns := func() bool {
+		for _, tb := range de.Tables() {
+			for pt := range tb.Map.Partitions {
+				if owner, _ := tb.Owner(pt); owner.DataCentre == centre {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	eventually(t, "the data centre's way out", func() bool { return !owns() })
+	time.Sleep(time.Second)
+	before := map[string]int{}
+	for _, vm := range de.VMs() {
+		before[vm.Name] = len(vm.Server.Records())
+	}
+	for _, entry := range de.Entries() {
+		is.Equal(call(t, entry, de.Keys["juazeiro"], "x").status, http.StatusOK)
+	}
+	for _, vm := range de.VMs() {
+		if vm.DataCentre == centre {
+			is.Equal(len(vm.Server.Records()), before[vm.Name]) // no new work in it
+		}
+	}
+	is.NoErr(de.Edit(context.Background(), administrator.DataCentreOut{DataCentre: centre, IsReturn: true}))
+	eventually(t, "the data centre's return", owns)
+	check(t, de, nil)
+}
+
+func TestBadCallers(t *testing.T) {
+	de := start(t)
+	entry := de.Entries()[0]
+	good := de.Keys["juazeiro"]
+	cases := map[string]struct {
+		method  string
+		path    string
+		key     string
+		body    string
+		headers []string
+		status  int
+		code    string
+	}{
+		"unknown route":  {path: "/nothing", key: good, status: 404, code: "unknownRoute"},
+		"wrong method":   {method: "DELETE", path: "/orders/k1", key: good, status: 404, code: "unknownRoute"},
+		"no key":         {path: "/orders/k1", status: 401, code: "unknownKey"},
+		"unknown key":    {path: "/orders/k1", key: "guess", status: 401, code: "unknownKey"},
+		"large body":     {path: "/orders/k1", key: good, body: strings.Repeat("x", 2<<20), status: 413, code: "requestTooLarge"},
+		"bad timeout":    {path: "/orders/k1", key: good, headers: []string{"X-Request-Timeout", "soon"}, status: 400, code: "badRequest"},
+		"long entity":    {path: "/orders/" + strings.Repeat("k", 2000), key: good, status: 400, code: "badRequest"},
+		"long id":        {path: "/orders/k1", key: good, headers: []string{"Idempotency-Key", strings.Repeat("i", 200)}, status: 400, code: "badRequest"},
+		"imitated heads": {path: "/orders/k1", key: good, headers: []string{"Workspace", "olinda", "Fencing-Epoch", "99", "Entity-Key", "z", "Request-Id", "r"}, status: 200},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			method := tc.method
+			if method == "" {
+				method = http.MethodPost
+			}
+			re, err := http.NewRequest(method, "http://"+entry+tc.path, strings.NewReader(tc.body+name))
+			is.NoErr(err)
+			if tc.key != "" {
+				re.Header.Set("Authorization", "Bearer "+tc.key)
+			}
+			for i := 0; i+1 < len(tc.headers); i += 2 {
+				re.Header.Set(tc.headers[i], tc.headers[i+1])
+			}
+			an, err := http.DefaultClient.Do(re)
+			is.NoErr(err)
+			defer an.Body.Close()
+			content, err := io.ReadAll(an.Body)
+			is.NoErr(err)
+			is.Equal(an.StatusCode, tc.status)
+			is.True(strings.Contains(string(content), tc.code))
+			is.True(tc.status == 200 || strings.Contains(string(content), `"outcome":"notRun"`))
+		})
+	}
+	for _, vm := range de.VMs() {
+		for _, rc := range vm.Server.Records() {
+			is.New(t).True(rc.Workspace == "juazeiro" && rc.Key == "k1" && rc.Epoch < 99)
+		}
+	}
+	check(t, de, nil)
+}
+
+// TestNoKeyInLogs searches every log line for keys.
+func TestNoKeyInLogs(t *testing.T) {
+	is := is.New(t)
+	var log syncBuffer
+	lo := hclog.New(&hclog.LoggerOptions{Level: hclog.Trace, JSONFormat: true, Output: &log})
+	de := start(t, launcher.WithLogger(lo), launcher.WithSampling(1))
+	for _, entry := range de.Entries() {
+		call(t, entry, de.Keys["juazeiro"], "x")
+		call(t, entry, "a-guessed-key", "x")
+	}
+	de.Close()
+	text := log.String()
+	is.True(strings.Contains(text, `"routed"`) && strings.Contains(text, `"refused"`))
+	for _, key := range append([]string{"a-guessed-key", de.OperatorKey}, de.Keys["juazeiro"]) {
+		is.Equal(strings.Contains(text, key), false)
+	}
+}
+
+func TestAdministrationAPI(t *testing.T) {
+	is := is.New(t)
+	de := start(t)
+	ctx := context.Background()
+	vm := de.VMs()[0]
+	stranger := administrator.NewClient(vm.AdminAddress, "wrong")
+	_, err := stranger.Status(ctx)
+	var ae *administrator.APIError
+	is.True(errors.As(err, &ae))
+	is.Equal(ae.Status, http.StatusUnauthorized)
+	cl := administrator.NewClient(vm.AdminAddress, de.OperatorKey)
+	config, err := cl.Config(ctx)
+	is.NoErr(err)
+	edit := administrator.WireEdit{Kind: administrator.KindDataCentreOut, DataCentre: "natal", From: config.Version, Operator: "ana"}
+	version, err := cl.Edit(ctx, edit)
+	is.NoErr(err)
+	is.Equal(version.Version, config.Version+1)
+	_, err = administrator.NewClient(de.VMs()[5].AdminAddress, de.OperatorKey).Edit(ctx, edit)
+	is.True(errors.As(err, &ae))
+	is.Equal(ae.Status, http.StatusConflict)
+	is.True(strings.Contains(ae.Reason, "ana: took out data centre natal")) // the conflict names the other's change
+	list, err := cl.Explain(ctx, "k1")
 	is.NoErr(err)
-	defer answer.Body.Close()
-	content, err := io.ReadAll(answer.Body)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Owner, ownerOf(t, de).Name)
+	warnings, err := cl.Warnings(ctx)
 	is.NoErr(err)
-	return answer.StatusCode, string(content)
+	is.Equal(len(warnings), 0)
+	eventually(t, "the change in force everywhere", func() bool {
+		for _, vm := range de.VMs() {
+			st, err := de.Status(ctx, vm)
+			if err != nil || st.ConfigVersion != version.Version {
+				return false
+			}
+		}
+		return true
+	})
 }
 
-func TestOrderThroughEveryEntry(t *testing.T) {
+// TestWarningsAreTrue looks at warnings while the platform is down and after.
+func TestWarningsAreTrue(t *testing.T) {
 	is := is.New(t)
 	de := start(t)
-	for _, entry := range de.Entries() {
-		status, content := post(t, entry, "/orders/k1", de.Keys["juazeiro"], "one")
-		is.Equal(status, http.StatusOK)                  // the order is answered
-		is.True(strings.Contains(content, `"key":"k1"`)) // by the owner of the key
+	cl := administrator.NewClient(de.VMs()[0].AdminAddress, de.OperatorKey)
+	has := func(kind string) bool {
+		list, err := cl.Warnings(context.Background())
+		is.NoErr(err)
+		for _, wa := range list {
+			if wa.Kind == kind {
+				return true
+			}
+		}
+		return false
 	}
+	de.Platform.SetFaults(emulator.PlatformFaults{Down: true})
+	eventually(t, "the warning", func() bool { return has("tableUnreachable") })
+	de.Platform.SetFaults(emulator.PlatformFaults{})
+	eventually(t, "its end", func() bool { return !has("tableUnreachable") })
 }
--- a/bench/reporter/reporter.go
+++ b/bench/reporter/reporter.go
@@ -28,7 +28,9 @@
 	lateLatency = 100 * time.Millisecond
 	// lossWindow is how long after a loss its effect is looked for.
 	lossWindow = 5 * time.Second
-	codeRate   = "rateExceeded"
+	// The codes of refusals by the limits.
+	codeRate     = "rateExceeded"
+	codeNoLimits = "limitsUnavailable"
 )
 
 // Loss is an owner that was lost on purpose.
@@ -106,7 +108,7 @@
 		if re.Code != "" {
 			rp.Codes[re.Code]++
 		}
-		if re.Code == codeRate {
+		if re.Code == codeRate || re.Code == codeNoLimits {
 			rp.Wrongful++
 		}
 	}
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -99,6 +99,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"take":    fl.take,
 			"deliver": fl.deliver,
+			"give up": fl.giveUp,
 			"time": func(t *rapid.T) {
 				fl.now += timer.Instant(rapid.Int64Range(0, int64(300*timer.Millisecond)).Draw(t, "span"))
 			},
--- a/core/limiter/share.go
+++ b/core/limiter/share.go
@@ -36,12 +36,13 @@
 	grants   []held
 	sequence uint64
 	// taken counts attempts since the last ask.
-	taken    float64
-	takenAt  timer.Instant
-	askedAt  timer.Instant
-	demand   float64
-	isAsking bool
-	retryAt  timer.Instant
+	taken        float64
+	takenAt      timer.Instant
+	askedAt      timer.Instant
+	demand       float64
+	isAsking     bool
+	isHomeSilent bool
+	retryAt      timer.Instant
 }
 
 // NewShare returns an empty share of the entry with that incarnation.
@@ -98,6 +99,10 @@
 // RetryAt returns when the home may have a token again, or 0.
 func (sh *Share) RetryAt() timer.Instant { return sh.retryAt }
 
+// IsHomeSilent reports whether the last ask got no answer, so that a lack of
+// tokens says nothing about the workspace's rate.
+func (sh *Share) IsHomeSilent() bool { return sh.isHomeSilent }
+
 // IsAsking reports whether an ask is under way.
 func (sh *Share) IsAsking() bool { return sh.isAsking }
 
@@ -167,6 +172,7 @@
 // Receive takes the home's answer to ask.
 func (sh *Share) Receive(ask Ask, gr Grant, now timer.Instant) {
 	sh.isAsking = false
+	sh.isHomeSilent = false
 	if ask.Want < 1 {
 		return
 	}
@@ -182,6 +188,7 @@
 // reached the home, so it is not reported again.
 func (sh *Share) Fail(retryAt timer.Instant) {
 	sh.isAsking = false
+	sh.isHomeSilent = true
 	sh.retryAt = retryAt
 }
 
--- a/instance/controller/status.go
+++ b/instance/controller/status.go
@@ -16,6 +16,10 @@
 	WarningHandover = "handoverPending"
 )
 
+// readPatience is how old the latest successful read may be, however far the
+// poller that made it.
+const readPatience = 3 * timer.Second
+
 // Status is a copy of the control state.
 type Status struct {
 	BackendServer string
@@ -71,7 +75,7 @@
 	conditions := []warner.Condition{
 		{Kind: WarningNoLease, Holds: co.isJoined && !co.ho.IsValid(now), Reason: "a majority of the watchers does not acknowledge renewals"},
 		{Kind: WarningNotFresh, Holds: co.isJoined && !co.pu.IsFresh(), Reason: "no recent knowledge of withdrawn keys"},
-		{Kind: WarningTable, Holds: co.tableError != "", Reason: co.tableError},
+		co.tableCondition(now),
 		{Kind: WarningWatchers, Holds: co.isJoined && watchers < 2, Reason: fmt.Sprintf("%d watchers", watchers)},
 		{Kind: WarningHandover, Holds: pending > 0, Reason: fmt.Sprintf("%d partitions wait for their former owners", pending)},
 	}
@@ -80,3 +84,17 @@
 		co.warner.Observe(cd, now)
 	}
 }
+
+// tableCondition holds if no successful read of the table has been heard of
+// lately, by any poller in contact.
+func (co *Controller) tableCondition(now timer.Instant) warner.Condition {
+	age, hasRead := co.fr.ReadAge(now)
+	reason := "no successful read of the table yet"
+	if hasRead {
+		reason = fmt.Sprintf("no successful read of the table for %.0f s", age.Duration().Seconds())
+	}
+	if co.tableError != "" {
+		reason += ": " + co.tableError
+	}
+	return warner.Condition{Kind: WarningTable, Holds: co.isJoined && (!hasRead || age > readPatience), Reason: reason}
+}
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -42,6 +42,7 @@
 	CodeUnknownKey   = "unknownKey"
 	CodeStaleKeys    = "keysNotFresh"
 	CodeRate         = "rateExceeded"
+	CodeNoLimits     = "limitsUnavailable"
 	CodeTooLarge     = "requestTooLarge"
 	CodeBadRequest   = "badRequest"
 	CodeNoOwner      = "noOwner"
@@ -328,9 +329,5 @@
 	if ca.route.Access == cataloguer.OpenAccess {
 		return nil
 	}
-	retryAfter, ok := fo.shares.take(ctx, ca.workspace)
-	if ok {
-		return nil
-	}
-	return &refusal{status: http.StatusTooManyRequests, code: CodeRate, reason: "the workspace's rate and burst are used up", retryAfter: retryAfter}
+	return fo.shares.take(ctx, ca.workspace)
 }
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,9 +64,8 @@
 }
 
 // take uses one token. It waits for the home's answer if none is at hand, and
-// for the next token if the home has one soon. Otherwise it returns when to try
-// again.
-func (ss *shares) take(ctx context.Context, workspace string) (timer.Span, bool) {
+// for the next token if the home has one soon. Otherwise it returns a refusal.
+func (ss *shares) take(ctx context.Context, workspace string) *refusal {
 	sh := ss.of(workspace)
 	patience := grantPatience
 	if deadline, ok := ctx.Deadline(); ok {
@@ -75,19 +75,19 @@
 	defer cancel()
 	next := ss.takeOnce(sh, workspace, true)
 	if next.isTaken {
-		return 0, true
+		return nil
 	}
 	if !sh.enter() {
-		return next.retryAfter, false
+		return next.refusal()
 	}
 	defer sh.waiters.Add(-1)
 	for next.await(ctx) {
 		next = ss.takeOnce(sh, workspace, false)
 		if next.isTaken {
-			return 0, true
+			return nil
 		}
 	}
-	return max(next.retryAfter, timer.Millisecond), false
+	return next.refusal()
 }
 
 // enter counts a waiting request, or reports false if too many wait.
@@ -105,6 +105,23 @@
 	// changed is closed when the home has answered, if it was asked.
 	changed    <-chan struct{}
 	retryAfter timer.Span
+	// isHomeSilent says that the home did not answer.
+	isHomeSilent bool
+}
+
+// refusal tells a workspace above its limits from a home without an answer.
+func (st step) refusal() *refusal {
+	retryAfter := max(st.retryAfter, timer.Millisecond)
+	if st.isHomeSilent {
+		return &refusal{
+			status: http.StatusServiceUnavailable, code: CodeNoLimits,
+			reason: "the home of the workspace's limits did not answer", retryAfter: retryAfter,
+		}
+	}
+	return &refusal{
+		status: http.StatusTooManyRequests, code: CodeRate,
+		reason: "the workspace's rate and burst are used up", retryAfter: retryAfter,
+	}
 }
 
 // await waits until another try makes sense. It reports false if the context
@@ -141,9 +158,9 @@
 	case isTaken:
 		return step{isTaken: true}
 	case sh.sh.IsAsking():
-		return step{changed: sh.changed, retryAfter: timer.Second}
+		return step{changed: sh.changed, retryAfter: timer.Second, isHomeSilent: sh.sh.IsHomeSilent()}
 	default:
-		return step{retryAfter: max(timer.Millisecond, sh.sh.RetryAt().Sub(now))}
+		return step{retryAfter: max(timer.Millisecond, sh.sh.RetryAt().Sub(now)), isHomeSilent: sh.sh.IsHomeSilent()}
 	}
 }
 
--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -27,14 +28,37 @@
 	clients   map[string]peerproto.Peer
 }
 
-func newPeers(si *signer.Signer) *peers {
+// errUnreachable is a call that an experiment cuts off.
+var errUnreachable = errors.New("router: cut off")
+
+// reachTransport fails calls to addresses that can't be reached, before they
+// are sent.
+type reachTransport struct {
+	base  http.RoundTripper
+	reach func(address string) bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (rt *reachTransport) RoundTrip(re *http.Request) (*http.Response, error) {
+	if !rt.reach(re.URL.Host) {
+		return nil, errUnreachable
+	}
+	answer, err := rt.base.RoundTrip(re)
+	if err == nil && !rt.reach(re.URL.Host) {
+		answer.Body.Close()
+		return nil, errUnreachable
+	}
+	return answer, err
+}
+
+func newPeers(si *signer.Signer, reach func(address string) bool) *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: peerIdle,
 		DisableCompression: true,
 	}
 	return &peers{
-		transport: transport, client: &http.Client{Transport: si.Transport(transport)},
+		transport: transport, client: &http.Client{Transport: si.Transport(&reachTransport{base: transport, reach: reach})},
 		clients: map[string]peerproto.Peer{},
 	}
 }
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -53,6 +53,12 @@
 // WithClock sets the clock. The default is the boot clock.
 func WithClock(clk timer.Clock) Option { return func(ro *Router) { ro.clock = clk } }
 
+// WithReach makes addresses unreachable, for experiments: what an instance
+// sends to them is dropped, and so are their answers.
+func WithReach(reach func(address string) bool) Option {
+	return func(ro *Router) { ro.reach = reach }
+}
+
 // Router is one instance over all its incarnations.
 type Router struct {
 	se      parser.Settings
@@ -67,6 +73,7 @@
 	fo      *forwarder.Forwarder
 	current atomic.Pointer[incarnation]
 	servers *servers
+	reach   func(address string) bool
 	kill    context.CancelFunc
 	killed  context.Context
 }
@@ -84,7 +91,7 @@
 
 // New binds the instance's addresses.
 func New(se parser.Settings, opts ...Option) (*Router, error) {
-	ro := &Router{se: se, clock: timer.Boot{}, meter: meter.New()}
+	ro := &Router{se: se, clock: timer.Boot{}, meter: meter.New(), reach: func(string) bool { return true }}
 	for _, opt := range opts {
 		opt(ro)
 	}
@@ -97,13 +104,15 @@
 	if ro.si, err = signer.New(se.FleetKey); err != nil {
 		return nil, err
 	}
-	if ro.table, err = tabler.NewClient(se.TableAddress); err != nil {
+	table, err := tabler.NewClient(se.TableAddress)
+	if err != nil {
 		return nil, err
 	}
+	ro.table = &reachTable{ro: ro, table: table}
 	if ro.objects, err = storer.NewClient(se.ObjectsAddress); err != nil {
 		return nil, err
 	}
-	ro.pe = newPeers(ro.si)
+	ro.pe = newPeers(ro.si, ro.reach)
 	if ro.me, err = messenger.Listen(se.PeerAddress, ro.si); err != nil {
 		return nil, err
 	}
@@ -172,7 +181,7 @@
 	defer ro.close()
 	go ro.me.Receive(ro.onDatagram)
 	go ro.fo.Run(ro.killed)
-	ro.servers.start()
+	ro.servers.start(func(err error) { ro.lo.Error("server ended", "error", err) })
 	for {
 		err := ro.runIncarnation(ctx)
 		switch {
@@ -264,7 +273,7 @@
 	in.gr = granter.New(in.pu)
 	in.co, err = controller.New(
 		controller.WithTable(ro.table), controller.WithObjects(ro.objects), controller.WithPeers(ro.pe),
-		controller.WithBuckets(in.gr), controller.WithSender(ro.me), controller.WithPublisher(in.pu), controller.WithLogger(ro.lo),
+		controller.WithBuckets(in.gr), controller.WithSender(&reachSender{ro: ro}), controller.WithPublisher(in.pu), controller.WithLogger(ro.lo),
 		controller.WithLeaseTerm(ro.se.LeaseTerm), controller.WithFreshness(ro.se.Freshness), controller.WithFormer(former),
 	)
 	if err != nil {
@@ -276,6 +285,41 @@
 	return in, nil
 }
 
+// reachSender drops datagrams to addresses that can't be reached.
+type reachSender struct {
+	ro *Router
+}
+
+// Send implements controller.Sender.
+func (rs *reachSender) Send(to netip.AddrPort, da *peerproto.Datagram) error {
+	if !rs.ro.reach(to.String()) {
+		return nil
+	}
+	return rs.ro.me.Send(to, da)
+}
+
+// reachTable fails calls to a table service that can't be reached.
+type reachTable struct {
+	ro    *Router
+	table tabler.Table
+}
+
+// Read implements tabler.Table.
+func (rt *reachTable) Read(ctx context.Context, qu tabler.Query) ([]tabler.Row, error) {
+	if !rt.ro.reach(rt.ro.se.TableAddress) {
+		return nil, errUnreachable
+	}
+	return rt.table.Read(ctx, qu)
+}
+
+// Commit implements tabler.Table.
+func (rt *reachTable) Commit(ctx context.Context, tx tabler.Transaction) error {
+	if !rt.ro.reach(rt.ro.se.TableAddress) {
+		return errUnreachable
+	}
+	return rt.table.Commit(ctx, tx)
+}
+
 // source reads what the present incarnation publishes.
 type source struct {
 	ro *Router
--- a/instance/router/servers.go
+++ b/instance/router/servers.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("router: listen on %s: %w", address, err)
 	}
-	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
+	server := khttp.NewServer(khttp.Listener(listener), khttp.Address(address), khttp.Timeout(0))
 	server.HandlePrefix("/", handler)
 	server.ReadHeaderTimeout = headerTimeout
 	server.ReadTimeout = bodyTimeout
@@ -82,10 +82,14 @@
 	return all
 }
 
-func (ss *servers) start() {
+// start serves until close. A server that can't go on is told to failed.
+func (ss *servers) start(failed func(error)) {
 	for _, server := range ss.all() {
-		// Start returns when the server is closed.
-		go func() { _ = server.Start(context.Background()) }()
+		go func() {
+			if err := server.Start(context.Background()); err != nil {
+				failed(err)
+			}
+		}()
 	}
 }
 
