--- a/bench/allocator/allocator.go
+++ b/bench/allocator/allocator.go
@@ -12,20 +12,27 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
+	"os"
+	"sync/atomic"
 )
 
 const (
 	firstPort = 12_000
-	portCount = 18_000
-	tries     = 200
+	// rangeSize ports are searched by one process, in one of rangeCount ranges
+	// by its id, so that processes that start together stay apart.
+	rangeSize  = 400
+	rangeCount = 50
 )
 
-// Address returns a loopback address whose TCP and UDP ports are free.
+var next atomic.Uint32
+
+// Address returns a loopback address whose TCP and UDP ports are free. No
+// address comes twice before all ports of the process's range were tried.
 func Address() (string, error) {
-	for range tries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+	base := firstPort + os.Getpid()%rangeCount*rangeSize
+	for range rangeSize {
+		address := fmt.Sprintf("127.0.0.1:%d", base+int(next.Add(1)%rangeSize))
 		if isFree(address) {
 			return address, nil
 		}
--- a/bench/driller/processes.go
+++ b/bench/driller/processes.go
@@ -268,6 +268,9 @@
 		if why == "" {
 			return nil
 		}
+		if machine, err := fl.exited(); machine != nil {
+			return fmt.Errorf("driller: instance of %s ended: %w", machine.name, err)
+		}
 		if ctx.Err() != nil {
 			return fmt.Errorf("driller: not ready: %s", why)
 		}
@@ -275,6 +278,18 @@
 	}
 }
 
+// exited returns an instance that ended by itself.
+func (fl *fleet) exited() (*vm, error) {
+	for _, machine := range fl.vms {
+		select {
+		case err := <-machine.instanceExited:
+			return machine, err
+		default:
+		}
+	}
+	return nil, nil
+}
+
 // notReady tells why the fleet is not ready, or returns nothing.
 func (fl *fleet) notReady(ctx context.Context) string {
 	up := len(fl.entries())
--- a/core/leaser/holder.go
+++ b/core/leaser/holder.go
@@ -150,14 +150,15 @@
 
 func (ho *Holder) forgetStrangers() {
 	for watcher := range ho.acked {
-		if !names(ho.committed, watcher) {
+		if !ho.committed.Names(watcher) {
 			delete(ho.acked, watcher)
 		}
 	}
 }
 
-func names(row Row, watcher uint64) bool {
-	return slices.ContainsFunc(row.Watchers, func(wt Watch) bool { return wt.Incarnation == watcher })
+// Names reports whether the row names the incarnation as a watcher.
+func (ro Row) Names(watcher uint64) bool {
+	return slices.ContainsFunc(ro.Watchers, func(wt Watch) bool { return wt.Incarnation == watcher })
 }
 
 // Renewal returns the renewal to send at now.
@@ -185,7 +186,7 @@
 	if ack.Holder != ho.incarnation {
 		return
 	}
-	isNamed := names(ho.committed, ack.Watcher) || ho.pending != nil && names(*ho.pending, ack.Watcher)
+	isNamed := ho.committed.Names(ack.Watcher) || ho.pending != nil && ho.pending.Names(ack.Watcher)
 	if !isNamed {
 		return
 	}
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -70,9 +70,8 @@
 
 // takeoverEnded ends a takeover of a holder.
 type takeoverEnded struct {
-	holder  uint64
-	isTaken bool
-	err     error
+	holder uint64
+	err    error
 }
 
 // folded ends an attempt to bring the maps up to date.
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -249,8 +250,8 @@
 		co.lo.Info("takeover begins", "backendServer", me.BackendServer, "incarnation", holder)
 		members := co.ds.members()
 		co.spawn(func(ctx context.Context) event {
-			isTaken, err := co.takeOver(ctx, me, members)
-			return takeoverEnded{holder: holder, isTaken: isTaken, err: err}
+			err := co.takeOver(ctx, me, members)
+			return takeoverEnded{holder: holder, err: err}
 		})
 	}
 }
@@ -258,32 +259,42 @@
 func (co *Controller) onTakeover(ev takeoverEnded, now timer.Instant) {
 	delete(co.takeovers, ev.holder)
 	co.nextTakeover[ev.holder] = now.Add(takeoverBackoff)
-	if ev.err != nil {
+	switch {
+	case errors.Is(ev.err, errNoWatcher):
+		co.wa.Forget(ev.holder, now)
+	case ev.err != nil:
 		co.lo.Debug("takeover failed", "incarnation", ev.holder, "error", ev.err)
-		return
+	default:
+		co.lo.Info("takeover done", "incarnation", ev.holder)
+		co.needsFold = true
 	}
-	co.lo.Info("takeover done", "incarnation", ev.holder)
-	co.needsFold = co.needsFold || ev.isTaken
 	co.nextFoldAt = now.Add(foldDelay)
 }
 
+// errNoWatcher ends a takeover by an instance that the holder's row no longer
+// names: the holder replaced it and went on.
+var errNoWatcher = errors.New("controller: not a watcher of the holder")
+
 // takeOver revokes a holder with a majority of the watchers its row names, and
 // writes that into the row at the version that named them.
-func (co *Controller) takeOver(ctx context.Context, me placer.Member, members []placer.Member) (bool, error) {
+func (co *Controller) takeOver(ctx context.Context, me placer.Member, members []placer.Member) error {
 	row, err := co.ledger.readRow(ctx, me.BackendServer)
 	if err != nil {
-		return false, err
+		return err
 	}
 	if row.Lease.Incarnation != me.Incarnation || row.State != folder.Active {
-		return true, nil
+		return nil
+	}
+	if !row.Lease.Names(co.self.Incarnation) {
+		return errNoWatcher
 	}
 	if err := co.collect(ctx, row.Lease, members, true); err != nil {
-		return false, err
+		return err
 	}
 	if err := co.collect(ctx, row.Lease, members, false); err != nil {
-		return false, err
+		return err
 	}
-	return true, co.ledger.end(ctx, row, folder.Revoked)
+	return co.ledger.end(ctx, row, folder.Revoked)
 }
 
 // revokeFormer revokes the former incarnation of this backend server.
