Quarantine crashing requests over the fleet, cold start in the catalogue, tokens for waiting requests

Change: crashes travel with the request and by datagram, and a success clears an innocent; tokens for requests that wait have a term of 150 ms and need no report.

--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -46,6 +46,7 @@
 	operatorName   = "launcher"
 	pollInterval   = 20 * time.Millisecond
 	backendLatency = 3 * time.Millisecond
+	coldStart      = 800 * time.Millisecond
 )
 
 // VM is one VM: a backend server and the instance beside it.
@@ -222,7 +223,10 @@
 }
 
 func (de *Deployment) startVM(vm *VM, sv cataloguer.Service, dc cataloguer.DataCentre) error {
-	opts := []emulator.BackendServerOption{emulator.WithSlots(sv.Limits.Slots), emulator.WithServiceTime(backendLatency)}
+	opts := []emulator.BackendServerOption{
+		emulator.WithSlots(sv.Limits.Slots), emulator.WithServiceTime(backendLatency),
+		emulator.WithColdStart(coldStart, sv.Limits.ColdStartSlots),
+	}
 	if sv.Fenced {
 		opts = append(opts, emulator.WithFencing())
 	}
--- a/core/admitter/quarantine.go
+++ b/core/admitter/quarantine.go
@@ -16,8 +16,9 @@
 }
 
 // Quarantine refuses requests that crash backend servers. A crash is blamed on
-// every request that ran at that moment; one that runs again and again at
-// crashes is refused, before it takes a third server.
+// every request that ran at that moment, here or, as told by peers, elsewhere.
+// One that ran at two crashes and never since succeeded is refused, before it
+// takes a third server. Innocent ones clear themselves by a success.
 type Quarantine struct {
 	running  map[uint64]int
 	suspects map[uint64]suspect
@@ -31,15 +32,26 @@
 // Start counts a request with that fingerprint under way.
 func (qu *Quarantine) Start(fingerprint uint64) { qu.running[fingerprint]++ }
 
-// Finish ends a request, which may have ended in a crash.
-func (qu *Quarantine) Finish(fingerprint uint64, isCrash bool, now timer.Instant) {
+// Succeed ends a request that was answered.
+func (qu *Quarantine) Succeed(fingerprint uint64) {
+	qu.end(fingerprint)
+	delete(qu.suspects, fingerprint)
+}
+
+// Crash ends a request whose backend server crashed.
+func (qu *Quarantine) Crash(fingerprint uint64, now timer.Instant) {
+	qu.end(fingerprint)
+	qu.Blame(fingerprint, 1, now)
+}
+
+// Cancel ends a request that tells nothing.
+func (qu *Quarantine) Cancel(fingerprint uint64) { qu.end(fingerprint) }
+
+func (qu *Quarantine) end(fingerprint uint64) {
 	qu.running[fingerprint]--
 	if qu.running[fingerprint] <= 0 {
 		delete(qu.running, fingerprint)
 	}
-	if isCrash {
-		qu.Blame(fingerprint, 1, now)
-	}
 }
 
 // Blame adds crashes, as reported by a peer, to a fingerprint.
@@ -71,7 +83,8 @@
 	return su.crashes
 }
 
-// IsHeld reports whether a request is refused at now.
-func (qu *Quarantine) IsHeld(fingerprint uint64, now timer.Instant) bool {
-	return qu.Crashes(fingerprint, now) >= crashesAllowed
+// IsHeld reports whether a request is refused at now. Former counts crashes
+// that its caller's entry knows of.
+func (qu *Quarantine) IsHeld(fingerprint uint64, former int, now timer.Instant) bool {
+	return max(former, qu.Crashes(fingerprint, now)) >= crashesAllowed
 }
--- a/core/cataloguer/catalogue.go
+++ b/core/cataloguer/catalogue.go
@@ -61,8 +61,9 @@
 	Connections int
 	Queue       int
 	// ColdStartSlots is the concurrency of a backend server that just
-	// started.
+	// started, and ColdStart how long it is taken to be cold.
 	ColdStartSlots int
+	ColdStart      timer.Span
 }
 
 // Service is one kind of backend server.
--- a/core/cataloguer/validate.go
+++ b/core/cataloguer/validate.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"regexp"
 	"strings"
+
+	"cornellanding.example/core/timer"
 )
 
 // The bounds of a valid catalogue.
@@ -15,6 +17,7 @@
 	MaxConnections    = 100_000
 	MaxQueue          = 100_000
 	MaxRate           = 10_000_000
+	MaxColdStart      = 600 * timer.Second
 	changesKept       = 32
 	maxNameLength     = 64
 	maxNameInErrorLen = 80
@@ -125,6 +128,7 @@
 	ck.between(at+".limits.slots", float64(li.Slots), 1, MaxSlots)
 	ck.between(at+".limits.connections", float64(li.Connections), 1, MaxConnections)
 	ck.between(at+".limits.queue", float64(li.Queue), 0, MaxQueue)
+	ck.between(at+".limits.coldStart", li.ColdStart.Duration().Seconds(), 0, MaxColdStart.Duration().Seconds())
 	ck.between(at+".limits.coldStartSlots", float64(li.ColdStartSlots), 1, float64(max(1, li.Slots)))
 }
 
--- a/core/limiter/home.go
+++ b/core/limiter/home.go
@@ -28,6 +28,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 
 	"cornellanding.example/core/timer"
 )
@@ -36,6 +37,9 @@
 	// GrantTerm is how long an entry may use granted tokens, counted by the
 	// entry from when it asked and by the home from when it granted.
 	GrantTerm = timer.Second
+	// ImmediateTerm is the term of tokens for requests that wait already. It is
+	// so short that their use needs no report.
+	ImmediateTerm = 150 * timer.Millisecond
 	// outstandingShare is the inverse share of the burst that may be granted
 	// and unreported.
 	outstandingShare = 3
@@ -62,7 +66,10 @@
 	Sequence uint64
 	// Uses reports what became of earlier grants since the last ask.
 	Uses []Use
-	Want float64
+	// Waiting counts requests that wait for a token, and Want those expected
+	// soon.
+	Waiting float64
+	Want    float64
 	// SentAt is on the entry's clock and not sent.
 	SentAt timer.Instant
 }
@@ -78,8 +85,10 @@
 
 // Grant answers an ask.
 type Grant struct {
-	Tokens float64
-	// RetryAfter says, if Tokens is below one, when one may be there.
+	// Immediate tokens may be used for ImmediateTerm, Tokens for GrantTerm.
+	Immediate float64
+	Tokens    float64
+	// RetryAfter says, if nothing was granted, when to ask again.
 	RetryAfter timer.Span
 }
 
@@ -109,6 +118,8 @@
 	sequence  uint64
 	tokens    float64
 	expiresAt timer.Instant
+	// isImmediate says that nothing is reported of it.
+	isImmediate bool
 }
 
 // Home is the state of one workspace's bucket at its home.
@@ -220,15 +231,29 @@
 	for _, us := range ask.Uses {
 		ho.settle(ask.Entry, us)
 	}
+	gr := Grant{}
 	available := ho.outstandingCap() - ho.outstanding()
+	gr.Immediate = math.Floor(max(0, min(ask.Waiting, ho.level, available)))
+	ho.lend(ask, gr.Immediate, now.Add(ImmediateTerm), true)
+	available -= gr.Immediate
 	// Half of what is left keeps some for entries that ask next.
-	tokens := min(ask.Want, ho.level, available, max(1, available/2))
-	if tokens < 1 {
-		return Grant{RetryAfter: ho.retryAfter()}
+	gr.Tokens = max(0, min(ask.Want, ho.level, available, max(1, available/2)))
+	if gr.Tokens < 1 {
+		gr.Tokens = 0
+	}
+	ho.lend(ask, gr.Tokens, now.Add(GrantTerm), false)
+	if gr.Immediate+gr.Tokens == 0 {
+		gr.RetryAfter = ho.retryAfter()
+	}
+	return gr
+}
+
+func (ho *Home) lend(ask Ask, tokens float64, expiresAt timer.Instant, isImmediate bool) {
+	if tokens <= 0 {
+		return
 	}
 	ho.level -= tokens
-	ho.lots = append(ho.lots, lot{entry: ask.Entry, sequence: ask.Sequence, tokens: tokens, expiresAt: now.Add(GrantTerm)})
-	return Grant{Tokens: tokens}
+	ho.lots = append(ho.lots, lot{entry: ask.Entry, sequence: ask.Sequence, tokens: tokens, expiresAt: expiresAt, isImmediate: isImmediate})
 }
 
 // settle takes what an entry reported off the lot it belongs to, and puts what
@@ -236,7 +261,7 @@
 func (ho *Home) settle(entry uint64, us Use) {
 	for i := range ho.lots {
 		lo := &ho.lots[i]
-		if lo.entry != entry || lo.sequence != us.Sequence {
+		if lo.entry != entry || lo.sequence != us.Sequence || lo.isImmediate {
 			continue
 		}
 		lo.tokens -= min(max(0, us.Tokens), lo.tokens)
@@ -264,6 +289,8 @@
 	Tokens   float64
 	// Remaining is how long it may still be used.
 	Remaining timer.Span
+	// IsImmediate says that nothing is reported of it.
+	IsImmediate bool
 }
 
 // State is what a home hands over to the next one.
@@ -283,7 +310,7 @@
 	ho.advance(now)
 	st := State{Level: ho.level, Sequences: maps.Clone(ho.sequences)}
 	for _, lo := range ho.lots {
-		st.Lots = append(st.Lots, Lot{Entry: lo.entry, Sequence: lo.sequence, Tokens: lo.tokens, Remaining: lo.expiresAt.Sub(now)})
+		st.Lots = append(st.Lots, Lot{Entry: lo.entry, Sequence: lo.sequence, Tokens: lo.tokens, Remaining: lo.expiresAt.Sub(now), IsImmediate: lo.isImmediate})
 	}
 	if ho.assumed > 0 {
 		st.Assumed, st.AssumedFor = ho.assumed, ho.assumedUntil.Sub(now)
@@ -301,7 +328,7 @@
 	ho.assumed, ho.assumedUntil = max(0, st.Assumed), ho.filledAt.Add(st.AssumedFor)
 	for _, lo := range st.Lots {
 		ho.lots = append(ho.lots, lot{
-			entry: lo.Entry, sequence: lo.Sequence, tokens: lo.Tokens, expiresAt: ho.filledAt.Add(lo.Remaining),
+			entry: lo.Entry, sequence: lo.Sequence, tokens: lo.Tokens, expiresAt: ho.filledAt.Add(lo.Remaining), isImmediate: lo.IsImmediate,
 		})
 	}
 	maps.Copy(ho.sequences, st.Sequences)
--- a/core/limiter/share.go
+++ b/core/limiter/share.go
@@ -21,8 +21,9 @@
 
 // held is a grant in the hands of an entry.
 type held struct {
-	sequence uint64
-	tokens   float64
+	sequence    uint64
+	isImmediate bool
+	tokens      float64
 	// used waits to be reported.
 	used      float64
 	returned  float64
@@ -36,7 +37,9 @@
 	grants   []held
 	sequence uint64
 	// taken counts attempts since the last ask.
-	taken        float64
+	taken float64
+	// waiting counts requests that found no token since the last ask.
+	waiting      float64
 	takenAt      timer.Instant
 	askedAt      timer.Instant
 	demand       float64
@@ -55,7 +58,7 @@
 	return sh.Retake(now)
 }
 
-// Retake is Take for a request that was counted before.
+// Retake is Take for a request that was counted before and waits.
 func (sh *Share) Retake(now timer.Instant) bool {
 	sh.expire(now)
 	for i := range sh.grants {
@@ -65,6 +68,7 @@
 			return true
 		}
 	}
+	sh.waiting++
 	return false
 }
 
@@ -93,7 +97,7 @@
 		return false
 	}
 	sh.expire(now)
-	return sh.tokens() < max(1, sh.demand*lowShare)
+	return sh.waiting > 0 || sh.demand >= 1 && sh.tokens() < sh.demand*lowShare
 }
 
 // RetryAt returns when the home may have a token again, or 0.
@@ -119,7 +123,7 @@
 func (sh *Share) GiveUp(now timer.Instant) Ask {
 	sh.sequence++
 	sh.isAsking = true
-	sh.demand, sh.taken, sh.askedAt = 0, 0, now
+	sh.demand, sh.taken, sh.waiting, sh.askedAt = 0, 0, 0, now
 	for i := range sh.grants {
 		sh.grants[i].expiresAt = now
 	}
@@ -133,23 +137,33 @@
 	sh.isAsking = true
 	ask := Ask{
 		Entry: sh.entry, Sequence: sh.sequence, Uses: sh.report(now),
-		Want: max(1, sh.demand-sh.tokens()), SentAt: now,
+		Waiting: sh.waiting, Want: sh.ahead(), SentAt: now,
 	}
-	sh.taken = 0
+	sh.taken, sh.waiting = 0, 0
 	sh.askedAt = now
 	return ask
 }
 
+// ahead returns how many tokens to ask for beyond those for waiting requests. A
+// share with little demand asks for each request, so as not to keep tokens from
+// others.
+func (sh *Share) ahead() float64 {
+	if sh.demand < 1 {
+		return 0
+	}
+	return max(0, sh.demand-sh.tokens())
+}
+
 // report lists the uses not yet reported, gives up what is about to expire, and
 // drops the grants used up.
 func (sh *Share) report(now timer.Instant) []Use {
 	var uses []Use
 	kept := sh.grants[:0]
 	for _, gr := range sh.grants {
-		if gr.expiresAt.Sub(now) < returnBefore {
+		if !gr.isImmediate && gr.expiresAt.Sub(now) < returnBefore {
 			gr.returned, gr.tokens = gr.tokens, 0
 		}
-		if gr.used > 0 || gr.returned > 0 {
+		if !gr.isImmediate && (gr.used > 0 || gr.returned > 0) {
 			uses = append(uses, Use{Sequence: gr.sequence, Tokens: gr.used, Returned: gr.returned})
 		}
 		gr.used, gr.returned = 0, 0
@@ -173,15 +187,21 @@
 func (sh *Share) Receive(ask Ask, gr Grant, now timer.Instant) {
 	sh.isAsking = false
 	sh.isHomeSilent = false
-	if ask.Want < 1 {
-		return
-	}
-	if gr.Tokens < 1 {
+	sh.keep(ask, gr.Immediate, ImmediateTerm, true)
+	sh.keep(ask, gr.Tokens, GrantTerm, false)
+	sh.retryAt = 0
+	if gr.Immediate+gr.Tokens == 0 && ask.Waiting+ask.Want > 0 {
 		sh.retryAt = now.Add(gr.RetryAfter)
+	}
+}
+
+func (sh *Share) keep(ask Ask, tokens float64, term timer.Span, isImmediate bool) {
+	if tokens < 1 {
 		return
 	}
-	sh.retryAt = 0
-	sh.grants = append(sh.grants, held{sequence: ask.Sequence, tokens: gr.Tokens, expiresAt: ask.SentAt.Add(GrantTerm)})
+	sh.grants = append(sh.grants, held{
+		sequence: ask.Sequence, tokens: tokens, expiresAt: ask.SentAt.Add(term), isImmediate: isImmediate,
+	})
 }
 
 // Fail ends an ask that got no answer. What it reported may or may not have
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -106,6 +106,12 @@
 // WithLeaseTerm sets the watchers' term.
 func WithLeaseTerm(term timer.Span) Option { return func(co *Controller) { co.leaseTerm = term } }
 
+// WithBlame sets who is told of requests that ran when a backend server
+// elsewhere crashed.
+func WithBlame(blame func(fingerprint uint64)) Option {
+	return func(co *Controller) { co.blame = blame }
+}
+
 // WithFormer carries over what a former incarnation of this process knew:
 // documents only go forwards, so they hold for the next one too.
 func WithFormer(former *Controller) Option {
@@ -125,6 +131,7 @@
 	ledger    ledger
 	peers     Peers
 	buckets   Buckets
+	blame     func(fingerprint uint64)
 	sender    Sender
 	pu        *publisher.Publisher
 	lo        hclog.Logger
@@ -176,6 +183,7 @@
 		warner: warner.New(), tenures: map[string]*tenure{},
 		isSyncing: map[uint64]bool{}, avoid: map[uint64]timer.Instant{},
 		takeovers: map[uint64]bool{}, nextTakeover: map[uint64]timer.Instant{}, lo: hclog.NewNullLogger(),
+		blame: func(uint64) {},
 	}
 	for _, opt := range opts {
 		opt(co)
@@ -269,6 +277,8 @@
 		co.onLeave(ev)
 	case left:
 		co.onLeft(ev)
+	case suspectFound:
+		co.tellSuspect(ev.fingerprint, now)
 	case statusAsked:
 		ev.reply <- co.status(now)
 	default:
@@ -451,6 +461,15 @@
 	}
 }
 
+// Suspect tells all instances of a request that ran when the backend server
+// crashed.
+func (co *Controller) Suspect(fingerprint uint64) {
+	select {
+	case co.events <- suspectFound{fingerprint: fingerprint}:
+	default:
+	}
+}
+
 // ask posts an event and waits for its reply.
 func ask[R any](ctx context.Context, co *Controller, reply <-chan R, ev event) (R, error) {
 	var zero R
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -90,6 +90,11 @@
 	err error
 }
 
+// suspectFound is a request that ran when the backend server crashed.
+type suspectFound struct {
+	fingerprint uint64
+}
+
 // statusAsked asks for a copy of the control state.
 type statusAsked struct {
 	reply chan<- Status
@@ -107,4 +112,5 @@
 func (synced) isEvent()           {}
 func (leaveAsked) isEvent()       {}
 func (left) isEvent()             {}
+func (suspectFound) isEvent()     {}
 func (statusAsked) isEvent()      {}
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -64,6 +64,9 @@
 		return
 	}
 	now := co.pu.Now()
+	if da.GetSuspect() != 0 {
+		co.blame(da.GetSuspect())
+	}
 	if da.GetAckSentAt() != 0 {
 		co.ho.Acknowledge(leaser.Ack{
 			Watcher: da.GetFrom(), Holder: co.self.Incarnation,
@@ -80,6 +83,16 @@
 	}
 }
 
+// tellSuspect sends a datagram to every instance. Crashes are rare, and the next
+// copy of the request may come in anywhere.
+func (co *Controller) tellSuspect(fingerprint uint64, now timer.Instant) {
+	for _, me := range co.ds.members() {
+		if me.Incarnation != co.self.Incarnation {
+			co.send(me, &peerproto.Datagram{Suspect: fingerprint}, now)
+		}
+	}
+}
+
 // answer acknowledges a renewal. The promise counts from now, not from the
 // datagram's arrival, which is the later and so the safe instant.
 func (co *Controller) answer(da *peerproto.Datagram, address netip.AddrPort, now timer.Instant) {
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -130,11 +130,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	copied := *ca
+	copied := ca.copy()
 	ca.attempts++
 	ca.servedBy = to.BackendServer
 	result := make(chan attempt, 1)
-	go func() { result <- fo.try(ctx, &copied, to) }()
+	go func() { result <- fo.try(ctx, copied, to) }()
 	ticker := time.NewTicker(ownerCheck)
 	defer ticker.Stop()
 	for {
@@ -171,7 +171,7 @@
 	case admitter.CodeOverloaded, admitter.CodeDeadline, admitter.CodeQuarantined, admitter.CodeDuplicate,
 		gatekeeper.CodeReused, gatekeeper.CodeNoRoom:
 		return true
-	case gatekeeper.CodeLost:
+	case gatekeeper.CodeLost, gatekeeper.CodeCrashed:
 		return !ca.idempotent
 	default:
 		return false
@@ -198,7 +198,7 @@
 		return http.StatusConflict
 	case admitter.CodeQuarantined:
 		return http.StatusUnprocessableEntity
-	case gatekeeper.CodeLost:
+	case gatekeeper.CodeLost, gatekeeper.CodeCrashed:
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
@@ -286,9 +286,12 @@
 		RequestId: ca.id, Route: ca.route.Name, Service: ca.route.Service, Workspace: ca.workspace, Key: ca.key,
 		Method: ca.route.Method, PathAndQuery: ca.target, Headers: ca.headers, Body: ca.body,
 		Remaining: int64(remaining), IdempotencyKey: ca.idemKey, Attempt: uint32(ca.attempts), To: to.Incarnation,
-		Idempotent: ca.idempotent, Priority: uint32(ca.route.Priority),
+		Idempotent: ca.idempotent, Priority: uint32(ca.route.Priority), Crashes: ca.crashes.Load(),
 	}
 	answer, wasSent, err := fo.gates.Forward(ctx, to.Address, rq)
+	if answer.GetCode() == gatekeeper.CodeCrashed {
+		ca.crashes.Add(1)
+	}
 	if err == nil && answer.GetRequestId() != ca.id {
 		return attempt{to: to, wasSent: true, err: errCrossed}
 	}
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -177,13 +177,22 @@
 	servedBy   string
 	// mayHaveRun says that a copy was sent whose outcome is not known.
 	mayHaveRun bool
+	// crashes counts the backend servers that crashed while they ran it, over
+	// all copies.
+	crashes *atomic.Uint32
+}
+
+// copy returns a copy for an attempt of its own.
+func (ca *call) copy() *call {
+	copied := *ca
+	return &copied
 }
 
 func newCall(now timer.Instant) *call {
 	var id [requestIDBytes]byte
 	// Read of crypto/rand never fails.
 	_, _ = rand.Read(id[:])
-	return &call{id: hex.EncodeToString(id[:]), startedAt: now}
+	return &call{id: hex.EncodeToString(id[:]), startedAt: now, crashes: &atomic.Uint32{}}
 }
 
 func (fo *Forwarder) serve(wr http.ResponseWriter, re *http.Request, rt cataloguer.Route) {
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -155,12 +155,12 @@
 	if !ok {
 		return false
 	}
-	copied := *ca
+	copied := ca.copy()
 	ca.attempts++
 	ca.servedBy = to.BackendServer
 	go func() {
 		startedAt := fo.pu.Now()
-		at := fo.try(ctx, &copied, to)
+		at := fo.try(ctx, copied, to)
 		latency := fo.pu.Now().Sub(startedAt)
 		isFailed := at.outcome() != gatekeeper.OutcomeAnswered && ctx.Err() == nil
 		ch.mu.Lock()
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -19,9 +19,8 @@
 	// grantPatience is how long a request waits for its workspace's bucket, at
 	// the most: longer than the loss of a bucket's home takes.
 	grantPatience = 1500 * time.Millisecond
-	// patienceShare is the inverse share of the request's time left that it
-	// waits.
-	patienceShare = 2
+	// patienceShare is the share of the request's time left that it waits.
+	patienceShare = 0.75
 	grantTimeout  = 200 * time.Millisecond
 	sweepInterval = 50 * time.Millisecond
 	grantRetry    = 10 * timer.Millisecond
@@ -69,7 +68,7 @@
 	sh := ss.of(workspace)
 	patience := grantPatience
 	if deadline, ok := ctx.Deadline(); ok {
-		patience = min(patience, time.Until(deadline)/patienceShare)
+		patience = min(patience, time.Duration(patienceShare*float64(time.Until(deadline))))
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
@@ -196,7 +195,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grantPatience)
 	defer cancel()
 	rq := &peerproto.GrantRequest{
-		Workspace: workspace, Want: ask.Want, From: ask.Entry, Sequence: ask.Sequence,
+		Workspace: workspace, Waiting: ask.Waiting, Want: ask.Want, From: ask.Entry, Sequence: ask.Sequence,
 	}
 	for _, us := range ask.Uses {
 		rq.Uses = append(rq.Uses, &peerproto.GrantUse{Sequence: us.Sequence, Tokens: us.Tokens, Returned: us.Returned})
@@ -206,7 +205,7 @@
 	defer sh.mu.Unlock()
 	now := ss.pu.Now()
 	if ok {
-		sh.sh.Receive(ask, limiter.Grant{Tokens: answer.GetTokens(), RetryAfter: timer.Span(answer.GetRetryAfter())}, now)
+		sh.sh.Receive(ask, toGrant(answer), now)
 	} else {
 		sh.sh.Fail(now.Add(grantRetry))
 	}
@@ -214,6 +213,12 @@
 	sh.changed = make(chan struct{})
 }
 
+func toGrant(answer *peerproto.GrantResponse) limiter.Grant {
+	return limiter.Grant{
+		Immediate: answer.GetImmediate(), Tokens: answer.GetTokens(), RetryAfter: timer.Span(answer.GetRetryAfter()),
+	}
+}
+
 // askHome returns false if no home answered. An ask without an answer is not
 // repeated at the same home: it may have been granted.
 func (ss *shares) askHome(ctx context.Context, workspace string, rq *peerproto.GrantRequest) (*peerproto.GrantResponse, bool) {
--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -136,18 +136,20 @@
 	case ctx.Err() != nil:
 		return lost("the deadline or the lease ended while the request ran"), resultCancelled
 	default:
-		return lost("the backend server's connection broke"), crashOrCut(err)
+		return broken("the backend server's connection broke", err)
 	}
 }
 
-// crashOrCut tells a broken connection from other errors of the transport.
-func crashOrCut(err error) result {
-	isBroken := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+// broken tells a crash from other errors of the transport.
+func broken(reason string, err error) (*peerproto.ForwardResponse, result) {
+	answer := lost(reason)
+	isCrash := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
 		errors.Is(err, syscall.EPIPE)
-	if isBroken {
-		return resultCrashed
+	if !isCrash {
+		return answer, resultShed
 	}
-	return resultShed
+	answer.Code = CodeCrashed
+	return answer, resultCrashed
 }
 
 func lost(reason string) *peerproto.ForwardResponse {
@@ -161,7 +163,7 @@
 	case err != nil && ctx.Err() != nil:
 		return lost("the deadline or the lease ended before the whole answer"), resultCancelled
 	case err != nil:
-		return lost("the answer was cut short"), crashOrCut(err)
+		return broken("the answer was cut short", err)
 	case len(body) > MaxAnswer:
 		return lost("the answer is too large"), resultAnswered
 	case answer.Header.Get(headerOutcome) == outcomeNotRun:
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -43,11 +43,9 @@
 	CodeShed             = "backendServerShed"
 	CodeNoRoom           = "noRoom"
 	CodeReused           = "idempotencyKeyReused"
+	CodeCrashed          = "backendServerCrashed"
 )
 
-// coldSpan is how long a backend server that fell over is taken to be cold.
-const coldSpan = timer.Second
-
 // Option sets one option of New.
 type Option func(*Gatekeeper)
 
@@ -57,12 +55,19 @@
 // WithSample logs one in so many decisions that succeeded, none if 0.
 func WithSample(every int) Option { return func(ga *Gatekeeper) { ga.sampleEvery = uint64(every) } }
 
+// WithTell sets who tells the other instances of a request that ran when a
+// backend server crashed.
+func WithTell(tell func(fingerprint uint64)) Option {
+	return func(ga *Gatekeeper) { ga.tell = tell }
+}
+
 // Gatekeeper is the gate of one backend server.
 type Gatekeeper struct {
 	pu          *publisher.Publisher
 	bs          *backend
 	lo          hclog.Logger
 	sampleEvery uint64
+	tell        func(fingerprint uint64)
 
 	mu       sync.Mutex
 	gate     *admitter.Gate
@@ -82,6 +87,7 @@
 	ga := &Gatekeeper{
 		pu: pu, bs: newBackend(address), lo: hclog.NewNullLogger(),
 		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan bool{},
+		tell: func(uint64) {},
 	}
 	for _, opt := range opts {
 		opt(ga)
@@ -261,7 +267,7 @@
 func (ga *Gatekeeper) enqueue(ctx context.Context, jo *job) *peerproto.ForwardResponse {
 	ga.mu.Lock()
 	ga.follow(jo.sv.Limits)
-	if ga.qu.IsHeld(jo.fingerprint, ga.pu.Now()) {
+	if ga.qu.IsHeld(jo.fingerprint, int(jo.rq.GetCrashes()), ga.pu.Now()) {
 		ga.mu.Unlock()
 		return refuse(admitter.CodeQuarantined, "this request crashed backend servers before")
 	}
@@ -303,7 +309,7 @@
 	ga.bs.setConnections(li.Connections)
 	gate, err := admitter.New(
 		admitter.Slots(li.Slots), admitter.QueueLength(li.Queue),
-		admitter.ColdStart(li.ColdStartSlots, ga.pu.Now().Add(coldSpan)), admitter.ColdSpan(coldSpan),
+		admitter.ColdStart(li.ColdStartSlots, ga.pu.Now().Add(li.ColdStart)), admitter.ColdSpan(li.ColdStart),
 	)
 	if err != nil {
 		panic(fmt.Sprintf("gatekeeper: a validated catalogue has bad limits: %v", err))
@@ -384,6 +390,21 @@
 	answer, result := ga.bs.run(ctx, jo, epoch)
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.qu.Finish(jo.fingerprint, result == resultCrashed, ga.pu.Now())
+	switch result {
+	case resultAnswered:
+		ga.qu.Succeed(jo.fingerprint)
+	case resultCrashed:
+		ga.qu.Crash(jo.fingerprint, ga.pu.Now())
+		ga.tell(jo.fingerprint)
+	default:
+		ga.qu.Cancel(jo.fingerprint)
+	}
 	return answer, result == resultCrashed || result == resultShed
 }
+
+// Blame takes a peer's word that a request ran when a backend server crashed.
+func (ga *Gatekeeper) Blame(fingerprint uint64) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.qu.Blame(fingerprint, 1, ga.pu.Now())
+}
--- a/instance/granter/handover.go
+++ b/instance/granter/handover.go
@@ -56,7 +56,7 @@
 	}
 	for _, lo := range st.Lots {
 		bu.Lots = append(bu.Lots, &peerproto.Lot{
-			Entry: lo.Entry, Sequence: lo.Sequence, Tokens: lo.Tokens, Remaining: int64(lo.Remaining),
+			Entry: lo.Entry, Sequence: lo.Sequence, Tokens: lo.Tokens, Remaining: int64(lo.Remaining), Immediate: lo.IsImmediate,
 		})
 	}
 	for entry, sequence := range st.Sequences {
@@ -72,7 +72,7 @@
 	}
 	for _, lo := range bu.GetLots() {
 		st.Lots = append(st.Lots, limiter.Lot{
-			Entry: lo.GetEntry(), Sequence: lo.GetSequence(), Tokens: lo.GetTokens(), Remaining: timer.Span(lo.GetRemaining()),
+			Entry: lo.GetEntry(), Sequence: lo.GetSequence(), Tokens: lo.GetTokens(), Remaining: timer.Span(lo.GetRemaining()), IsImmediate: lo.GetImmediate(),
 		})
 	}
 	for _, es := range bu.GetSequences() {
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -266,7 +266,8 @@
 	})
 	var err error
 	in.ga, err = gatekeeper.New(in.pu, ro.se.BackendServer.Address,
-		gatekeeper.WithLogger(ro.lo), gatekeeper.WithSample(ro.se.Log.SampleEvery))
+		gatekeeper.WithLogger(ro.lo), gatekeeper.WithSample(ro.se.Log.SampleEvery),
+		gatekeeper.WithTell(func(fingerprint uint64) { in.co.Suspect(fingerprint) }))
 	if err != nil {
 		return nil, err
 	}
@@ -274,7 +275,7 @@
 	in.co, err = controller.New(
 		controller.WithTable(ro.table), controller.WithObjects(ro.objects), controller.WithPeers(ro.pe),
 		controller.WithBuckets(in.gr), controller.WithSender(&reachSender{ro: ro}), controller.WithPublisher(in.pu), controller.WithLogger(ro.lo),
-		controller.WithLeaseTerm(ro.se.LeaseTerm), controller.WithFreshness(ro.se.Freshness), controller.WithFormer(former),
+		controller.WithLeaseTerm(ro.se.LeaseTerm), controller.WithFreshness(ro.se.Freshness), controller.WithFormer(former), controller.WithBlame(in.ga.Blame),
 	)
 	if err != nil {
 		return nil, err
--- a/wire/encoder/document.go
+++ b/wire/encoder/document.go
@@ -156,6 +156,7 @@
 	Connections    int    `json:"connections"`
 	Queue          int    `json:"queue"`
 	ColdStartSlots int    `json:"coldStartSlots"`
+	ColdStartNs    int64  `json:"coldStartNs"`
 }
 
 type wireWorkspace struct {
@@ -261,13 +262,14 @@
 	return wireService{
 		Name: sv.Name, Owner: sv.Owner, Class: string(sv.Class), Partitions: sv.Partitions, Fenced: sv.Fenced,
 		Slots: sv.Limits.Slots, Connections: sv.Limits.Connections,
-		Queue: sv.Limits.Queue, ColdStartSlots: sv.Limits.ColdStartSlots,
+		Queue: sv.Limits.Queue, ColdStartSlots: sv.Limits.ColdStartSlots, ColdStartNs: int64(sv.Limits.ColdStart),
 	}
 }
 
 func toService(ws wireService) cataloguer.Service {
 	limits := cataloguer.ServiceLimits{
 		Slots: ws.Slots, Connections: ws.Connections, Queue: ws.Queue, ColdStartSlots: ws.ColdStartSlots,
+		ColdStart: timer.Span(ws.ColdStartNs),
 	}
 	return cataloguer.Service{
 		Name: ws.Name, Owner: ws.Owner, Class: cataloguer.ServiceClass(ws.Class),
--- a/wire/parser/catalogue.go
+++ b/wire/parser/catalogue.go
@@ -21,6 +21,7 @@
 const (
 	defaultPartitions = 256
 	defaultTimeout    = 2 * timer.Second
+	defaultColdStart  = timer.Second
 )
 
 // Catalogue parses and validates a catalogue. File is used in errors only.
@@ -71,6 +72,7 @@
 	sv.Limits.Connections = limits.integer("connections", 0)
 	sv.Limits.Queue = limits.integer("queue", 4*sv.Limits.Slots)
 	sv.Limits.ColdStartSlots = limits.integer("coldStartSlots", max(1, sv.Limits.Slots/4))
+	sv.Limits.ColdStart = limits.span("coldStart", defaultColdStart)
 	return sv
 }
 
--- a/wire/parser/formatter.go
+++ b/wire/parser/formatter.go
@@ -13,10 +13,11 @@
 }
 
 type yamlServiceLimits struct {
-	Slots          int `yaml:"slots"`
-	Connections    int `yaml:"connections"`
-	Queue          int `yaml:"queue"`
-	ColdStartSlots int `yaml:"coldStartSlots"`
+	Slots          int    `yaml:"slots"`
+	Connections    int    `yaml:"connections"`
+	Queue          int    `yaml:"queue"`
+	ColdStartSlots int    `yaml:"coldStartSlots"`
+	ColdStart      string `yaml:"coldStart"`
 }
 
 type yamlService struct {
@@ -66,7 +67,10 @@
 		yc.DataCentres = append(yc.DataCentres, yamlDataCentre(dc))
 	}
 	for _, sv := range cat.Services {
-		limits := yamlServiceLimits(sv.Limits)
+		limits := yamlServiceLimits{
+			Slots: sv.Limits.Slots, Connections: sv.Limits.Connections, Queue: sv.Limits.Queue,
+			ColdStartSlots: sv.Limits.ColdStartSlots, ColdStart: sv.Limits.ColdStart.Duration().String(),
+		}
 		yc.Services = append(yc.Services, yamlService{
 			Name: sv.Name, Owner: sv.Owner, Class: string(sv.Class), Partitions: sv.Partitions, Fenced: sv.Fenced, Limits: limits,
 		})
