--- /dev/null
+++ b/bench/injector/injector.go
@@ -0,0 +1,168 @@
+package injector
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"cornellanding.example/bench/checker"
+	"cornellanding.example/bench/demonstrator"
+	"cornellanding.example/bench/loader"
+)
+
+const (
+	caseTimeout  = 60 * time.Second
+	faultSpan    = 900 * time.Millisecond
+	loadRate     = 60
+	loadBefore   = 200 * time.Millisecond
+	loadSpan     = 2 * time.Second
+	healthy      = "olinda"
+	poisonBudget = 2
+)
+
+// Cell is one step with the faults that it must bear, at once.
+type Cell struct {
+	Step   Step
+	Faults []Fault
+	// Times is how often the faults begin and end.
+	Times int
+}
+
+// Name names the cell.
+func (ce Cell) Name() string {
+	name := ce.Step.Name
+	for _, fa := range ce.Faults {
+		name += ", " + fa.Name
+	}
+	if ce.Times > 1 {
+		name += fmt.Sprintf(", %d times", ce.Times)
+	}
+	return name
+}
+
+// Skipped tells why a cell makes no sense, or returns nothing.
+func (ce Cell) Skipped() string {
+	names := map[string]int{}
+	for _, fa := range ce.Faults {
+		names[fa.Name]++
+	}
+	isSameServer := names["owner lost"] > 0 && len(ce.Faults) > 1
+	switch {
+	case len(names) < len(ce.Faults):
+		return "the same fault twice at once is the fault once"
+	case names["none"] > 0 && len(ce.Faults) > 1:
+		return "no fault beside a fault is the fault alone"
+	case isSameServer && (names["owner cut off"] > 0):
+		return "a lost VM can't be cut off"
+	default:
+		return ""
+	}
+}
+
+// Singles returns every step with every fault alone.
+func Singles() []Cell {
+	var cells []Cell
+	for _, sp := range Steps() {
+		for _, fa := range Faults() {
+			cells = append(cells, Cell{Step: sp, Faults: []Fault{fa}, Times: 1})
+		}
+	}
+	return cells
+}
+
+// Twice returns every step with every fault two times in a row.
+func Twice() []Cell {
+	cells := Singles()
+	for i := range cells {
+		cells[i].Times = 2
+	}
+	return cells
+}
+
+// Pairs returns every step with every two faults at once.
+func Pairs() []Cell {
+	var cells []Cell
+	faults := Faults()
+	for _, sp := range Steps() {
+		for i := range faults {
+			for j := i + 1; j < len(faults); j++ {
+				cells = append(cells, Cell{Step: sp, Faults: []Fault{faults[i], faults[j]}, Times: 1})
+			}
+		}
+	}
+	return cells
+}
+
+// Run runs one cell and returns an error if an invariant was broken, or if work
+// does not flow again after the faults.
+func Run(ctx context.Context, ce Cell, seed uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
+	defer cancel()
+	ca, err := newCase(ctx)
+	if err != nil {
+		return err
+	}
+	defer ca.de.Close()
+	lo, err := loader.New(loader.WithCatalogue(ca.de.Catalogue), loader.WithKeys(ca.de.Keys), loader.WithEntries(ca.de.Entries),
+		loader.WithRate(loadRate), loader.WithSeed(seed), loader.WithFlood(flooded, max(1, ce.Step.Flood)))
+	if err != nil {
+		return err
+	}
+	results := make(chan []loader.Result, 1)
+	go func() { results <- lo.Run(ctx, loadSpan) }()
+	time.Sleep(loadBefore)
+	err = ca.provoke(ctx, ce)
+	err = errors.Join(err, until(ctx, "work flows again", ca.flows))
+	list := checker.Check(demonstrator.History(ca.de, <-results))
+	if len(list) > 0 {
+		err = errors.Join(err, errors.New(checker.Summary(list)))
+	}
+	if ca.crashes > poisonBudget*max(1, ce.Times) {
+		err = errors.Join(err, fmt.Errorf("a request crashed %d servers", ca.crashes))
+	}
+	return err
+}
+
+// provoke runs the step while the faults begin and end.
+func (ca *Case) provoke(ctx context.Context, ce Cell) error {
+	ended := make(chan struct{})
+	done := make(chan error, 1)
+	var err error
+	for time := range ce.Times {
+		for _, fa := range ce.Faults {
+			err = errors.Join(err, fa.Begin(ca))
+		}
+		if time == 0 {
+			go func() { done <- ce.Step.Run(ctx, ca, ended) }()
+		}
+		ca.wait(ctx)
+		for _, fa := range ce.Faults {
+			err = errors.Join(err, fa.End(ca))
+		}
+		if time+1 < ce.Times {
+			ca.wait(ctx)
+		}
+	}
+	close(ended)
+	return errors.Join(err, <-done)
+}
+
+func (ca *Case) wait(ctx context.Context) {
+	select {
+	case <-time.After(faultSpan):
+	case <-ctx.Done():
+	}
+}
+
+// flows reports an error unless an order succeeds at every entry.
+func (ca *Case) flows() error {
+	for _, entry := range ca.de.Entries() {
+		status, body := ca.order(entry, healthy, "flow")
+		if status != http.StatusOK {
+			return fmt.Errorf("status %d at %s: %s", status, entry, body)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/injector/injector_test.go
@@ -0,0 +1,59 @@
+package injector
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// pairsVariable sets how many cells of pairs and of faults twice are run; "all"
+// runs all.
+const pairsVariable = "CORNELLANDING_PAIRS"
+
+const (
+	sampledPairs = 10
+	seed         = 1
+)
+
+func TestSingles(t *testing.T) {
+	runCells(t, Singles())
+}
+
+func TestPairsAndTwice(t *testing.T) {
+	cells := append(Pairs(), Twice()...)
+	count := sampledPairs
+	if text := os.Getenv(pairsVariable); text == "all" {
+		count = len(cells)
+	} else if given, err := strconv.Atoi(text); err == nil {
+		count = given
+	}
+	random := rand.New(rand.NewPCG(seed, seed))
+	random.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
+	runCells(t, cells[:min(count, len(cells))])
+}
+
+// runCells runs cells and prints the coverage.
+func runCells(t *testing.T, cells []Cell) {
+	run, skipped := 0, map[string]int{}
+	t.Run("cells", func(t *testing.T) {
+		for _, ce := range cells {
+			if why := ce.Skipped(); why != "" {
+				skipped[why]++
+				continue
+			}
+			run++
+			t.Run(ce.Name(), func(t *testing.T) {
+				t.Parallel()
+				is.New(t).NoErr(Run(context.Background(), ce, seed))
+			})
+		}
+	})
+	t.Logf("%d cells run", run)
+	for why, count := range skipped {
+		t.Logf("%d cells skipped: %s", count, why)
+	}
+}
--- a/bench/loader/loader.go
+++ b/bench/loader/loader.go
@@ -307,3 +307,25 @@
 		re.Outcome = NotRun
 	}
 }
+
+var orderClient = &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
+
+// Order sends one order for the hottest key and returns its status and body, or
+// status 0 if there was no answer.
+func Order(entry, key, body string) (int, string) {
+	re, err := http.NewRequest(http.MethodPost, "http://"+entry+"/orders/"+HottestKey, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	re.Header.Set("Authorization", "Bearer "+key)
+	answer, err := orderClient.Do(re)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil {
+		return 0, err.Error()
+	}
+	return answer.StatusCode, string(content)
+}
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -111,7 +111,7 @@
 // refusal tells a workspace above its limits from a home without an answer.
 func (st step) refusal() *refusal {
 	retryAfter := max(st.retryAfter, timer.Millisecond)
-	if st.isHomeSilent {
+	if st.isHomeSilent || st.changed != nil {
 		return &refusal{
 			status: http.StatusServiceUnavailable, code: CodeNoLimits,
 			reason: "the home of the workspace's limits did not answer", retryAfter: retryAfter,
