Break each safety check once, and strengthen the tests that did not notice

Four survived at first: a release under an older map, headers that imitate the gate's, uncounted grants, and an edit that ignores its version (which the table's condition catches as well).

--- /dev/null
+++ b/instance/controller/tenure_test.go
@@ -0,0 +1,148 @@
+package controller
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/publisher"
+	"cornellanding.example/wire/encoder"
+	"cornellanding.example/wire/peerproto"
+	"github.com/matryer/is"
+)
+
+// silent is every port of a controller that is driven event by event.
+type silent struct{}
+
+func (silent) Sync(context.Context, string, *peerproto.SyncRequest) (*peerproto.SyncResponse, error) {
+	return nil, errNoAnswer
+}
+
+func (silent) Revoke(context.Context, string, *peerproto.RevokeRequest) (*peerproto.RevokeResponse, error) {
+	return nil, errNoAnswer
+}
+
+func (silent) Release(context.Context, string, *peerproto.ReleaseRequest) (*peerproto.ReleaseResponse, error) {
+	return nil, errNoAnswer
+}
+
+func (silent) Send(netip.AddrPort, *peerproto.Datagram) error { return nil }
+
+func (silent) Export(uint32) []*peerproto.Bucket { return nil }
+
+func (silent) Import(uint32, uint64, []*peerproto.Bucket, bool, int) {}
+
+// newMember returns a controller with that incarnation, whose clock stands
+// still and whose lease the test sets.
+func newMember(t *testing.T, incarnation uint64) *Controller {
+	t.Helper()
+	clk := timer.NewManual(timer.Instant(timer.Second))
+	pu := publisher.New(clk, publisher.Self{BackendServer: name(incarnation), Service: "counter", Incarnation: incarnation})
+	co, err := New(WithTable(newFakeTable()), WithObjects(&fakeObjects{}), WithPeers(silent{}), WithSender(silent{}),
+		WithBuckets(silent{}), WithPublisher(pu))
+	is.New(t).NoErr(err)
+	co.ctx = context.Background()
+	pu.SetLease(timer.Instant(3600 * timer.Second))
+	return co
+}
+
+func name(incarnation uint64) string { return string(rune('a' + incarnation)) }
+
+// apply brings a controller to the map.
+func (co *Controller) apply(t *testing.T, ma placer.Map) {
+	t.Helper()
+	content, err := encoder.EncodeMap(ma)
+	is.New(t).NoErr(err)
+	co.onDocuments(documentsFetched{documents: []Document{{Name: MapPrefix + ma.Service, Version: ma.Version, Content: content}}}, co.pu.Now())
+}
+
+func mapWith(ma placer.Map, incarnations ...uint64) placer.Map {
+	ma = ma.Next(0)
+	for _, incarnation := range incarnations {
+		ma = ma.WithMember(placer.Member{BackendServer: name(incarnation), Incarnation: incarnation, Weight: placer.FullWeight})
+	}
+	return ma
+}
+
+// TestHandover moves partitions from one member to another, event by event.
+func TestHandover(t *testing.T) {
+	is := is.New(t)
+	first := mapWith(placer.NewMap("counter", 32), 1)
+	second := mapWith(first, 2)
+	former, latter := newMember(t, 1), newMember(t, 2)
+	former.apply(t, first)
+	moved := placer.NewTable(second).OwnedBy(2)
+	is.True(len(moved) > 0)
+	pt := moved[0]
+	is.True(former.pu.Owns("counter", pt)) // nobody held it before
+
+	latter.apply(t, second)
+	is.Equal(latter.pu.Owns("counter", pt), false) // not before the release
+	request := &peerproto.ReleaseRequest{Service: "counter", MapVersion: second.Version, Partitions: moved, Holder: 1}
+	is.Equal(len(former.onRelease(request).GetReleased()), 0) // it follows an older map
+	bystander := newMember(t, 3)
+	bystander.apply(t, first)
+	early := &peerproto.ReleaseRequest{Service: "counter", MapVersion: second.Version, Partitions: moved, Holder: 3}
+	is.Equal(len(bystander.onRelease(early).GetReleased()), 0) // a map between may yet give it the partition
+	_, ok := former.pu.Enter("counter", pt)
+	is.True(ok) // work begins
+	former.apply(t, second)
+	is.Equal(former.pu.Owns("counter", pt), false)
+	answer := former.onRelease(request)
+	is.Equal(len(answer.GetReleased()), len(moved)-1) // not what still runs
+	latter.onReleased(released{service: "counter", holder: 1, answer: answer})
+	is.Equal(latter.pu.Owns("counter", pt), false)
+	former.pu.Leave("counter", pt)
+	answer = former.onRelease(request)
+	is.Equal(len(answer.GetReleased()), len(moved))
+	latter.onReleased(released{service: "counter", holder: 1, answer: answer})
+	is.True(latter.pu.Owns("counter", pt))
+	other := &peerproto.ReleaseRequest{Service: "counter", MapVersion: second.Version, Partitions: moved, Holder: 9}
+	is.Equal(len(former.onRelease(other).GetReleased()), 0) // it can't answer for another incarnation
+}
+
+// TestRemovedOwnerNeedsNoRelease takes over from a member that is gone while a
+// third one, which never obtained the partition, must still answer.
+func TestRemovedOwnerNeedsNoRelease(t *testing.T) {
+	is := is.New(t)
+	first := mapWith(placer.NewMap("counter", 64), 1)
+	second := mapWith(first, 2)
+	third := second.Next(0).WithoutMember(name(1), 1)
+	latter := newMember(t, 2)
+	latter.apply(t, third)
+	for pt := range uint32(64) {
+		is.True(latter.pu.Owns("counter", pt)) // the removal was the proof
+	}
+}
+
+// TestRevokedMemberEnds removes a member from the maps it had been in.
+func TestRevokedMemberEnds(t *testing.T) {
+	is := is.New(t)
+	limits := mapWith(placer.NewMap(folder.LimitsService, 8), 1, 2)
+	co := newMember(t, 1)
+	co.isJoined = true
+	co.apply(t, limits)
+	is.NoErr(co.err)
+	co.apply(t, limits.Next(0).WithoutMember(name(1), 1))
+	is.Equal(co.err, ErrRevoked)
+}
+
+// TestPlannedStopWaitsForRunningWork looks at the end of a handover.
+func TestPlannedStopWaitsForRunningWork(t *testing.T) {
+	is := is.New(t)
+	first := mapWith(placer.NewMap("counter", 8), 1)
+	co := newMember(t, 1)
+	co.ds.config = cataloguer.Config{Version: 1}
+	co.apply(t, first)
+	is.Equal(co.hasHandedOver(), false)
+	_, ok := co.pu.Enter("counter", 3)
+	is.True(ok)
+	co.apply(t, first.Next(0).WithMember(placer.Member{BackendServer: name(1), Incarnation: 1}).WithMember(placer.Member{BackendServer: name(2), Incarnation: 2, Weight: 1}))
+	is.Equal(co.hasHandedOver(), false) // work still runs
+	co.pu.Leave("counter", 3)
+	is.True(co.hasHandedOver())
+}
--- a/instance/gatekeeper/gatekeeper_test.go
+++ b/instance/gatekeeper/gatekeeper_test.go
@@ -129,6 +129,20 @@
 	}
 }
 
+// TestImitatedHeaders sends headers that only the gate may set.
+func TestImitatedHeaders(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(t)
+	rq := request("1", "body")
+	for _, name := range []string{headerWorkspace, headerKey, headerRequestID, headerEpoch} {
+		rq.Headers = append(rq.Headers, &peerproto.Header{Name: name, Value: "99"})
+	}
+	is.Equal(ga.Forward(context.Background(), rq).GetOutcome(), uint32(OutcomeAnswered))
+	rc := ga.bs.Records()[0]
+	is.Equal([]string{rc.Workspace, rc.Key, rc.RequestID}, []string{"w", "k", "1"})
+	is.Equal(rc.Epoch, uint64(1))
+}
+
 func TestSecondCopyDoesNotRun(t *testing.T) {
 	is := is.New(t)
 	ga := newGate(t)
