--- a/cmd/cornelbench/main.go
+++ b/cmd/cornelbench/main.go
@@ -7,6 +7,7 @@
 //	cornelbench load --scenario FILE
 //	cornelbench drill --binary ./cornellanding --seed 1
 //	cornelbench cost
+//	cornelbench capacity --binary ./cornellanding
 package main
 
 import (
@@ -68,6 +69,7 @@
 	add("load", "Send open-loop load to running instances.", &loadCommand{})
 	add("drill", "Start processes, break them under load and check the invariants.", &drillCommand{})
 	add("cost", "Measure what the router adds to a request.", &costCommand{})
+	add("capacity", "Measure the slopes behind docs/CAPACITY.md.", &capacityCommand{})
 	return errors.Join(errs...)
 }
 
--- a/core/leaser/watcher.go
+++ b/core/leaser/watcher.go
@@ -108,6 +108,18 @@
 	return expired
 }
 
+// NextExpiry returns when the earliest promise that is not revoked expires, or
+// false if there is none.
+func (wa *Watcher) NextExpiry() (timer.Instant, bool) {
+	next, found := timer.Instant(0), false
+	for _, pr := range wa.promises {
+		if !pr.revoked && (!found || pr.expiresAt < next) {
+			next, found = pr.expiresAt, true
+		}
+	}
+	return next, found
+}
+
 // Forget drops an expired promise at now. A revocation is kept for good: the
 // holder may be paused and send its next renewal at any later time.
 func (wa *Watcher) Forget(holder uint64, now timer.Instant) {
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -35,9 +35,16 @@
 )
 
 const (
-	tickInterval    = 20 * time.Millisecond
+	// busyInterval separates ticks while something is under way, idleInterval
+	// otherwise, and minInterval always.
+	busyInterval    = 15 * timer.Millisecond
+	idleInterval    = 150 * timer.Millisecond
+	minInterval     = 2 * timer.Millisecond
+	observeInterval = timer.Second / 2
 	renewInterval   = 300 * timer.Millisecond
-	pollInterval    = 500 * timer.Millisecond
+	pollInterval    = timer.Second
+	// pollsPerWhole is how many polls there are for one that reads the maps.
+	pollsPerWhole   = 5
 	joinBackoff     = 200 * timer.Millisecond
 	releaseInterval = 15 * timer.Millisecond
 	takeoverBackoff = 100 * timer.Millisecond
@@ -166,8 +173,11 @@
 	takeovers     map[uint64]bool
 	nextTakeover  map[uint64]timer.Instant
 	nextJoinAt    timer.Instant
+	nextTickAt    timer.Instant
+	nextObserveAt timer.Instant
 	nextRenewAt   timer.Instant
 	nextPollAt    timer.Instant
+	polls         uint64
 	nextFoldAt    timer.Instant
 	nextRewatchAt timer.Instant
 	fr            *freshener.Freshener
@@ -212,24 +222,61 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	co.ctx = ctx
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	wake := time.NewTimer(0)
+	defer wake.Stop()
 	for co.err == nil {
 		select {
 		case ev := <-co.events:
 			co.handle(ev)
-		case <-ticker.C:
-			co.tick(co.pu.Now())
+		case <-wake.C:
 		case <-ctx.Done():
 			co.err = ctx.Err()
+			continue
+		}
+		now := co.pu.Now()
+		if !now.Before(co.nextTickAt) {
+			co.tick(now)
 		}
 		co.publishLease()
+		co.nextTickAt = co.nextTick(now)
+		wake.Reset(co.nextTickAt.Sub(now).Duration())
 	}
 	co.pu.SetLease(0)
 	co.pu.CancelIfLapsed()
 	return co.err
 }
 
+// nextTick returns when something is due next. While something is under way it
+// is soon.
+func (co *Controller) nextTick(now timer.Instant) timer.Instant {
+	if co.isBusy() {
+		return now.Add(busyInterval)
+	}
+	next := min(now.Add(idleInterval), co.nextPollAt)
+	if co.isJoined {
+		next = min(next, co.nextRenewAt)
+	}
+	if expiry, ok := co.wa.NextExpiry(); ok {
+		next = min(next, expiry)
+	}
+	if deadline := co.ho.Deadline(); now.Before(deadline) {
+		next = min(next, deadline)
+	}
+	return max(next, now.Add(minInterval))
+}
+
+func (co *Controller) isBusy() bool {
+	if !co.isJoined || co.needsFold || co.leave != nil {
+		return true
+	}
+	for _, te := range co.tenures {
+		if len(te.pending) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (co *Controller) publishLease() {
 	co.pu.SetLease(co.ho.Deadline())
 	co.pu.CancelIfLapsed()
@@ -296,7 +343,10 @@
 	co.obtain(now)
 	co.refold(now)
 	co.proceedLeaving()
-	co.observe(now)
+	if !now.Before(co.nextObserveAt) {
+		co.nextObserveAt = now.Add(observeInterval)
+		co.observe(now)
+	}
 }
 
 // join announces the instance once the configuration is known.
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -187,13 +187,18 @@
 		return
 	}
 	co.nextPollAt = now.Add(pollInterval)
+	if !co.isJoined {
+		co.nextPollAt = now.Add(joinBackoff)
+	}
 	if !co.isPoller() {
 		return
 	}
 	co.isFetching = true
 	have := co.ds.versions()
+	co.polls++
+	isWhole := !co.isJoined || co.polls%pollsPerWhole == 0
 	co.spawn(func(ctx context.Context) event {
-		docs, err := co.ledger.readDocuments(ctx, have)
+		docs, err := co.ledger.readDocuments(ctx, have, isWhole)
 		return documentsFetched{documents: docs, readAt: now, isTable: true, err: err}
 	})
 }
@@ -335,7 +340,7 @@
 
 // revokeFormer revokes the former incarnation of this backend server.
 func (co *Controller) revokeFormer(ctx context.Context, former folder.Announcement) error {
-	docs, err := co.ledger.readDocuments(ctx, nil)
+	docs, err := co.ledger.readDocuments(ctx, nil, true)
 	if err != nil {
 		return err
 	}
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -36,11 +36,16 @@
 	objects storer.Objects
 }
 
-// readDocuments reads all documents that are newer than the versions.
-func (le *ledger) readDocuments(ctx context.Context, have map[string]uint64) ([]Document, error) {
+// readDocuments reads the documents that are newer than the versions. The maps
+// are left out unless isWhole: they spread by peers, and freshness rests on the
+// configuration alone.
+func (le *ledger) readDocuments(ctx context.Context, have map[string]uint64, isWhole bool) ([]Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	query := tabler.Query{Keys: []string{ConfigKey}, Prefixes: []string{MapPrefix}, VersionsOnly: true}
+	query := tabler.Query{Keys: []string{ConfigKey}, VersionsOnly: true}
+	if isWhole {
+		query.Prefixes = []string{MapPrefix}
+	}
 	rows, err := le.table.Read(ctx, query)
 	if err != nil {
 		return nil, err
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -22,7 +22,7 @@
 	// patienceShare is the share of the request's time left that it waits.
 	patienceShare = 0.75
 	grantTimeout  = 200 * time.Millisecond
-	sweepInterval = 50 * time.Millisecond
+	sweepInterval = 100 * time.Millisecond
 	grantRetry    = 10 * timer.Millisecond
 	// maxWaiters bounds the requests of one workspace that wait for tokens.
 	maxWaiters = 64
