Drop the maps' record of changes once all members have obtained everything

Members at rest for 10 s report the version they have obtained; a fold drops the record once all members of that version reported just it. The test found that reports of a later version by the members of an earlier one must not count.

--- a/core/folder/folder.go
+++ b/core/folder/folder.go
@@ -47,6 +47,9 @@
 	Weight        uint32
 	State         State
 	Lease         leaser.Row
+	// Settled holds, by service, a map version under which this incarnation
+	// has obtained all that it then owned.
+	Settled map[string]uint64
 }
 
 // Input is what the maps derive from.
@@ -68,8 +71,12 @@
 		if !ok {
 			ma = placer.NewMap(sv.Name, sv.Partitions)
 		}
-		if ne, ok := foldOne(ma.Next(in.At), ma, wanted(sv.Name, in)); ok {
-			changed = append(changed, ne)
+		ne, isChanged := foldOne(ma.Next(in.At), ma, wanted(sv.Name, in))
+		settled := settledVersion(ma, ne.Version, in.Rows)
+		// A shared service hands nothing over, so it needs no record.
+		isRecordDropped := settled > ma.Settled && (ma.Partitions > 0 || isChanged)
+		if isChanged || isRecordDropped {
+			changed = append(changed, ne.WithSettled(settled))
 		}
 	}
 	return changed
@@ -121,3 +128,44 @@
 	}
 	return ne, isChanged
 }
+
+// settledVersion returns the latest version under which every member of that
+// version has obtained all that it then owned. Whatever an earlier owner held,
+// it has then released, so the record up to that version can be dropped.
+func settledVersion(ma placer.Map, next uint64, rows []Announcement) uint64 {
+	if ma.Partitions == 0 {
+		return next
+	}
+	reported := map[uint64]uint64{}
+	for _, an := range rows {
+		if version := an.Settled[ma.Service]; version > ma.Settled {
+			reported[an.Lease.Incarnation] = version
+		}
+	}
+	if len(reported) == 0 {
+		return ma.Settled
+	}
+	// The reports must be of a version in which just these were the members.
+	last := ma.Version
+	for _, ge := range ma.Generations() {
+		version, isAgreed := agreedVersion(ge.Members, reported)
+		if isAgreed && version >= ge.Version && version <= last {
+			return version
+		}
+		last = ge.Version - 1
+	}
+	return ma.Settled
+}
+
+// agreedVersion returns the version that all members reported, if it is one.
+func agreedVersion(members []placer.Member, reported map[uint64]uint64) (uint64, bool) {
+	agreed := uint64(0)
+	for _, me := range members {
+		version := reported[me.Incarnation]
+		if version == 0 || agreed != 0 && agreed != version {
+			return 0, false
+		}
+		agreed = version
+	}
+	return agreed, agreed != 0
+}
--- a/core/folder/folder_test.go
+++ b/core/folder/folder_test.go
@@ -53,3 +53,42 @@
 		})
 	}
 }
+
+func TestSettledRecordIsDropped(t *testing.T) {
+	config := cataloguer.Config{Version: 1}
+	config.Catalogue.Services = []cataloguer.Service{
+		{Name: "counter", Class: cataloguer.Exclusive, Partitions: 16}, {Name: "archive", Class: cataloguer.Shared},
+	}
+	rows := []Announcement{}
+	in := Input{Config: config, Maps: map[string]placer.Map{}}
+	fold := func() {
+		in.Rows = rows
+		for _, ma := range Fold(in) {
+			in.Maps[ma.Service] = ma
+		}
+	}
+	for i, name := range []string{"a", "b", "c"} {
+		rows = append(rows, Announcement{BackendServer: name, Service: "counter", Weight: 4, State: Active, Lease: leaser.Row{Incarnation: uint64(i + 1)}})
+		fold()
+	}
+	rows = append(rows, Announcement{BackendServer: "d", Service: "archive", Weight: 4, State: Active, Lease: leaser.Row{Incarnation: 9}})
+	fold()
+	report := func(row int, version uint64) { rows[row].Settled = map[string]uint64{"counter": version} }
+	is := is.New(t)
+	is.Equal(len(in.Maps["counter"].Changes), 3)
+	is.Equal(len(in.Maps["archive"].Changes), 0) // a shared service records nothing
+	report(0, 3)
+	report(1, 3)
+	fold()
+	is.Equal(in.Maps["counter"].Settled, uint64(0)) // c has not reported
+	report(2, 2)
+	fold()
+	is.Equal(in.Maps["counter"].Settled, uint64(0)) // c reported an older version
+	rows = append(rows, Announcement{BackendServer: "e", Service: "counter", Weight: 4, State: Active, Lease: leaser.Row{Incarnation: 5}})
+	fold()
+	report(2, 3)
+	fold()
+	is.Equal(in.Maps["counter"].Settled, uint64(3)) // e came later and need not report on it
+	is.Equal(len(in.Maps["counter"].Changes), 1)
+	is.Equal(len(Fold(in)), 0)
+}
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -159,6 +159,11 @@
 	// learnedBefore: whatever was seen earlier is too old to matter.
 	learned       []learnedVersion
 	learnedBefore uint64
+	// reported holds the map versions up to which the own row says that
+	// everything was obtained.
+	reported      map[string]uint64
+	settleChanges int
+	settleSpread  timer.Span
 	isSyncing     map[uint64]bool
 	// avoid holds until when a silent watcher is not chosen again.
 	avoid         map[uint64]timer.Instant
@@ -191,6 +196,7 @@
 	co := &Controller{
 		leaseTerm: leaser.DefaultTerm, events: make(chan event, eventQueue), ds: newDocuments(),
 		warner: warner.New(), tenures: map[string]*tenure{},
+		reported: map[string]uint64{}, settleChanges: settleChanges, settleSpread: settleSpread,
 		isSyncing: map[uint64]bool{}, avoid: map[uint64]timer.Instant{},
 		takeovers: map[uint64]bool{}, nextTakeover: map[uint64]timer.Instant{}, lo: hclog.NewNullLogger(),
 		blame: func(uint64) {},
@@ -340,6 +346,7 @@
 	co.poll(now)
 	co.watch(now)
 	co.rewatch(now)
+	co.settle(now)
 	co.obtain(now)
 	co.refold(now)
 	co.proceedLeaving()
@@ -367,6 +374,7 @@
 	return folder.Announcement{
 		BackendServer: co.self.BackendServer, Service: co.self.Service, DataCentre: co.self.DataCentre,
 		Region: co.self.Region, Address: co.self.Address, Weight: weight, State: folder.Active,
+		Settled: co.reported,
 	}
 }
 
@@ -393,6 +401,7 @@
 		co.needsFold = true
 	}
 	co.isJoined = true
+	co.needsFold = co.needsFold || ev.isReport
 	co.nextRenewAt = now
 }
 
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -50,7 +50,9 @@
 	row leaser.Row
 	// isEnded says that the row was found left or revoked.
 	isEnded bool
-	err     error
+	// isReport says that the write was a report of what was obtained.
+	isReport bool
+	err      error
 }
 
 // synced brings documents from a peer.
--- /dev/null
+++ b/instance/controller/settler.go
@@ -0,0 +1,56 @@
+package controller
+
+import (
+	"context"
+	"maps"
+
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/timer"
+)
+
+const (
+	// settleChanges is how many changes a map records before its members
+	// report that they have obtained everything.
+	settleChanges = 64
+	// settleAfter is how long the map must have been at rest, so that all
+	// members report the same version.
+	settleAfter = 10 * timer.Second
+	// settleSpread spreads the reports of a large fleet.
+	settleSpread = 30 * timer.Second
+)
+
+// settle reports in the own row that everything owned under the present maps
+// was obtained. Once all members have, a fold drops the maps' record of
+// changes, which would otherwise grow for good.
+func (co *Controller) settle(now timer.Instant) {
+	if !co.isJoined || co.isRewatching || co.leave != nil {
+		return
+	}
+	reported := maps.Clone(co.reported)
+	for service, te := range co.tenures {
+		if co.isReportDue(te, now) {
+			reported[service] = te.version
+		}
+	}
+	if maps.Equal(reported, co.reported) {
+		return
+	}
+	co.reported = reported
+	co.isRewatching = true
+	an := co.announcement(co.weight())
+	an.Lease = co.ho.Committed()
+	co.spawn(func(ctx context.Context) event {
+		found, err := co.ledger.writeRow(ctx, an)
+		return rowCommitted{
+			row: found.Lease, err: err, isReport: true,
+			isEnded: found.Lease.Version != 0 && found.State != folder.Active,
+		}
+	})
+}
+
+func (co *Controller) isReportDue(te *tenure, now timer.Instant) bool {
+	delay := settleAfter + timer.Span(co.self.Incarnation%uint64(co.settleSpread+1))
+	isAtRest := now.Sub(te.changedAt) >= delay && len(te.pending) == 0
+	changes := len(co.ds.tables[te.service].Map.Changes)
+	return isAtRest && changes >= co.settleChanges && co.reported[te.service] < te.version
+}
--- a/instance/controller/tenure.go
+++ b/instance/controller/tenure.go
@@ -14,12 +14,15 @@
 // instance owns or is about to own.
 type tenure struct {
 	service string
+	version uint64
 	// pending maps each partition to the prior owners that must release it.
 	pending map[uint32]map[uint64]bool
 	// releasedBy keeps the releases already given for a pending partition.
 	releasedBy map[uint32]map[uint64]bool
 	// buckets keeps what came with the releases of the limits service.
-	buckets   map[uint32][]*peerproto.Bucket
+	buckets map[uint32][]*peerproto.Bucket
+	// changedAt is when the map last changed here.
+	changedAt timer.Instant
 	asking    map[uint64]bool
 	nextAskAt timer.Instant
 }
@@ -48,6 +51,9 @@
 }
 
 func (co *Controller) follow(te *tenure, tb *placer.Table) {
+	if te.version != tb.Map.Version {
+		te.version, te.changedAt = tb.Map.Version, co.pu.Now()
+	}
 	owned := map[uint32]bool{}
 	for _, pt := range tb.OwnedBy(co.self.Incarnation) {
 		owned[pt] = true
--- a/instance/controller/tenure_test.go
+++ b/instance/controller/tenure_test.go
@@ -146,3 +146,27 @@
 	co.pu.Leave("counter", 3)
 	is.True(co.hasHandedOver())
 }
+
+// TestReportOnceAtRest looks at when an instance reports that it has obtained
+// everything.
+func TestReportOnceAtRest(t *testing.T) {
+	is := is.New(t)
+	first := mapWith(placer.NewMap("counter", 8), 1)
+	second := mapWith(first, 2)
+	co := newMember(t, 2)
+	co.isJoined, co.settleChanges = true, 1
+	co.apply(t, second)
+	te := co.tenures["counter"]
+	late := co.pu.Now().Add(settleAfter + settleSpread)
+	is.Equal(co.isReportDue(te, late), false) // the former owner has not released yet
+	request := &peerproto.ReleaseResponse{}
+	for pt := range uint32(8) {
+		request.Released = append(request.Released, pt)
+	}
+	co.onReleased(released{service: "counter", holder: 1, answer: request})
+	is.Equal(co.isReportDue(te, co.pu.Now()), false) // the map has just changed
+	is.True(co.isReportDue(te, late))
+	co.settle(late)
+	is.Equal(co.reported["counter"], second.Version)
+	is.Equal(co.isReportDue(te, late), false) // reported already
+}
--- a/wire/encoder/document.go
+++ b/wire/encoder/document.go
@@ -99,15 +99,16 @@
 }
 
 type wireRow struct {
-	BackendServer string      `json:"backendServer"`
-	Service       string      `json:"service"`
-	DataCentre    string      `json:"dataCentre"`
-	Region        string      `json:"region"`
-	Address       string      `json:"address"`
-	Weight        uint32      `json:"weight"`
-	State         string      `json:"state"`
-	Incarnation   uint64      `json:"incarnation"`
-	Watchers      []wireWatch `json:"watchers,omitempty"`
+	BackendServer string            `json:"backendServer"`
+	Service       string            `json:"service"`
+	DataCentre    string            `json:"dataCentre"`
+	Region        string            `json:"region"`
+	Address       string            `json:"address"`
+	Weight        uint32            `json:"weight"`
+	State         string            `json:"state"`
+	Incarnation   uint64            `json:"incarnation"`
+	Watchers      []wireWatch       `json:"watchers,omitempty"`
+	Settled       map[string]uint64 `json:"settled,omitempty"`
 }
 
 // EncodeAnnouncement returns the stored form of an instance's row. The row's
@@ -116,6 +117,7 @@
 	wr := wireRow{
 		BackendServer: an.BackendServer, Service: an.Service, DataCentre: an.DataCentre, Region: an.Region,
 		Address: an.Address, Weight: an.Weight, State: string(an.State), Incarnation: an.Lease.Incarnation,
+		Settled: an.Settled,
 	}
 	for _, wt := range an.Lease.Watchers {
 		wr.Watchers = append(wr.Watchers, wireWatch(wt))
@@ -133,7 +135,7 @@
 	an := folder.Announcement{
 		BackendServer: wr.BackendServer, Service: wr.Service, DataCentre: wr.DataCentre, Region: wr.Region,
 		Address: wr.Address, Weight: wr.Weight, State: folder.State(wr.State),
-		Lease: leaser.Row{Incarnation: wr.Incarnation, Version: version},
+		Lease: leaser.Row{Incarnation: wr.Incarnation, Version: version}, Settled: wr.Settled,
 	}
 	for _, wt := range wr.Watchers {
 		an.Lease.Watchers = append(an.Lease.Watchers, leaser.Watch(wt))
