--- a/bench/loader/loader.go
+++ b/bench/loader/loader.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/timer"
 )
 
 // Outcome is what a caller knows of its request.
@@ -159,7 +160,7 @@
 	next := time.Duration(0)
 	for i := 0; ; i++ {
 		next += time.Duration(lo.random.ExpFloat64() / lo.rate * float64(time.Second))
-		if next >= du || !sleepUntil(ctx, startedAt.Add(next)) {
+		if next >= du || !timer.Sleep(ctx, time.Until(startedAt.Add(next))) {
 			break
 		}
 		re := lo.plan(i)
@@ -172,17 +173,6 @@
 	return lo.results
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	ti := time.NewTimer(time.Until(at))
-	defer ti.Stop()
-	select {
-	case <-ti.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // plan decides on the i-th request.
 func (lo *Loader) plan(i int) Result {
 	rt := lo.pickRoute()
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -17,7 +17,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/netip"
 	"time"
 
 	"cornellanding.example/core/cataloguer"
@@ -28,9 +27,6 @@
 	"cornellanding.example/core/timer"
 	"cornellanding.example/core/warner"
 	"cornellanding.example/instance/publisher"
-	"cornellanding.example/platform/storer"
-	"cornellanding.example/platform/tabler"
-	"cornellanding.example/wire/peerproto"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -66,73 +62,6 @@
 // ErrLeft ends Run after a planned stop.
 var ErrLeft = errors.New("controller: left")
 
-// Peers is the port to the other instances' RPCs.
-type Peers interface {
-	Sync(ctx context.Context, address string, re *peerproto.SyncRequest) (*peerproto.SyncResponse, error)
-	Revoke(ctx context.Context, address string, re *peerproto.RevokeRequest) (*peerproto.RevokeResponse, error)
-	Release(ctx context.Context, address string, re *peerproto.ReleaseRequest) (*peerproto.ReleaseResponse, error)
-}
-
-// Sender is the port to the datagram socket.
-type Sender interface {
-	Send(to netip.AddrPort, da *peerproto.Datagram) error
-}
-
-// Buckets is the port to the workspaces' buckets whose home this instance is.
-type Buckets interface {
-	// Export returns the buckets of a partition that is served no longer.
-	Export(pt uint32) []*peerproto.Bucket
-	// Import is called before a partition is served at an epoch.
-	Import(pt uint32, epoch uint64, buckets []*peerproto.Bucket, isFirst bool, losses int)
-}
-
-// Option sets one option of New.
-type Option func(*Controller)
-
-// WithBuckets sets the workspaces' buckets.
-func WithBuckets(bu Buckets) Option { return func(co *Controller) { co.buckets = bu } }
-
-// WithTable sets the table service.
-func WithTable(ta tabler.Table) Option { return func(co *Controller) { co.ledger.table = ta } }
-
-// WithObjects sets the object store.
-func WithObjects(ob storer.Objects) Option { return func(co *Controller) { co.ledger.objects = ob } }
-
-// WithPeers sets the client of other instances.
-func WithPeers(pe Peers) Option { return func(co *Controller) { co.peers = pe } }
-
-// WithSender sets the datagram socket.
-func WithSender(se Sender) Option { return func(co *Controller) { co.sender = se } }
-
-// WithPublisher sets the boundary to the traffic threads.
-func WithPublisher(pu *publisher.Publisher) Option { return func(co *Controller) { co.pu = pu } }
-
-// WithLogger sets the log of decisions.
-func WithLogger(lo hclog.Logger) Option { return func(co *Controller) { co.lo = lo } }
-
-// WithLeaseTerm sets the watchers' term.
-func WithLeaseTerm(term timer.Span) Option { return func(co *Controller) { co.leaseTerm = term } }
-
-// WithBlame sets who is told of requests that ran when a backend server
-// elsewhere crashed.
-func WithBlame(blame func(fingerprint uint64)) Option {
-	return func(co *Controller) { co.blame = blame }
-}
-
-// WithFormer carries over what a former incarnation of this process knew:
-// documents only go forwards, so they hold for the next one too.
-func WithFormer(former *Controller) Option {
-	return func(co *Controller) {
-		if former != nil {
-			co.ds = former.ds
-			co.fr = former.fr
-		}
-	}
-}
-
-// WithFreshness sets how old the knowledge of withdrawn keys may be.
-func WithFreshness(span timer.Span) Option { return func(co *Controller) { co.freshness = span } }
-
 // Controller is the control state of one incarnation.
 type Controller struct {
 	ledger    ledger
@@ -510,73 +439,3 @@
 	_, ok := co.ds.member(co.self.Incarnation)
 	return !ok
 }
-
-// Datagram hands an authentic datagram to the control thread. It drops it if
-// the thread is far behind: leases then lapse, which is safe.
-func (co *Controller) Datagram(da *peerproto.Datagram, from netip.AddrPort) {
-	select {
-	case co.events <- datagramArrived{datagram: da, from: from}:
-	default:
-	}
-}
-
-// Suspect tells all instances of a request that ran when the backend server
-// crashed.
-func (co *Controller) Suspect(fingerprint uint64) {
-	select {
-	case co.events <- suspectFound{fingerprint: fingerprint}:
-	default:
-	}
-}
-
-// ask posts an event and waits for its reply.
-func ask[R any](ctx context.Context, co *Controller, reply <-chan R, ev event) (R, error) {
-	var zero R
-	select {
-	case co.events <- ev:
-	case <-ctx.Done():
-		return zero, ctx.Err()
-	}
-	select {
-	case re := <-reply:
-		return re, nil
-	case <-ctx.Done():
-		return zero, ctx.Err()
-	}
-}
-
-// Revoke votes on a takeover of the holder.
-func (co *Controller) Revoke(ctx context.Context, holder uint64, isProbe bool) (leaser.Vote, error) {
-	reply := make(chan leaser.Vote, 1)
-	return ask(ctx, co, reply, revokeAsked{holder: holder, isProbe: isProbe, reply: reply})
-}
-
-// Release answers a new owner's request.
-func (co *Controller) Release(ctx context.Context, re *peerproto.ReleaseRequest) (*peerproto.ReleaseResponse, error) {
-	reply := make(chan *peerproto.ReleaseResponse, 1)
-	return ask(ctx, co, reply, releaseAsked{request: re, reply: reply})
-}
-
-// Sync returns the documents newer than the versions.
-func (co *Controller) Sync(ctx context.Context, have map[string]uint64) ([]Document, error) {
-	reply := make(chan []Document, 1)
-	return ask(ctx, co, reply, syncAsked{have: have, reply: reply})
-}
-
-// Offer hands documents to the control thread, as after the own commit.
-func (co *Controller) Offer(ctx context.Context, docs []Document) {
-	co.post(ctx, documentsFetched{documents: docs})
-}
-
-// Refold reads the rows and folds them into the maps before it returns.
-func (co *Controller) Refold(ctx context.Context) error {
-	docs, err := co.ledger.fold(ctx)
-	co.Offer(ctx, docs)
-	return err
-}
-
-// Status returns a copy of the control state.
-func (co *Controller) Status(ctx context.Context) (Status, error) {
-	reply := make(chan Status, 1)
-	return ask(ctx, co, reply, statusAsked{reply: reply})
-}
--- /dev/null
+++ b/instance/controller/poller.go
@@ -0,0 +1,98 @@
+package controller
+
+import (
+	"context"
+
+	"cornellanding.example/core/freshener"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/wire/encoder"
+	"cornellanding.example/wire/peerproto"
+)
+
+func (co *Controller) addReport(da *peerproto.Datagram, now timer.Instant) {
+	report := co.fr.Report(now)
+	da.Attempts = report.Attempts
+	if report.HasRead {
+		// Rounded up, since an age must not shrink on its way.
+		da.ReadAge = uint32((report.Age+timer.Millisecond-1)/timer.Millisecond) + 1
+	}
+}
+
+func (co *Controller) takeFreshness(da *peerproto.Datagram) {
+	if da.GetDocuments() != co.ds.hash {
+		return
+	}
+	report := freshener.Report{Attempts: da.GetAttempts()}
+	if age := da.GetReadAge(); age > 0 {
+		report.HasRead = true
+		report.Age = timer.Span(age-1) * timer.Millisecond
+	}
+	co.fr.Merge(report, fromWireTime(da.GetAckSentAt()))
+	co.pu.SetFresh(co.fr.Until())
+}
+
+func (co *Controller) fetchFrom(from placer.Member) {
+	if co.isSyncing[from.Incarnation] {
+		return
+	}
+	co.isSyncing[from.Incarnation] = true
+	request := &peerproto.SyncRequest{}
+	for name, version := range co.ds.versions() {
+		request.Have = append(request.Have, &peerproto.DocumentVersion{Name: name, Version: version})
+	}
+	co.spawn(func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		answer, err := co.peers.Sync(ctx, from.Address, request)
+		ev := synced{from: from.Incarnation, err: err}
+		for _, do := range answer.GetNewer() {
+			content, err := encoder.Unpack(do.GetContent())
+			if err != nil {
+				ev.err = err
+				continue
+			}
+			ev.documents = append(ev.documents, Document{Name: do.GetName(), Version: do.GetVersion(), Content: content})
+		}
+		return ev
+	})
+}
+
+func (co *Controller) onSynced(ev synced, now timer.Instant) {
+	delete(co.isSyncing, ev.from)
+	co.onDocuments(documentsFetched{documents: ev.documents}, now)
+}
+
+func (co *Controller) isPoller() bool {
+	if !co.isJoined || co.isMissing() {
+		return true
+	}
+	lower := 0
+	for _, me := range co.ds.members() {
+		if me.DataCentre == co.self.DataCentre && me.Incarnation < co.self.Incarnation {
+			lower++
+		}
+	}
+	return lower < pollersPerCentre
+}
+
+func (co *Controller) poll(now timer.Instant) {
+	if co.isFetching || now.Before(co.nextPollAt) {
+		return
+	}
+	co.nextPollAt = now.Add(pollInterval)
+	if !co.isJoined {
+		co.nextPollAt = now.Add(joinBackoff)
+	}
+	if !co.isPoller() {
+		return
+	}
+	co.isFetching = true
+	have := co.ds.versions()
+	co.polls++
+	isWhole := !co.isJoined || co.polls%pollsPerWhole == 0
+	co.spawn(func(ctx context.Context) event {
+		docs, err := co.ledger.readDocuments(ctx, have, isWhole)
+		return documentsFetched{documents: docs, readAt: now, isTable: true, err: err}
+	})
+}
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -12,6 +12,7 @@
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
 	"cornellanding.example/platform/storer"
 	"cornellanding.example/platform/tabler"
 	"cornellanding.example/wire/encoder"
@@ -127,7 +128,7 @@
 		case isUnchanged && !mayLand:
 			return found, err
 		}
-		if !sleep(ctx, backoff) {
+		if !timer.Sleep(ctx, backoff) {
 			return folder.Announcement{}, fmt.Errorf("controller: outcome of a row's write is unknown: %w", err)
 		}
 		backoff = min(2*backoff, maxWriteBackoff)
@@ -176,7 +177,7 @@
 		}
 		last = err
 		jitter := time.Duration(rand.Int64N(int64(foldJitter)))
-		if !sleep(ctx, jitter) {
+		if !timer.Sleep(ctx, jitter) {
 			break
 		}
 	}
@@ -305,14 +306,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, du time.Duration) bool {
-	ti := time.NewTimer(du)
-	defer ti.Stop()
-	select {
-	case <-ti.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/instance/controller/takeover.go
@@ -0,0 +1,145 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/wire/peerproto"
+)
+
+func (co *Controller) onRevoke(ev revokeAsked, now timer.Instant) leaser.Vote {
+	if ev.isProbe {
+		return co.wa.Probe(ev.holder, now)
+	}
+	return co.wa.Revoke(ev.holder, now)
+}
+
+func (co *Controller) watch(now timer.Instant) {
+	for _, holder := range co.wa.Expired(now) {
+		me, ok := co.ds.member(holder)
+		if !ok {
+			co.wa.Forget(holder, now)
+			continue
+		}
+		if co.takeovers[holder] || now.Before(co.nextTakeover[holder]) {
+			continue
+		}
+		co.takeovers[holder] = true
+		co.lo.Info("takeover begins", "backendServer", me.BackendServer, "incarnation", holder)
+		members := co.ds.members()
+		co.spawn(func(ctx context.Context) event {
+			err := co.takeOver(ctx, me, members)
+			return takeoverEnded{holder: holder, err: err}
+		})
+	}
+}
+
+func (co *Controller) onTakeover(ev takeoverEnded, now timer.Instant) {
+	delete(co.takeovers, ev.holder)
+	co.nextTakeover[ev.holder] = now.Add(takeoverBackoff)
+	switch {
+	case errors.Is(ev.err, errNoWatcher):
+		co.wa.Forget(ev.holder, now)
+	case ev.err != nil:
+		co.lo.Debug("takeover failed", "incarnation", ev.holder, "error", ev.err)
+	default:
+		co.lo.Info("takeover done", "incarnation", ev.holder)
+		co.needsFold = true
+	}
+	co.nextFoldAt = now.Add(foldDelay)
+}
+
+var errNoWatcher = errors.New("controller: not a watcher of the holder")
+
+func (co *Controller) takeOver(ctx context.Context, me placer.Member, members []placer.Member) error {
+	row, err := co.ledger.readRow(ctx, me.BackendServer)
+	if err != nil {
+		return err
+	}
+	if row.Lease.Incarnation != me.Incarnation || row.State != folder.Active {
+		return nil
+	}
+	if !row.Lease.Names(co.self.Incarnation) {
+		return errNoWatcher
+	}
+	if err := co.collect(ctx, row.Lease, members, true); err != nil {
+		return err
+	}
+	if err := co.collect(ctx, row.Lease, members, false); err != nil {
+		return err
+	}
+	return co.ledger.end(ctx, row, folder.Revoked)
+}
+
+func (co *Controller) revokeFormer(ctx context.Context, former folder.Announcement) error {
+	docs, err := co.ledger.readDocuments(ctx, nil, true)
+	if err != nil {
+		return err
+	}
+	ds := newDocuments()
+	for _, do := range docs {
+		if _, err := ds.apply(do); err != nil {
+			return err
+		}
+	}
+	if err := co.collect(ctx, former.Lease, ds.members(), false); err != nil {
+		return err
+	}
+	return co.ledger.end(ctx, former, folder.Revoked)
+}
+
+func (co *Controller) collect(ctx context.Context, row leaser.Row, members []placer.Member, isProbe bool) error {
+	need := leaser.Majority(len(row.Watchers))
+	votes := make(chan bool, len(row.Watchers))
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	for _, wt := range row.Watchers {
+		go func() { votes <- co.vote(ctx, wt, row.Incarnation, members, isProbe) }()
+	}
+	given := 0
+	for range row.Watchers {
+		if <-votes {
+			given++
+		}
+		if given >= need {
+			return nil
+		}
+	}
+	return fmt.Errorf("controller: %d of %d votes against incarnation %d", given, need, row.Incarnation)
+}
+
+func (co *Controller) vote(ctx context.Context, wt leaser.Watch, holder uint64, members []placer.Member, isProbe bool) bool {
+	for range voteAttempts {
+		wait, isGiven, err := co.voteOnce(ctx, wt, holder, members, isProbe)
+		if isGiven {
+			return true
+		}
+		if err != nil || !timer.Sleep(ctx, max(wait, minVoteWait)) {
+			return false
+		}
+	}
+	return false
+}
+
+func (co *Controller) voteOnce(ctx context.Context, wt leaser.Watch, holder uint64, members []placer.Member, isProbe bool) (time.Duration, bool, error) {
+	if wt.Incarnation == co.self.Incarnation {
+		vote, err := co.Revoke(ctx, holder, isProbe)
+		return vote.RetryAt.Sub(co.pu.Now()).Duration(), err == nil && vote.Revoked, err
+	}
+	me, ok := placer.Map{Members: members}.ByIncarnation(wt.Incarnation)
+	if !ok {
+		return 0, false, fmt.Errorf("controller: watcher %s is no member", wt.BackendServer)
+	}
+	answer, err := co.peers.Revoke(ctx, me.Address, &peerproto.RevokeRequest{Holder: holder, Watcher: wt.Incarnation, Probe: isProbe})
+	if err != nil {
+		return 0, false, err
+	}
+	isVote := answer.GetWatcher() == wt.Incarnation && answer.GetRevoked()
+	return time.Duration(answer.GetRetryAfter()), isVote, nil
+}
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -97,7 +97,7 @@
 			}
 			failures = nextFailures(failures, last)
 		}
-		if !pause(ctx, delay) {
+		if !timer.Sleep(ctx, delay) {
 			return nil, notInTime(last)
 		}
 		delay = min(2*delay, maxRetryDelay)
@@ -211,7 +211,7 @@
 func (fo *Forwarder) resolve(ctx context.Context, ca *call, last attempt) (*peerproto.ForwardResponse, *refusal) {
 	ca.mayHaveRun = true
 	for last.outcome() == gatekeeper.OutcomeUnknown {
-		isRetried := pause(ctx, minRetryDelay) && fo.retries.withdraw()
+		isRetried := timer.Sleep(ctx, minRetryDelay) && fo.retries.withdraw()
 		if !isRetried {
 			return nil, unknown(last)
 		}
@@ -261,17 +261,6 @@
 	return rf
 }
 
-func pause(ctx context.Context, du time.Duration) bool {
-	ti := time.NewTimer(du)
-	defer ti.Stop()
-	select {
-	case <-ti.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try forwards a call once.
 func (fo *Forwarder) try(ctx context.Context, ca *call, to placer.Member) attempt {
 	ca.attempts++
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -10,6 +10,7 @@
 	"cornellanding.example/core/balancer"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/retrier"
+	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/wire/peerproto"
 )
@@ -105,7 +106,7 @@
 				ca.mayHaveRun = ca.mayHaveRun || last.outcome() == gatekeeper.OutcomeUnknown
 			}
 		}
-		if !pause(ctx, delay) {
+		if !timer.Sleep(ctx, delay) {
 			return nil, notInTime(last)
 		}
 		delay = min(2*delay, maxRetryDelay)
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -128,7 +128,7 @@
 func (st step) await(ctx context.Context) bool {
 	if st.changed == nil {
 		deadline, _ := ctx.Deadline()
-		return time.Until(deadline) > st.retryAfter.Duration() && pause(ctx, st.retryAfter.Duration())
+		return time.Until(deadline) > st.retryAfter.Duration() && timer.Sleep(ctx, st.retryAfter.Duration())
 	}
 	select {
 	case <-st.changed:
@@ -233,7 +233,7 @@
 				return answer, true
 			}
 		}
-		if !pause(ctx, grantRetry.Duration()) {
+		if !timer.Sleep(ctx, grantRetry.Duration()) {
 			return nil, false
 		}
 	}
