--- /dev/null
+++ b/bench/comparer/gates.go
@@ -0,0 +1,191 @@
+package comparer
+
+import (
+	"cornellanding.example/core/admitter"
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/timer"
+)
+
+const (
+	slots       = 9
+	coldSlots   = 2
+	queueLength = 64
+	serviceTime = 3 * timer.Millisecond
+	patience    = 500 * timer.Millisecond
+	runFor      = timer.Instant(20 * timer.Second)
+	coldUntil   = timer.Instant(timer.Second)
+	smallRate   = 200.0
+	smallCount  = 7
+	floodRate   = 4000.0
+	nightRate   = 3500.0
+	payRate     = 300.0
+	coldRate    = 1500.0
+)
+
+// request is one request at a gate.
+type request struct {
+	workspace string
+	priority  cataloguer.Priority
+	arrivedAt timer.Instant
+	isWatched bool
+}
+
+// gate decides which requests run. Arrive and finish return the requests that
+// start now and those that are refused.
+type gate interface {
+	arrive(rq *request, now timer.Instant) (started, refused []*request)
+	finish(now timer.Instant) (started, refused []*request)
+}
+
+// fifo is the naive gate: all slots at once, one queue in order of arrival.
+type fifo struct {
+	running int
+	queue   []*request
+}
+
+func newFIFO() *fifo { return &fifo{} }
+
+func (fi *fifo) arrive(rq *request, _ timer.Instant) (started, refused []*request) {
+	switch {
+	case fi.running < slots:
+		fi.running++
+		return []*request{rq}, nil
+	case len(fi.queue) >= queueLength:
+		return nil, []*request{rq}
+	default:
+		fi.queue = append(fi.queue, rq)
+		return nil, nil
+	}
+}
+
+func (fi *fifo) finish(timer.Instant) (started, refused []*request) {
+	fi.running--
+	if len(fi.queue) == 0 {
+		return nil, nil
+	}
+	next := fi.queue[0]
+	fi.queue = fi.queue[1:]
+	fi.running++
+	return []*request{next}, nil
+}
+
+// fair is the product's gate.
+type fair struct {
+	ga      *admitter.Gate
+	waiting map[admitter.Ticket]*request
+}
+
+func newFair(opts ...admitter.Option) *fair {
+	opts = append(opts, admitter.Slots(slots), admitter.QueueLength(queueLength), admitter.ColdSpan(timer.Second))
+	ga, err := admitter.New(opts...)
+	if err != nil {
+		panic(err)
+	}
+	return &fair{ga: ga, waiting: map[admitter.Ticket]*request{}}
+}
+
+func (fa *fair) arrive(rq *request, now timer.Instant) (started, refused []*request) {
+	decision := fa.ga.Arrive(admitter.Request{Workspace: rq.workspace, Priority: rq.priority, DeadlineAt: now.Add(patience)}, now)
+	switch de := decision.(type) {
+	case admitter.Run:
+		return []*request{rq}, nil
+	case admitter.Wait:
+		fa.waiting[de.Ticket] = rq
+		return nil, fa.take(de.Shed)
+	default:
+		return nil, []*request{rq}
+	}
+}
+
+func (fa *fair) finish(now timer.Instant) (started, refused []*request) {
+	return fa.take(fa.ga.Finish(admitter.Completion{}, now)), nil
+}
+
+func (fa *fair) take(tickets []admitter.Ticket) []*request {
+	var list []*request
+	for _, ticket := range tickets {
+		list = append(list, fa.waiting[ticket])
+		delete(fa.waiting, ticket)
+	}
+	return list
+}
+
+// station is a gate before a backend server, with its measures.
+type station struct {
+	si        *simulation
+	ga        gate
+	running   int
+	limit     func(now timer.Instant) int
+	latencies []timer.Span
+	outcome   Outcome
+}
+
+func newStation(seed uint64, ga gate) *station {
+	return &station{si: newSimulation(seed), ga: ga, limit: func(timer.Instant) int { return slots }}
+}
+
+func (st *station) arrive(workspace string, priority cataloguer.Priority, isWatched bool) {
+	rq := &request{workspace: workspace, priority: priority, arrivedAt: st.si.now, isWatched: isWatched}
+	st.apply(st.ga.arrive(rq, st.si.now))
+}
+
+func (st *station) apply(started, refused []*request) {
+	for _, rq := range refused {
+		if rq.isWatched {
+			st.outcome.Refused++
+		}
+	}
+	for _, rq := range started {
+		st.running++
+		if st.running > st.limit(st.si.now) {
+			st.outcome.Overruns++
+		}
+		st.si.after(st.si.exponential(serviceTime), func() { st.end(rq) })
+	}
+}
+
+func (st *station) end(rq *request) {
+	st.running--
+	if rq.isWatched {
+		st.latencies = append(st.latencies, st.si.now.Sub(rq.arrivedAt))
+	}
+	st.apply(st.ga.finish(st.si.now))
+}
+
+func (st *station) measure() Outcome {
+	st.si.run()
+	st.outcome.P99 = percentile99(st.latencies)
+	return st.outcome
+}
+
+// flood watches seven workspaces inside their rates beside one far above.
+func flood(seed uint64, ga gate) Outcome {
+	st := newStation(seed, ga)
+	for i := range smallCount {
+		name := string(rune('a' + i))
+		st.si.arrivals(smallRate, runFor, func() { st.arrive(name, cataloguer.Interactive, true) })
+	}
+	st.si.arrivals(floodRate, runFor, func() { st.arrive("flood", cataloguer.Interactive, false) })
+	return st.measure()
+}
+
+// coldStart counts what a cold server gets above what it bears.
+func coldStart(seed uint64, ga gate) Outcome {
+	st := newStation(seed, ga)
+	st.limit = func(now timer.Instant) int {
+		if now.Before(coldUntil) {
+			return coldSlots
+		}
+		return slots
+	}
+	st.si.arrivals(coldRate, runFor, func() { st.arrive("a", cataloguer.Interactive, true) })
+	return st.measure()
+}
+
+// priorities watches payments beside night reads above the capacity.
+func priorities(seed uint64, ga gate) Outcome {
+	st := newStation(seed, ga)
+	st.si.arrivals(payRate, runFor, func() { st.arrive("a", cataloguer.Payment, true) })
+	st.si.arrivals(nightRate, runFor, func() { st.arrive("a", cataloguer.Background, false) })
+	return st.measure()
+}
--- a/cmd/cornelbench/main.go
+++ b/cmd/cornelbench/main.go
@@ -7,6 +7,7 @@
 //	cornelbench load --scenario FILE
 //	cornelbench drill --binary ./cornellanding --seed 1
 //	cornelbench cost
+//	cornelbench compare --seed 1
 //	cornelbench capacity --binary ./cornellanding
 package main
 
@@ -69,6 +70,7 @@
 	add("load", "Send open-loop load to running instances.", &loadCommand{})
 	add("drill", "Start processes, break them under load and check the invariants.", &drillCommand{})
 	add("cost", "Measure what the router adds to a request.", &costCommand{})
+	add("compare", "Compare decisions with naive versions on simulated time.", &compareCommand{})
 	add("capacity", "Measure the slopes behind docs/CAPACITY.md.", &capacityCommand{})
 	return errors.Join(errs...)
 }
