Let an operator end a destroyed VM whose watchers are lost too

Cause: if a holder and two of its three watchers are lost at once nobody can prove that it stopped, and its keys waited for good. The forget command takes an operator's word, and refuses without it. A test loses an owner with all of its watchers.

--- a/bench/launcher/launcher_test.go
+++ b/bench/launcher/launcher_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -378,6 +380,41 @@
 	})
 }
 
+// TestForgottenVM loses an owner and its watchers at once, so that nobody can
+// prove that it stopped. An operator who knows can end it.
+func TestForgottenVM(t *testing.T) {
+	is := is.New(t)
+	de := start(t)
+	ctx := context.Background()
+	owner := ownerOf(t, de)
+	st, err := de.Status(ctx, owner)
+	is.NoErr(err)
+	lost := append([]string{owner.Name}, st.Watchers...)
+	survivor := (*launcher.VM)(nil)
+	for _, vm := range de.VMs() {
+		if !slices.Contains(lost, vm.Name) {
+			survivor = vm
+		}
+	}
+	var wg sync.WaitGroup
+	for _, name := range lost {
+		wg.Go(func() { de.KillVM(name) })
+	}
+	wg.Wait()
+	cl := administrator.NewClient(survivor.AdminAddress, de.OperatorKey)
+	is.True(cl.Forget(ctx, administrator.WireForget{BackendServer: owner.Name}) != nil) // not without the operator's word
+	is.NoErr(cl.Forget(ctx, administrator.WireForget{BackendServer: owner.Name, IsDestroyed: true}))
+	for _, name := range st.Watchers {
+		// Those whose own watchers live are revoked meanwhile.
+		_ = cl.Forget(ctx, administrator.WireForget{BackendServer: name, IsDestroyed: true})
+	}
+	eventually(t, "service by others", func() bool {
+		an, err := try(survivor.CallerAddress, de.Keys["juazeiro"], "after")
+		return err == nil && an.status == http.StatusOK
+	})
+	check(t, de, nil)
+}
+
 // TestWarningsAreTrue looks at warnings while the platform is down and after.
 func TestWarningsAreTrue(t *testing.T) {
 	is := is.New(t)
--- a/cmd/cornellanding/main.go
+++ b/cmd/cornellanding/main.go
@@ -7,6 +7,7 @@
 //	cornellanding catalogue apply|show|diff FILE
 //	cornellanding key grant|withdraw --workspace W
 //	cornellanding drain|return --backend-server B
+//	cornellanding forget --backend-server B --vm-is-destroyed
 //	cornellanding datacentre out|return D
 //	cornellanding status | warnings | explain KEY
 //	cornellanding demo --for 10s
@@ -100,6 +101,7 @@
 	add(key, "withdraw", "Withdraw one key or all keys of a workspace.", &keyWithdraw{operator: op})
 	add(nil, "drain", "Give a backend server no new work.", &drainCommand{operator: op})
 	add(nil, "return", "Give a drained backend server work again.", &returnCommand{operator: op})
+	add(nil, "forget", "End a destroyed VM's incarnation that its watchers can't revoke.", &forgetCommand{operator: op})
 	centre := add(nil, "datacentre", "Take a data centre out or return it.", &struct{}{})
 	add(centre, "out", "Give a data centre no new work.", &centreOut{operator: op})
 	add(centre, "return", "Give a data centre work again.", &centreReturn{operator: op})
--- a/cmd/cornellanding/operator.go
+++ b/cmd/cornellanding/operator.go
@@ -251,6 +251,28 @@
 	return rc.edit(administrator.WireEdit{Kind: administrator.KindReturn, BackendServer: rc.BackendServer})
 }
 
+type forgetCommand struct {
+	operator
+	BackendServer string `long:"backend-server" required:"true" description:"Name of the backend server"`
+	IsDestroyed   bool   `long:"vm-is-destroyed" description:"Your word that the VM is destroyed; without it nothing is done"`
+}
+
+// Execute implements flags.Commander.
+func (fc *forgetCommand) Execute([]string) error {
+	cl, err := fc.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	err = cl.Forget(ctx, administrator.WireForget{BackendServer: fc.BackendServer, IsDestroyed: fc.IsDestroyed})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(fc.out, "forgot %s\n", fc.BackendServer)
+	return nil
+}
+
 type centreArgument struct {
 	DataCentre string `positional-arg-name:"DATACENTRE"`
 }
--- a/instance/administrator/api.go
+++ b/instance/administrator/api.go
@@ -25,6 +25,7 @@
 	StatusPath   = "/administration/status"
 	WarningsPath = "/administration/warnings"
 	ExplainPath  = "/administration/explain"
+	ForgetPath   = "/administration/forget"
 	HealthPath   = "/healthz"
 	ReadyPath    = "/readyz"
 	MetricsPath  = "/metrics"
@@ -67,6 +68,7 @@
 func (ap *API) Handler(metrics http.Handler) http.Handler {
 	mu := http.NewServeMux()
 	mu.HandleFunc("POST "+EditPath, ap.guarded(ap.serveEdit))
+	mu.HandleFunc("POST "+ForgetPath, ap.guarded(ap.serveForget))
 	mu.HandleFunc("GET "+ConfigPath, ap.guarded(ap.serveConfig))
 	mu.HandleFunc("GET "+StatusPath, ap.guarded(ap.serveStatus))
 	mu.HandleFunc("GET "+WarningsPath, ap.guarded(ap.serveWarnings))
@@ -226,6 +228,34 @@
 	}
 }
 
+// WireForget is the body of a forget call.
+type WireForget struct {
+	BackendServer string `json:"backendServer"`
+	// IsDestroyed is the operator's word that the VM is destroyed.
+	IsDestroyed bool `json:"isDestroyed"`
+}
+
+func (ap *API) serveForget(wr http.ResponseWriter, re *http.Request) {
+	var body WireForget
+	if err := json.NewDecoder(io.LimitReader(re.Body, maxEdit)).Decode(&body); err != nil {
+		writeError(wr, http.StatusBadRequest, "badRequest", err.Error())
+		return
+	}
+	if !body.IsDestroyed {
+		writeError(wr, http.StatusUnprocessableEntity, "rejected", "isDestroyed: false: the VM must be destroyed, or two backend servers may own a key")
+		return
+	}
+	if err := ap.editor.Forget(re.Context(), body.BackendServer); err != nil {
+		ap.writeCommitError(wr, err)
+		return
+	}
+	if err := ap.co.Refold(re.Context()); err != nil {
+		ap.writeCommitError(wr, err)
+		return
+	}
+	writeJSON(wr, http.StatusOK, struct{}{})
+}
+
 // WireConfig is the configuration as operators see it. Keys are counted only.
 type WireConfig struct {
 	Version   uint64         `json:"version"`
--- a/instance/administrator/client.go
+++ b/instance/administrator/client.go
@@ -44,6 +44,13 @@
 	return call[WireVersion](ctx, cl, http.MethodPost, EditPath, body)
 }
 
+// Forget ends a backend server's incarnation, on the operator's word that its
+// VM is destroyed.
+func (cl *Client) Forget(ctx context.Context, body WireForget) error {
+	_, err := call[struct{}](ctx, cl, http.MethodPost, ForgetPath, body)
+	return err
+}
+
 // Config returns the configuration.
 func (cl *Client) Config(ctx context.Context) (WireConfig, error) {
 	return call[WireConfig](ctx, cl, http.MethodGet, ConfigPath, nil)
--- a/instance/administrator/editor.go
+++ b/instance/administrator/editor.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/folder"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/platform/storer"
 	"cornellanding.example/platform/tabler"
@@ -30,6 +31,7 @@
 const (
 	configKey     = "config"
 	mapPrefix     = "map/"
+	memberPrefix  = "member/"
 	changeIDBytes = 8
 	settleTries   = 20
 	settleBackoff = 50 * time.Millisecond
@@ -164,6 +166,37 @@
 	return encoder.DecodeMap(ro.Value)
 }
 
+// Forget ends the incarnation in a backend server's row without its watchers'
+// votes. Only an operator who knows that the VM is destroyed may ask for it: a
+// holder that still runs would go on serving.
+func (ed *Editor) Forget(ctx context.Context, backendServer string) error {
+	key := memberPrefix + backendServer
+	rows, err := ed.table.Read(ctx, tabler.Query{Keys: []string{key}})
+	if err != nil {
+		return err
+	}
+	ro := tabler.Find(rows, key)
+	if ro.Version == 0 {
+		return &RejectedError{Reason: "no backend server " + backendServer}
+	}
+	an, err := encoder.DecodeAnnouncement(ro.Value, ro.Version)
+	if err != nil {
+		return err
+	}
+	if an.State != folder.Active {
+		return &RejectedError{Reason: "backend server " + backendServer + " has ended already"}
+	}
+	an.State = folder.Revoked
+	value, err := encoder.EncodeAnnouncement(an)
+	if err != nil {
+		return err
+	}
+	return ed.table.Commit(ctx, tabler.Transaction{
+		Conditions: []tabler.Condition{{Key: key, Version: ro.Version}},
+		Writes:     []tabler.Write{{Key: key, Value: value}},
+	})
+}
+
 // Committed is a configuration as it was committed, in its stored form too.
 type Committed struct {
 	Config  cataloguer.Config
