Learn of a joined instance at once, and mend the README's example

Cause: the example's first instance took up to 5 s to see the second, since it knew no peer to ask and read the maps only with every fifth poll; granting a key failed meanwhile. A datagram of an unknown sender with other documents now brings the next whole read forward.

--- a/cmd/cornellanding/operator.go
+++ b/cmd/cornellanding/operator.go
@@ -368,12 +368,19 @@
 	}
 	for _, we := range list {
 		fmt.Fprintf(ec.out, "%s: key %s is in partition %d, owned by %s in %s\n", we.Service, we.Key, we.Partition, we.Owner, we.DataCentre)
-		fmt.Fprintf(ec.out, "  why: highest score of %d members in map %d; next would be %s\n", we.Members, we.MapVersion, strings.Join(we.Next, ", "))
+		fmt.Fprintf(ec.out, "  why: highest score of %d members in map %d; next would be %s\n", we.Members, we.MapVersion, next(we))
 		fmt.Fprintf(ec.out, "  since: %s\n", since(we))
 	}
 	return nil
 }
 
+func next(we administrator.WireExplanation) string {
+	if len(we.Next) == 0 {
+		return "nobody"
+	}
+	return strings.Join(we.Next, ", ")
+}
+
 func since(we administrator.WireExplanation) string {
 	if we.SinceVersion == 0 {
 		return "before the oldest change on record"
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -111,6 +111,8 @@
 	nextObserveAt timer.Instant
 	nextRenewAt   timer.Instant
 	nextPollAt    timer.Instant
+	isWholeDue    bool
+	wholeAt       timer.Instant
 	polls         uint64
 	nextFoldAt    timer.Instant
 	nextRewatchAt timer.Instant
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -85,8 +85,12 @@
 		co.answer(da, address, now)
 	}
 	from, isKnown := co.ds.member(da.GetFrom())
-	if da.GetDocuments() != co.ds.hash && isKnown {
+	switch {
+	case da.GetDocuments() == co.ds.hash:
+	case isKnown:
 		co.fetchFrom(from)
+	default:
+		co.pollWhole(now)
 	}
 }
 
--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -76,6 +76,15 @@
 	return lower < pollersPerCentre
 }
 
+// pollWhole reads the table soon, since a peer that the maps don't name holds
+// other documents: it has just joined, and can't be asked yet.
+func (co *Controller) pollWhole(now timer.Instant) {
+	if co.isWholeDue || co.isFetching || now.Before(co.wholeAt.Add(pollInterval)) {
+		return
+	}
+	co.isWholeDue, co.wholeAt, co.nextPollAt = true, now, now
+}
+
 func (co *Controller) poll(now timer.Instant) {
 	if co.isFetching || now.Before(co.nextPollAt) {
 		return
@@ -84,13 +93,14 @@
 	if !co.isJoined {
 		co.nextPollAt = now.Add(joinBackoff)
 	}
-	if !co.isPoller() {
+	if !co.isPoller() && !co.isWholeDue {
 		return
 	}
 	co.isFetching = true
 	have := co.ds.versions()
 	co.polls++
-	isWhole := !co.isJoined || co.polls%pollsPerWhole == 0
+	isWhole := !co.isJoined || co.isWholeDue || co.polls%pollsPerWhole == 0
+	co.isWholeDue = false
 	co.spawn(func(ctx context.Context) event {
 		docs, err := co.ledger.readDocuments(ctx, have, isWhole)
 		return documentsFetched{documents: docs, readAt: now, isTable: true, err: err}
