--- a/bench/launcher/launcher_test.go
+++ b/bench/launcher/launcher_test.go
@@ -323,6 +323,25 @@
 	check(t, de, nil)
 }
 
+// TestSlowCallerIsCut sends half a request and waits to be cut off, while others
+// are served.
+func TestSlowCallerIsCut(t *testing.T) {
+	is := is.New(t)
+	de := start(t)
+	entry := de.Entries()[0]
+	conn, err := net.Dial("tcp", entry)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("POST /orders/k1 HTTP/1.1\r\nHost: x\r\n"))
+	is.NoErr(err)
+	is.Equal(call(t, entry, de.Keys["juazeiro"], "meanwhile").status, http.StatusOK)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(patience)))
+	content, err := io.ReadAll(conn)
+	var ne net.Error
+	is.True(!errors.As(err, &ne) || !ne.Timeout()) // cut by the instance, not by the test
+	is.Equal(strings.Contains(string(content), "200 OK"), false)
+}
+
 // TestNoKeyInLogs searches every log line for keys.
 func TestNoKeyInLogs(t *testing.T) {
 	is := is.New(t)
@@ -335,7 +354,9 @@
 	}
 	de.Close()
 	text := log.String()
-	is.True(strings.Contains(text, `"routed"`) && strings.Contains(text, `"refused"`))
+	for _, decision := range []string{`"routed"`, `"refused"`, `"gate"`, `"placement"`} {
+		is.True(strings.Contains(text, decision)) // every kind of decision is logged
+	}
 	for _, key := range append([]string{"a-guessed-key", de.OperatorKey}, de.Keys["juazeiro"]) {
 		is.Equal(strings.Contains(text, key), false)
 	}
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -171,11 +171,7 @@
 			continue
 		}
 		now := co.pu.Now()
-		if !now.Before(co.nextTickAt) {
-			co.tick(now)
-		}
-		co.publishLease()
-		co.nextTickAt = co.nextTick(now)
+		co.step(now)
 		wake.Reset(co.nextTickAt.Sub(now).Duration())
 	}
 	co.pu.SetLease(0)
@@ -183,6 +179,20 @@
 	return co.err
 }
 
+// step does what is due after an event or at a wake. An event may bring the next
+// tick forward and never puts it off, however many come.
+func (co *Controller) step(now timer.Instant) {
+	isDue := !now.Before(co.nextTickAt)
+	if isDue {
+		co.tick(now)
+	}
+	co.publishLease()
+	next := co.nextTick(now)
+	if isDue || next < co.nextTickAt {
+		co.nextTickAt = next
+	}
+}
+
 // nextTick returns when something is due next. While something is under way it
 // is soon.
 func (co *Controller) nextTick(now timer.Instant) timer.Instant {
@@ -194,7 +204,9 @@
 		next = min(next, co.nextRenewAt)
 	}
 	if expiry, ok := co.wa.NextExpiry(); ok {
-		next = min(next, expiry)
+		// A takeover under way, or one that waits for the table, is looked at
+		// again at the busy pace.
+		next = min(next, max(expiry, now.Add(busyInterval)))
 	}
 	if deadline := co.ho.Deadline(); now.Before(deadline) {
 		next = min(next, deadline)
--- a/instance/controller/tenure_test.go
+++ b/instance/controller/tenure_test.go
@@ -170,3 +170,22 @@
 	is.Equal(co.reported["counter"], second.Version)
 	is.Equal(co.isReportDue(te, late), false) // reported already
 }
+
+// TestEventsDoNotPutTicksOff sends events faster than any tick interval.
+func TestEventsDoNotPutTicksOff(t *testing.T) {
+	is := is.New(t)
+	co := newMember(t, 1)
+	co.isFetching = true // no poll that would leave this goroutine
+	now, ticks, last := co.pu.Now(), 0, timer.Instant(0)
+	for range 1000 {
+		now = now.Add(timer.Millisecond)
+		isDue := !now.Before(co.nextTickAt)
+		co.step(now)
+		if isDue {
+			ticks++
+			last = now
+		}
+		is.True(now.Sub(last) <= 2*idleInterval)
+	}
+	is.True(ticks > 5)
+}
--- a/instance/forwarder/answer.go
+++ b/instance/forwarder/answer.go
@@ -79,5 +79,5 @@
 	if fo.observer == nil {
 		return
 	}
-	fo.observer.Answered(ca.route.Service, ca.route.Name, code, status, fo.pu.Now().Sub(ca.startedAt))
+	fo.observer.Answered(ca.route.Service, ca.route.Name, code, status, fo.so.Now().Sub(ca.startedAt))
 }
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -69,7 +69,7 @@
 // dispatch forwards a call until it is answered or refused for good.
 func (fo *Forwarder) dispatch(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *refusal) {
 	fo.retries.deposit()
-	sv, ok := fo.pu.View().Services[ca.route.Service]
+	sv, ok := fo.so.View().Services[ca.route.Service]
 	if !ok {
 		return nil, &refusal{status: http.StatusServiceUnavailable, code: CodeNoOwner, reason: "the service is not known"}
 	}
@@ -105,7 +105,7 @@
 }
 
 func (fo *Forwarder) order(ca *call) []placer.Member {
-	tb := fo.pu.View().Tables[ca.route.Service]
+	tb := fo.so.View().Tables[ca.route.Service]
 	if tb == nil {
 		return nil
 	}
@@ -150,7 +150,7 @@
 }
 
 func (fo *Forwarder) isGone(service string, me placer.Member) bool {
-	tb := fo.pu.View().Tables[service]
+	tb := fo.so.View().Tables[service]
 	if tb == nil {
 		return false
 	}
@@ -235,7 +235,7 @@
 }
 
 func (fo *Forwarder) again(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *refusal) {
-	if fo.pu.View().Services[ca.route.Service].Class == cataloguer.Shared {
+	if fo.so.View().Services[ca.route.Service].Class == cataloguer.Shared {
 		return fo.dispatchShared(ctx, ca)
 	}
 	return fo.dispatchExclusive(ctx, ca)
@@ -265,7 +265,7 @@
 func (fo *Forwarder) try(ctx context.Context, ca *call, to placer.Member) attempt {
 	ca.attempts++
 	ca.servedBy = to.BackendServer
-	remaining := ca.deadlineAt.Sub(fo.pu.Now()) - answerReserve
+	remaining := ca.deadlineAt.Sub(fo.so.Now()) - answerReserve
 	if remaining <= 0 {
 		return attempt{to: to, answer: &peerproto.ForwardResponse{
 			Outcome: gatekeeper.OutcomeNotRun, Code: CodeDeadline, Reason: "the deadline passed",
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	fo, err := forwarder.New(pu, gates, homes, forwarder.WithLogger(lo))
+//	fo, err := forwarder.New(so, gates, homes, forwarder.WithLogger(lo))
 //	go fo.Run(ctx)
 //	server.HandlePrefix("/", fo)
 package forwarder
@@ -99,7 +99,7 @@
 
 // Forwarder is the entry side of an instance.
 type Forwarder struct {
-	pu          Source
+	so          Source
 	gates       Gates
 	shares      *shares
 	choices     *choices
@@ -115,11 +115,11 @@
 }
 
 // New returns a forwarder.
-func New(pu Source, gates Gates, homes Homes, opts ...Option) (*Forwarder, error) {
-	if pu == nil || gates == nil || homes == nil {
+func New(so Source, gates Gates, homes Homes, opts ...Option) (*Forwarder, error) {
+	if so == nil || gates == nil || homes == nil {
 		return nil, errors.New("forwarder: source, gates and homes are needed")
 	}
-	fo := &Forwarder{pu: pu, gates: gates, shares: newShares(pu, homes), choices: newChoices(), lo: hclog.NewNullLogger()}
+	fo := &Forwarder{so: so, gates: gates, shares: newShares(so, homes), choices: newChoices(), lo: hclog.NewNullLogger()}
 	for _, opt := range opts {
 		opt(fo)
 	}
@@ -136,7 +136,7 @@
 
 // routes returns the multiplexer of the configuration in force.
 func (fo *Forwarder) routes() *http.ServeMux {
-	vi := fo.pu.View()
+	vi := fo.so.View()
 	if mu := fo.mux.Load(); mu != nil && fo.muxVersion.Load() == vi.Config.Version {
 		return mu
 	}
@@ -153,11 +153,11 @@
 }
 
 func (fo *Forwarder) serveUnknown(wr http.ResponseWriter, _ *http.Request) {
-	if fo.pu.View().Config.Version == 0 {
-		fo.refuse(wr, newCall(fo.pu.Now()), refusal{status: http.StatusServiceUnavailable, code: CodeStarting, reason: "the instance has no catalogue yet", retryAfter: timer.Second})
+	if fo.so.View().Config.Version == 0 {
+		fo.refuse(wr, newCall(fo.so.Now()), refusal{status: http.StatusServiceUnavailable, code: CodeStarting, reason: "the instance has no catalogue yet", retryAfter: timer.Second})
 		return
 	}
-	fo.refuse(wr, newCall(fo.pu.Now()), refusal{status: http.StatusNotFound, code: CodeUnknownRoute, reason: "no route has this method and path"})
+	fo.refuse(wr, newCall(fo.so.Now()), refusal{status: http.StatusNotFound, code: CodeUnknownRoute, reason: "no route has this method and path"})
 }
 
 // call is one caller's request.
@@ -196,7 +196,7 @@
 }
 
 func (fo *Forwarder) serve(wr http.ResponseWriter, re *http.Request, rt cataloguer.Route) {
-	ca := newCall(fo.pu.Now())
+	ca := newCall(fo.so.Now())
 	ca.route = rt
 	if rf := fo.read(ca, re); rf != nil {
 		fo.refuse(wr, ca, *rf)
@@ -206,7 +206,7 @@
 		fo.refuse(wr, ca, *rf)
 		return
 	}
-	ctx, cancel := context.WithTimeout(re.Context(), ca.deadlineAt.Sub(fo.pu.Now()).Duration())
+	ctx, cancel := context.WithTimeout(re.Context(), ca.deadlineAt.Sub(fo.so.Now()).Duration())
 	defer cancel()
 	if rf := fo.limit(ctx, ca); rf != nil {
 		fo.refuse(wr, ca, *rf)
@@ -318,14 +318,14 @@
 	if ca.route.Access == cataloguer.OpenAccess {
 		return nil
 	}
-	if !fo.pu.IsFresh() {
+	if !fo.so.IsFresh() {
 		return &refusal{status: http.StatusServiceUnavailable, code: CodeStaleKeys, reason: "the knowledge of withdrawn keys is too old", retryAfter: timer.Second}
 	}
 	key, ok := strings.CutPrefix(re.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return &refusal{status: http.StatusUnauthorized, code: CodeUnknownKey, reason: "a workspace key is needed"}
 	}
-	workspace, ok := fo.pu.View().Workspaces[sha256.Sum256([]byte(key))]
+	workspace, ok := fo.so.View().Workspaces[sha256.Sum256([]byte(key))]
 	if !ok {
 		return &refusal{status: http.StatusUnauthorized, code: CodeUnknownKey, reason: "the workspace key is not known"}
 	}
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -90,7 +90,7 @@
 	last := attempt{}
 	delay := minRetryDelay
 	for {
-		tb := fo.pu.View().Tables[ca.route.Service]
+		tb := fo.so.View().Tables[ca.route.Service]
 		if tb != nil {
 			ch := fo.choices.of(tb)
 			var isChosen bool
@@ -160,9 +160,9 @@
 	ca.attempts++
 	ca.servedBy = to.BackendServer
 	go func() {
-		startedAt := fo.pu.Now()
+		startedAt := fo.so.Now()
 		at := fo.try(ctx, copied, to)
-		latency := fo.pu.Now().Sub(startedAt)
+		latency := fo.so.Now().Sub(startedAt)
 		isFailed := at.outcome() != gatekeeper.OutcomeAnswered && ctx.Err() == nil
 		ch.mu.Lock()
 		ch.ba.Finish(incarnation, latency, isFailed)
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -30,7 +30,7 @@
 
 // shares holds this entry's part of each workspace's bucket.
 type shares struct {
-	pu    Source
+	so    Source
 	homes Homes
 	entry uint64
 
@@ -47,8 +47,8 @@
 	waiters atomic.Int32
 }
 
-func newShares(pu Source, homes Homes) *shares {
-	return &shares{pu: pu, homes: homes, entry: rand.Uint64(), workspaces: map[string]*share{}}
+func newShares(so Source, homes Homes) *shares {
+	return &shares{so: so, homes: homes, entry: rand.Uint64(), workspaces: map[string]*share{}}
 }
 
 func (ss *shares) of(workspace string) *share {
@@ -140,7 +140,7 @@
 
 // takeOnce uses a token if there is one, and asks the home if tokens run low.
 func (ss *shares) takeOnce(sh *share, workspace string, isFirst bool) step {
-	now := ss.pu.Now()
+	now := ss.so.Now()
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	isTaken := false
@@ -178,7 +178,7 @@
 }
 
 func (ss *shares) sweepOnce() {
-	now := ss.pu.Now()
+	now := ss.so.Now()
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	for workspace, sh := range ss.workspaces {
@@ -203,7 +203,7 @@
 	answer, ok := ss.askHome(ctx, workspace, rq)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	now := ss.pu.Now()
+	now := ss.so.Now()
 	if ok {
 		sh.sh.Receive(ask, toGrant(answer), now)
 	} else {
@@ -240,7 +240,7 @@
 }
 
 func (ss *shares) home(workspace string) (placer.Member, bool) {
-	tb := ss.pu.View().Tables[folder.LimitsService]
+	tb := ss.so.View().Tables[folder.LimitsService]
 	if tb == nil {
 		return placer.Member{}, false
 	}
