Choose watchers in the own region

Cause: watchers were chosen in any data centre, so a split between regions would have ended most leases. A test offers two regions.

--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -130,7 +130,26 @@
 		}
 		candidates = append(candidates, leaser.Candidate{Watch: wt, DataCentre: me.DataCentre})
 	}
-	return candidates
+	return co.nearby(candidates)
+}
+
+// nearby keeps the candidates of the own region if there are enough, so that a
+// split between regions leaves every watcher in reach.
+func (co *Controller) nearby(candidates []leaser.Candidate) []leaser.Candidate {
+	isOwn := map[string]bool{}
+	for _, dc := range co.ds.config.Catalogue.DataCentres {
+		isOwn[dc.Name] = dc.Region == co.self.Region
+	}
+	var near []leaser.Candidate
+	for _, ca := range candidates {
+		if isOwn[ca.DataCentre] {
+			near = append(near, ca)
+		}
+	}
+	if len(near) < leaser.WatcherCount {
+		return candidates
+	}
+	return near
 }
 
 func (co *Controller) chooseWatchers(present []leaser.Watch, now timer.Instant) []leaser.Watch {
--- a/instance/controller/tenure_test.go
+++ b/instance/controller/tenure_test.go
@@ -189,3 +189,28 @@
 	}
 	is.True(ticks > 5)
 }
+
+// TestWatchersAreOfTheOwnRegion offers candidates of two regions.
+func TestWatchersAreOfTheOwnRegion(t *testing.T) {
+	is := is.New(t)
+	co := newMember(t, 1)
+	co.self.Region = "south"
+	limits := placer.NewMap(folder.LimitsService, 8).Next(0)
+	for i := range uint64(12) {
+		centre := string(rune('p' + i%6))
+		limits = limits.WithMember(placer.Member{BackendServer: name(i + 1), Incarnation: i + 1, DataCentre: centre, Weight: 1})
+	}
+	for i := range 6 {
+		region := []string{"north", "south"}[i%2]
+		co.ds.config.Catalogue.DataCentres = append(co.ds.config.Catalogue.DataCentres, cataloguer.DataCentre{Name: string(rune('p' + i)), Region: region})
+	}
+	co.apply(t, limits)
+	seen := map[string]bool{}
+	for _, wt := range co.chooseWatchers(nil, co.pu.Now()) {
+		me, ok := co.ds.member(wt.Incarnation)
+		is.True(ok)
+		is.True(me.DataCentre == "q" || me.DataCentre == "s" || me.DataCentre == "u") // the south's
+		seen[me.DataCentre] = true
+	}
+	is.Equal(len(seen), 3) // one in each data centre of the region
+}
