Let a cancelled hedge count against its server only

Cause, found while reading: the loser of a hedge was recorded with the short time until it was cancelled, which made a straggler look fast; and a choice that an older map did not hold stayed counted as outstanding.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -138,6 +138,20 @@
 	ba.review(se)
 }
 
+// Cancel ends a request that was given up after the elapsed time. That is only a
+// lower bound of its latency, so it counts against the server, never for it.
+func (ba *Balancer) Cancel(incarnation uint64, elapsed timer.Span) {
+	se := ba.find(incarnation)
+	if se == nil {
+		return
+	}
+	if float64(elapsed) > se.latency {
+		ba.Finish(incarnation, elapsed, false)
+		return
+	}
+	se.outstanding = max(0, se.outstanding-1)
+}
+
 // review compares a server with the median of its peers. Two thresholds keep
 // it from going in and out of probation on every small change.
 func (ba *Balancer) review(se *server) {
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -57,3 +57,27 @@
 	_, ok := ba.Choose(1, []uint64{1, 2, 3, 4, 5, 6, 7, 8})
 	is.Equal(ok, false) // nobody is left
 }
+
+// TestCancelledHedgesCountAgainst cancels every request of a straggler before it
+// answers, as hedges do.
+func TestCancelledHedgesCountAgainst(t *testing.T) {
+	is := is.New(t)
+	ba := New()
+	ba.SetMembers([]uint64{1, 2, 3, 4})
+	for range 100 {
+		for server := range uint64(4) {
+			ba.Start(server + 1)
+			if server == 0 {
+				ba.Cancel(1, 30*timer.Millisecond)
+				continue
+			}
+			ba.Finish(server+1, 4*timer.Millisecond, false)
+		}
+	}
+	is.Equal(ba.Probation(), []uint64{1})
+	before := ba.find(1).latency
+	ba.Start(1)
+	ba.Cancel(1, timer.Microsecond)
+	is.Equal(ba.find(1).latency, before) // an early end tells nothing good
+	is.Equal(ba.find(1).outstanding, 0)
+}
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -53,7 +53,7 @@
 func (ch *choice) follow(ma placer.Map) {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	if ch.mapVersion == ma.Version {
+	if ma.Version <= ch.mapVersion {
 		return
 	}
 	ch.mapVersion = ma.Version
@@ -76,6 +76,21 @@
 	return incarnation, ok
 }
 
+// finish takes an attempt that ended by itself.
+func (ch *choice) finish(incarnation uint64, latency timer.Span, isFailed bool) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	ch.ba.Finish(incarnation, latency, isFailed)
+	ch.he.Observe(latency)
+}
+
+// cancel takes an attempt that was given up, as the loser of a hedge is.
+func (ch *choice) cancel(incarnation uint64, elapsed timer.Span) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	ch.ba.Cancel(incarnation, elapsed)
+}
+
 func (ch *choice) delay() time.Duration {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
@@ -154,6 +169,7 @@
 	*tried = append(*tried, incarnation)
 	to, ok := tb.Map.ByIncarnation(incarnation)
 	if !ok {
+		ch.cancel(incarnation, 0)
 		return false
 	}
 	copied := ca.copy()
@@ -163,11 +179,11 @@
 		startedAt := fo.so.Now()
 		at := fo.try(ctx, copied, to)
 		latency := fo.so.Now().Sub(startedAt)
-		isFailed := at.outcome() != gatekeeper.OutcomeAnswered && ctx.Err() == nil
-		ch.mu.Lock()
-		ch.ba.Finish(incarnation, latency, isFailed)
-		ch.he.Observe(latency)
-		ch.mu.Unlock()
+		if at.err != nil && ctx.Err() != nil {
+			ch.cancel(incarnation, latency)
+		} else {
+			ch.finish(incarnation, latency, at.outcome() != gatekeeper.OutcomeAnswered)
+		}
 		results <- at
 	}()
 	return true
