Put the comments back beside the code that was split off, and drop dead code

Cause: splitting the control thread's files left the comments of 13 functions in lease.go, away from their functions and constants. Also removed: six methods and a counter that nothing called. Behaviour is unchanged.

--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -231,10 +231,6 @@
 	return ga.start(now)
 }
 
-// Poll returns the waiting tickets that may start at now without a run having
-// ended, as after the limit grew.
-func (ga *Gate) Poll(now timer.Instant) []Ticket { return ga.start(now) }
-
 func (ga *Gate) start(now timer.Instant) []Ticket {
 	var started []Ticket
 	for pr := range ga.queues {
--- a/core/leaser/holder.go
+++ b/core/leaser/holder.go
@@ -236,10 +236,6 @@
 	return now.Before(ho.Deadline())
 }
 
-// IsRevoked reports whether the table named another incarnation, so that this
-// one can never serve again.
-func (ho *Holder) IsRevoked() bool { return ho.revoked }
-
 // Silent lists the watchers of the committed row that acknowledged nothing
 // sent since the instant.
 func (ho *Holder) Silent(since timer.Instant) []Watch {
--- a/core/leaser/watcher.go
+++ b/core/leaser/watcher.go
@@ -128,17 +128,3 @@
 		delete(wa.promises, holder)
 	}
 }
-
-// Revoked lists the holders this watcher has revoked and not forgotten.
-func (wa *Watcher) Revoked() []uint64 {
-	var revoked []uint64
-	for holder, pr := range wa.promises {
-		if pr.revoked {
-			revoked = append(revoked, holder)
-		}
-	}
-	return revoked
-}
-
-// Len returns the number of holders on record.
-func (wa *Watcher) Len() int { return len(wa.promises) }
--- a/core/limiter/home.go
+++ b/core/limiter/home.go
@@ -279,9 +279,6 @@
 	return outstandingRetry
 }
 
-// Forget drops the sequence of an entry that is gone for good.
-func (ho *Home) Forget(entry uint64) { delete(ho.sequences, entry) }
-
 // Lot is a grant that is neither reported nor expired, in a handover.
 type Lot struct {
 	Entry    uint64
--- a/core/limiter/share.go
+++ b/core/limiter/share.go
@@ -211,7 +211,3 @@
 	sh.isHomeSilent = true
 	sh.retryAt = retryAt
 }
-
-// Retry lets the share ask at once, since the home changed. Tokens of the
-// former home stay usable until they expire.
-func (sh *Share) Retry() { sh.retryAt = 0 }
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"slices"
-	"time"
 
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
@@ -13,14 +12,6 @@
 	"cornellanding.example/wire/peerproto"
 )
 
-const (
-	voteAttempts = 12
-	minVoteWait  = 5 * time.Millisecond
-	foldDelay    = 30 * timer.Millisecond
-	// rankDelay is how much later each further watcher begins a takeover.
-	rankDelay = 70 * time.Millisecond
-)
-
 // renew sends a datagram to each watcher.
 func (co *Controller) renew(now timer.Instant) {
 	if !co.isJoined || now.Before(co.nextRenewAt) {
@@ -52,7 +43,6 @@
 	}
 }
 
-// addReport tells what is known of the table.
 // toWireTime rounds down, so that the lease counts from no later than the
 // renewal was sent.
 func toWireTime(at timer.Instant) uint64 {
@@ -111,13 +101,6 @@
 	co.sendTo(address, da.GetFrom(), &peerproto.Datagram{AckSentAt: toWireTime(ack.SentAt), Revoked: ack.Revoked}, now)
 }
 
-// takeFreshness counts a peer's knowledge from when this instance sent the
-// renewal that the datagram answers. It counts only if both hold the same
-// documents.
-// fetchFrom asks a peer for documents that it holds and this instance lacks.
-// isPoller reports whether this instance reads the table for its data centre.
-// The two members with the lowest incarnations do, and all that have not
-// joined yet.
 // candidates lists the instances that may watch this one. Those that have been
 // silent as watchers are left out.
 func (co *Controller) candidates(now timer.Instant) []leaser.Candidate {
@@ -201,13 +184,3 @@
 	}
 	return placer.FullWeight
 }
-
-// onRevoke votes on a takeover of a holder that this instance may watch.
-// watch begins a takeover of each holder whose promise has expired.
-// errNoWatcher ends a takeover by an instance that the holder's row no longer
-// names: the holder replaced it and went on.
-// takeOver revokes a holder with a majority of the watchers its row names, and
-// writes that into the row at the version that named them.
-// revokeFormer revokes the former incarnation of this backend server.
-// collect gathers votes until a majority of a row's watchers have given theirs.
-// vote asks one watcher until its promise has expired.
--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -10,6 +10,7 @@
 	"cornellanding.example/wire/peerproto"
 )
 
+// addReport tells what is known of the table.
 func (co *Controller) addReport(da *peerproto.Datagram, now timer.Instant) {
 	report := co.fr.Report(now)
 	da.Attempts = report.Attempts
@@ -19,6 +20,9 @@
 	}
 }
 
+// takeFreshness counts a peer's knowledge from when this instance sent the
+// renewal that the datagram answers. It counts only if both hold the same
+// documents.
 func (co *Controller) takeFreshness(da *peerproto.Datagram) {
 	if da.GetDocuments() != co.ds.hash {
 		return
@@ -32,6 +36,7 @@
 	co.pu.SetFresh(co.fr.Until())
 }
 
+// fetchFrom asks a peer for documents that it holds and this instance lacks.
 func (co *Controller) fetchFrom(from placer.Member) {
 	if co.isSyncing[from.Incarnation] {
 		return
@@ -63,6 +68,9 @@
 	co.onDocuments(documentsFetched{documents: ev.documents}, now)
 }
 
+// isPoller reports whether this instance reads the table for its data centre.
+// The two members with the lowest incarnations do, and all that have not
+// joined yet.
 func (co *Controller) isPoller() bool {
 	if !co.isJoined || co.isMissing() {
 		return true
--- a/instance/controller/takeover.go
+++ b/instance/controller/takeover.go
@@ -13,6 +13,15 @@
 	"cornellanding.example/wire/peerproto"
 )
 
+const (
+	voteAttempts = 12
+	minVoteWait  = 5 * time.Millisecond
+	foldDelay    = 30 * timer.Millisecond
+	// rankDelay is how much later each further watcher begins a takeover.
+	rankDelay = 70 * time.Millisecond
+)
+
+// onRevoke votes on a takeover of a holder that this instance may watch.
 func (co *Controller) onRevoke(ev revokeAsked, now timer.Instant) leaser.Vote {
 	if ev.isProbe {
 		return co.wa.Probe(ev.holder, now)
@@ -20,6 +29,7 @@
 	return co.wa.Revoke(ev.holder, now)
 }
 
+// watch begins a takeover of each holder whose promise has expired.
 func (co *Controller) watch(now timer.Instant) {
 	for _, holder := range co.wa.Expired(now) {
 		me, ok := co.ds.member(holder)
@@ -55,8 +65,12 @@
 	co.nextFoldAt = now.Add(foldDelay)
 }
 
+// errNoWatcher ends a takeover by an instance that the holder's row no longer
+// names: the holder replaced it and went on.
 var errNoWatcher = errors.New("controller: not a watcher of the holder")
 
+// takeOver revokes a holder with a majority of the watchers its row names, and
+// writes that into the row at the version that named them.
 func (co *Controller) takeOver(ctx context.Context, me placer.Member, members []placer.Member) error {
 	row, err := co.ledger.readRow(ctx, me.BackendServer)
 	if err != nil {
@@ -91,6 +105,7 @@
 	return co.ledger.end(ctx, row, folder.Revoked)
 }
 
+// revokeFormer revokes the former incarnation of this backend server.
 func (co *Controller) revokeFormer(ctx context.Context, former folder.Announcement) error {
 	docs, err := co.ledger.readDocuments(ctx, nil, true)
 	if err != nil {
@@ -108,6 +123,7 @@
 	return co.ledger.end(ctx, former, folder.Revoked)
 }
 
+// collect gathers votes until a majority of a row's watchers have given theirs.
 func (co *Controller) collect(ctx context.Context, row leaser.Row, members []placer.Member, isProbe bool) error {
 	need := leaser.Majority(len(row.Watchers))
 	votes := make(chan bool, len(row.Watchers))
@@ -128,6 +144,7 @@
 	return fmt.Errorf("controller: %d of %d votes against incarnation %d", given, need, row.Incarnation)
 }
 
+// vote asks one watcher until its promise has expired.
 func (co *Controller) vote(ctx context.Context, wt leaser.Watch, holder uint64, members []placer.Member, isProbe bool) bool {
 	for range voteAttempts {
 		wait, isGiven, err := co.voteOnce(ctx, wt, holder, members, isProbe)
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -69,14 +69,13 @@
 	sampleEvery uint64
 	tell        func(fingerprint uint64)
 
-	mu       sync.Mutex
-	gate     *admitter.Gate
-	dd       *admitter.Deduper
-	qu       *admitter.Quarantine
-	waiting  map[admitter.Ticket]chan bool
-	limits   cataloguer.ServiceLimits
-	decided  uint64
-	admitted uint64
+	mu      sync.Mutex
+	gate    *admitter.Gate
+	dd      *admitter.Deduper
+	qu      *admitter.Quarantine
+	waiting map[admitter.Ticket]chan bool
+	limits  cataloguer.ServiceLimits
+	decided uint64
 }
 
 // New returns a gate for the backend server at address, as IP:port.
@@ -384,7 +383,6 @@
 
 func (ga *Gatekeeper) run(ctx context.Context, jo *job, epoch uint64) (*peerproto.ForwardResponse, bool) {
 	ga.mu.Lock()
-	ga.admitted++
 	ga.qu.Start(jo.fingerprint)
 	ga.mu.Unlock()
 	answer, result := ga.bs.run(ctx, jo, epoch)
