Move the ports and stand-ins out of platform/, and let the lease-loss test wait for the run

Cause of the red test: it waited until the gate counted a request as running, which it does at admission, and ended the lease before the last check of ownership. The gate then refused with notRun, which is true. The test now waits until the server has received the request. The check itself is unchanged.

platform/ is to hold only the adapter to the users' platform.

--- a/bench/checker/checker.go
+++ b/bench/checker/checker.go
@@ -12,7 +12,7 @@
 
 	"cornellanding.example/bench/loader"
 	"cornellanding.example/core/cataloguer"
-	"cornellanding.example/platform/emulator"
+	"cornellanding.example/standin/emulator"
 )
 
 // Server is what one backend server ran and saw.
--- a/bench/coster/coster.go
+++ b/bench/coster/coster.go
@@ -23,7 +23,7 @@
 	"cornellanding.example/bench/launcher"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/instance/administrator"
-	"cornellanding.example/platform/emulator"
+	"cornellanding.example/standin/emulator"
 )
 
 const (
--- a/bench/driller/driller.go
+++ b/bench/driller/driller.go
@@ -12,7 +12,7 @@
 	"cornellanding.example/bench/loader"
 	"cornellanding.example/bench/reporter"
 	"cornellanding.example/core/placer"
-	"cornellanding.example/platform/emulator"
+	"cornellanding.example/standin/emulator"
 )
 
 // Fault is what a drill does to the processes.
--- a/bench/driller/processes.go
+++ b/bench/driller/processes.go
@@ -29,9 +29,9 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/examples"
 	"cornellanding.example/instance/administrator"
-	"cornellanding.example/platform/emulator"
-	"cornellanding.example/platform/storer"
-	"cornellanding.example/platform/tabler"
+	"cornellanding.example/standin/emulator"
+	"cornellanding.example/port/storer"
+	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/parser"
 )
 
--- a/bench/injector/faults.go
+++ b/bench/injector/faults.go
@@ -15,7 +15,7 @@
 
 	"cornellanding.example/bench/launcher"
 	"cornellanding.example/bench/loader"
-	"cornellanding.example/platform/emulator"
+	"cornellanding.example/standin/emulator"
 )
 
 const (
--- a/bench/launcher/launcher_test.go
+++ b/bench/launcher/launcher_test.go
@@ -18,7 +18,7 @@
 	"cornellanding.example/bench/launcher"
 	"cornellanding.example/bench/loader"
 	"cornellanding.example/instance/administrator"
-	"cornellanding.example/platform/emulator"
+	"cornellanding.example/standin/emulator"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
--- a/cmd/cornelbench/main.go
+++ b/cmd/cornelbench/main.go
@@ -19,7 +19,7 @@
 	"os"
 	"time"
 
-	"cornellanding.example/platform/emulator"
+	"cornellanding.example/standin/emulator"
 	"github.com/jessevdk/go-flags"
 )
 
--- a/instance/administrator/editor.go
+++ b/instance/administrator/editor.go
@@ -23,8 +23,8 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/placer"
-	"cornellanding.example/platform/storer"
-	"cornellanding.example/platform/tabler"
+	"cornellanding.example/port/storer"
+	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/encoder"
 )
 
--- a/instance/administrator/editor_test.go
+++ b/instance/administrator/editor_test.go
@@ -7,7 +7,7 @@
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
-	"cornellanding.example/platform/tabler"
+	"cornellanding.example/port/tabler"
 	"github.com/matryer/is"
 )
 
--- a/instance/controller/ledger_test.go
+++ b/instance/controller/ledger_test.go
@@ -10,7 +10,7 @@
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
-	"cornellanding.example/platform/tabler"
+	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/encoder"
 	"github.com/matryer/is"
 )
--- a/instance/controller/options.go
+++ b/instance/controller/options.go
@@ -6,8 +6,8 @@
 
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
-	"cornellanding.example/platform/storer"
-	"cornellanding.example/platform/tabler"
+	"cornellanding.example/port/storer"
+	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/peerproto"
 	"github.com/hashicorp/go-hclog"
 )
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -13,8 +13,8 @@
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
-	"cornellanding.example/platform/storer"
-	"cornellanding.example/platform/tabler"
+	"cornellanding.example/port/storer"
+	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/encoder"
 )
 
--- a/instance/gatekeeper/gatekeeper_test.go
+++ b/instance/gatekeeper/gatekeeper_test.go
@@ -14,7 +14,7 @@
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
-	"cornellanding.example/platform/emulator"
+	"cornellanding.example/standin/emulator"
 	"cornellanding.example/wire/peerproto"
 	"github.com/matryer/is"
 )
@@ -191,7 +191,9 @@
 	ga := newGate(t, emulator.WithServiceTime(time.Minute))
 	done := make(chan *peerproto.ForwardResponse, 1)
 	go func() { done <- ga.Forward(context.Background(), request("1", "body")) }()
-	for running, _, _ := ga.Load(); running == 0; running, _, _ = ga.Load() {
+	// A request counts as running once it is admitted, before the last check of
+	// the lease. Only one that the server has received has begun.
+	for ga.calls.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	ga.pu.SetLease(0)
--- a/platform/emulator/platform.go
+++ b/standin/emulator/platform.go
@@ -21,8 +21,8 @@
 	"sync"
 	"time"
 
-	"cornellanding.example/platform/storer"
-	"cornellanding.example/platform/tabler"
+	"cornellanding.example/port/storer"
+	"cornellanding.example/port/tabler"
 )
 
 // FaultsPath is where a stand-in takes its fault switches, as JSON by POST.
