--- a/core/limiter/home.go
+++ b/core/limiter/home.go
@@ -39,10 +39,13 @@
 	GrantTerm = timer.Second
 	// ImmediateTerm is the term of tokens for requests that wait already. It is
 	// so short that their use needs no report.
-	ImmediateTerm = 150 * timer.Millisecond
+	ImmediateTerm = 80 * timer.Millisecond
 	// outstandingShare is the inverse share of the burst that may be granted
 	// and unreported.
 	outstandingShare = 3
+	// minOutstanding is how many tokens may be granted and unreported of a small
+	// burst, so that a few requests that come together are served.
+	minOutstanding = 3
 	// outstandingRetry is when to ask again if too much is outstanding.
 	outstandingRetry = 20 * timer.Millisecond
 )
@@ -90,6 +93,9 @@
 	Tokens    float64
 	// RetryAfter says, if nothing was granted, when to ask again.
 	RetryAfter timer.Span
+	// IsHeld says that nothing was granted although the bucket isn't empty:
+	// other entries hold what may be outstanding.
+	IsHeld bool
 }
 
 // HomeOption sets one option of NewHome.
@@ -177,7 +183,7 @@
 
 // outstandingCap bounds what is granted and unreported.
 func (ho *Home) outstandingCap() float64 {
-	return max(1, ho.burst/outstandingShare)
+	return max(min(minOutstanding, ho.burst), ho.burst/outstandingShare)
 }
 
 func (ho *Home) outstanding() float64 {
@@ -244,6 +250,7 @@
 	ho.lend(ask, gr.Tokens, now.Add(GrantTerm), false)
 	if gr.Immediate+gr.Tokens == 0 {
 		gr.RetryAfter = ho.retryAfter()
+		gr.IsHeld = ho.level >= 1
 	}
 	return gr
 }
--- a/core/limiter/share.go
+++ b/core/limiter/share.go
@@ -45,6 +45,7 @@
 	demand       float64
 	isAsking     bool
 	isHomeSilent bool
+	isHeld       bool
 	retryAt      timer.Instant
 }
 
@@ -107,6 +108,10 @@
 // tokens says nothing about the workspace's rate.
 func (sh *Share) IsHomeSilent() bool { return sh.isHomeSilent }
 
+// IsHeld reports whether the home had tokens, but none to grant, so that a lack
+// of tokens says nothing about the workspace's rate.
+func (sh *Share) IsHeld() bool { return sh.isHeld }
+
 // IsAsking reports whether an ask is under way.
 func (sh *Share) IsAsking() bool { return sh.isAsking }
 
@@ -187,6 +192,7 @@
 func (sh *Share) Receive(ask Ask, gr Grant, now timer.Instant) {
 	sh.isAsking = false
 	sh.isHomeSilent = false
+	sh.isHeld = gr.IsHeld
 	sh.keep(ask, gr.Immediate, ImmediateTerm, true)
 	sh.keep(ask, gr.Tokens, GrantTerm, false)
 	sh.retryAt = 0
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -369,5 +369,10 @@
 	if ca.workspace == "" || fo.so.View().Limits[ca.workspace].IsUnlimited {
 		return nil
 	}
+	if ca.giveUpAt != 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, ca.giveUpAt.Sub(fo.so.Now()).Duration())
+		defer cancel()
+	}
 	return fo.shares.take(ctx, ca.workspace)
 }
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -85,8 +85,7 @@
 	defer sh.waiters.Add(-1)
 	startedAt := ss.so.Now()
 	for {
-		isOverRate := next.changed == nil && !next.isHomeSilent
-		if isOverRate && ss.so.Now().Sub(startedAt)+next.retryAfter > ratePatience || !next.await(ctx) {
+		if next.isOverRate() && ss.so.Now().Sub(startedAt)+next.retryAfter > ratePatience || !next.await(ctx) {
 			break
 		}
 		next = ss.takeOnce(sh, workspace, false)
@@ -114,15 +113,20 @@
 	retryAfter timer.Span
 	// isHomeSilent says that the home did not answer.
 	isHomeSilent bool
+	// isHeld says that other entries hold the tokens.
+	isHeld bool
 }
 
+// isOverRate reports whether the workspace has used up its rate and burst.
+func (st step) isOverRate() bool { return st.changed == nil && !st.isHomeSilent && !st.isHeld }
+
 // refusal tells a workspace above its limits from a home without an answer.
 func (st step) refusal() *Refusal {
 	retryAfter := max(st.retryAfter, timer.Millisecond)
-	if st.isHomeSilent || st.changed != nil {
+	if !st.isOverRate() {
 		return &Refusal{
 			Status: http.StatusServiceUnavailable, Code: CodeNoLimits,
-			Reason: "the home of the workspace's limits did not answer", RetryAfter: retryAfter,
+			Reason: "the home of the workspace's limits did not answer or had lent all", RetryAfter: retryAfter,
 		}
 	}
 	return &Refusal{
@@ -165,9 +169,11 @@
 	case isTaken:
 		return step{isTaken: true}
 	case sh.sh.IsAsking():
-		return step{changed: sh.changed, retryAfter: timer.Second, isHomeSilent: sh.sh.IsHomeSilent()}
+		return step{changed: sh.changed, retryAfter: comeBack, isHomeSilent: sh.sh.IsHomeSilent()}
 	default:
-		return step{retryAfter: max(timer.Millisecond, sh.sh.RetryAt().Sub(now)), isHomeSilent: sh.sh.IsHomeSilent()}
+		return step{
+			retryAfter: max(timer.Millisecond, sh.sh.RetryAt().Sub(now)), isHomeSilent: sh.sh.IsHomeSilent(), isHeld: sh.sh.IsHeld(),
+		}
 	}
 }
 
@@ -223,7 +229,7 @@
 
 func toGrant(answer *peerproto.GrantResponse) limiter.Grant {
 	return limiter.Grant{
-		Immediate: answer.GetImmediate(), Tokens: answer.GetTokens(), RetryAfter: timer.Span(answer.GetRetryAfter()),
+		Immediate: answer.GetImmediate(), Tokens: answer.GetTokens(), RetryAfter: timer.Span(answer.GetRetryAfter()), IsHeld: answer.GetHeld(),
 	}
 }
 
--- a/instance/granter/granter.go
+++ b/instance/granter/granter.go
@@ -81,7 +81,7 @@
 		return notHome
 	}
 	grant := ho.Grant(toAsk(rq), now)
-	return &peerproto.GrantResponse{Immediate: grant.Immediate, Tokens: grant.Tokens, RetryAfter: int64(grant.RetryAfter)}
+	return &peerproto.GrantResponse{Immediate: grant.Immediate, Tokens: grant.Tokens, RetryAfter: int64(grant.RetryAfter), Held: grant.IsHeld}
 }
 
 func toAsk(rq *peerproto.GrantRequest) limiter.Ask {
