--- a/core/retrier/budget.go
+++ b/core/retrier/budget.go
@@ -18,17 +18,42 @@
 	budgetCap         = 20
 )
 
-// Budget lets retries be at most a tenth of the requests, plus a small reserve.
+// Budget lets retries be at most a share of the requests, plus a small reserve.
 type Budget struct {
-	tokens float64
+	tokens  float64
+	ratio   float64
+	reserve float64
 }
 
+// BudgetOption sets one option of NewBudget.
+type BudgetOption func(*Budget)
+
+// Ratio sets the share of the requests that may be retries. The default is a
+// tenth.
+func Ratio(ratio float64) BudgetOption { return func(bu *Budget) { bu.ratio = ratio } }
+
+// Reserve sets how many retries there may be beyond the ratio.
+func Reserve(reserve float64) BudgetOption { return func(bu *Budget) { bu.reserve = reserve } }
+
 // NewBudget returns a budget with a full reserve.
-func NewBudget() *Budget { return &Budget{tokens: budgetCap} }
+func NewBudget(opts ...BudgetOption) *Budget {
+	bu := &Budget{ratio: depositPerRequest, reserve: budgetCap}
+	for _, opt := range opts {
+		opt(bu)
+	}
+	bu.tokens = bu.reserve
+	return bu
+}
+
+// SetReserve takes another reserve.
+func (bu *Budget) SetReserve(reserve float64) {
+	bu.reserve = reserve
+	bu.tokens = min(bu.tokens, reserve)
+}
 
 // Deposit counts a first attempt.
 func (bu *Budget) Deposit() {
-	bu.tokens = min(budgetCap, bu.tokens+depositPerRequest)
+	bu.tokens = min(bu.reserve, bu.tokens+bu.ratio)
 }
 
 // Withdraw takes one retry from the budget or reports false.
--- a/instance/controller/configs.go
+++ b/instance/controller/configs.go
@@ -27,8 +27,12 @@
 	co.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, configPatience)
 		defer cancel()
-		config, isChanged, err := co.configs.Await(ctx, origin)
-		return configAwaited{config: config, isChanged: isChanged, readAt: now, err: err}
+		aw, err := co.configs.Await(ctx, origin)
+		readAt := now
+		if err == nil {
+			readAt = max(now, co.pu.Now().Add(-aw.Age))
+		}
+		return configAwaited{awaited: aw, readAt: readAt, err: err}
 	})
 }
 
@@ -40,13 +44,14 @@
 		co.nextConfigAt = now.Add(configBackoff)
 	}
 	fetched := documentsFetched{readAt: ev.readAt, isTable: true, err: ev.err}
-	isNews := ev.isChanged && ev.config.Origin != co.ds.config.Origin && ev.config.Version > co.ds.config.Version
+	isNews := ev.awaited.IsChanged && ev.awaited.Config.Origin != co.ds.config.Origin &&
+		ev.awaited.Config.Version > co.ds.config.Version
 	if isNews {
-		content, err := encoder.EncodeConfig(ev.config)
+		content, err := encoder.EncodeConfig(ev.awaited.Config)
 		if err != nil {
-			co.lo.Error("configuration not encoded", "version", ev.config.Version, "error", err)
+			co.lo.Error("configuration not encoded", "version", ev.awaited.Config.Version, "error", err)
 		} else {
-			fetched.documents = []Document{{Name: ConfigKey, Version: ev.config.Version, Content: content}}
+			fetched.documents = []Document{{Name: ConfigKey, Version: ev.awaited.Config.Version, Content: content}}
 		}
 	}
 	co.onDocuments(fetched, now)
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -25,10 +25,12 @@
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/freshener"
 	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/core/warner"
 	"cornellanding.example/instance/publisher"
+	"cornellanding.example/wire/peerproto"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -57,10 +59,15 @@
 	// awaitersPerCentre is how many members of a data centre await a
 	// configuration that is kept elsewhere.
 	awaitersPerCentre = 1
-	// joinFoldSpread spreads the folds of instances that start together, so that
-	// one finds them all.
-	joinFoldSpread = 60 * timer.Millisecond
-	eventQueue     = 4096
+	// firstFoldSpread spreads the folds of instances that find no map when they
+	// join, so that one of them finds most others. It tells them the map.
+	firstFoldSpread = 500 * timer.Millisecond
+	// joinFoldSpread does so for those that start again.
+	joinFoldSpread = 40 * timer.Millisecond
+	// firstWatchDelay is how long the choice of watchers waits for the members
+	// that join at the same time.
+	firstWatchDelay = 600 * timer.Millisecond
+	eventQueue      = 4096
 )
 
 // ErrRevoked ends Run when another incarnation or owner took over, or when the
@@ -101,7 +108,10 @@
 	startedAt        timer.Instant
 	isAwaiting       bool
 	hasSoughtOrphans bool
-	nextConfigAt     timer.Instant
+	// echoes holds the clock of each watcher's latest acknowledgement.
+	echoes             map[uint64]uint32
+	hadLease, wasFresh bool
+	nextConfigAt       timer.Instant
 
 	ho      *leaser.Holder
 	wa      *leaser.Watcher
@@ -152,7 +162,7 @@
 	co := &Controller{
 		leaseTerm: leaser.DefaultTerm, events: make(chan event, eventQueue), ds: newDocuments(),
 		warner: warner.New(), tenures: map[string]*tenure{},
-		reported: map[string]uint64{}, settleChanges: settleChanges, settleSpread: settleSpread,
+		echoes: map[uint64]uint32{}, reported: map[string]uint64{}, settleChanges: settleChanges, settleSpread: settleSpread,
 		isSyncing: map[uint64]bool{}, avoid: map[uint64]timer.Instant{},
 		takeovers: map[uint64]bool{}, nextTakeover: map[uint64]timer.Instant{}, lo: hclog.NewNullLogger(),
 		blame: func(uint64) {},
@@ -315,7 +325,7 @@
 	case takeoverEnded:
 		co.onTakeover(ev, now)
 	case folded:
-		co.onFolded(ev)
+		co.onFolded(ev, now)
 	case leaveAsked:
 		co.onLeave(ev)
 	case left:
@@ -344,6 +354,7 @@
 	co.obtain(now)
 	co.refold(now)
 	co.proceedLeaving()
+	co.logBeliefs(now)
 	if !now.Before(co.nextObserveAt) {
 		co.nextObserveAt = now.Add(observeInterval)
 		co.observe(now)
@@ -400,7 +411,12 @@
 	if !co.isJoined {
 		co.lo.Info("joined", "incarnation", co.self.Incarnation, "watchers", len(ev.row.Watchers))
 		co.needsFold = true
-		co.nextFoldAt = now.Add(timer.Span(rand.Int64N(int64(joinFoldSpread))))
+		spread := joinFoldSpread
+		if len(co.ds.members()) == 0 {
+			spread = firstFoldSpread
+			co.nextRewatchAt = now.Add(firstWatchDelay)
+		}
+		co.nextFoldAt = now.Add(timer.Span(rand.Int64N(int64(spread))))
 	}
 	co.isJoined = true
 	co.needsFold = co.needsFold || ev.isReport
@@ -415,21 +431,34 @@
 		return
 	}
 	co.isFolding, co.needsFold = true, false
+	known := co.ds.members()
 	co.spawn(func(ctx context.Context) event {
 		docs, err := co.ledger.fold(ctx)
 		co.post(ctx, documentsFetched{documents: docs})
-		return folded{err: err}
+		return folded{known: known, err: err}
 	})
 }
 
-func (co *Controller) onFolded(ev folded) {
+func (co *Controller) onFolded(ev folded, now timer.Instant) {
 	co.isFolding = false
+	co.welcome(ev.known, now)
 	if ev.err != nil {
 		co.lo.Warn("maps not folded", "error", ev.err)
 		co.needsFold = true
 	}
 }
 
+// welcome tells new members of the maps that name them: they know nobody whom
+// they could ask.
+func (co *Controller) welcome(known []placer.Member, now timer.Instant) {
+	for _, me := range co.ds.members() {
+		_, isKnown := placer.Map{Members: known}.ByIncarnation(me.Incarnation)
+		if !isKnown && me.Incarnation != co.self.Incarnation {
+			co.send(me, &peerproto.Datagram{}, now)
+		}
+	}
+}
+
 // onDocuments applies documents, forwards only.
 func (co *Controller) onDocuments(ev documentsFetched, now timer.Instant) {
 	if ev.isPoll {
@@ -511,6 +540,9 @@
 		co.err = ErrRevoked
 		return
 	}
+	if !isMissing && !co.wasMember && co.writtenWeight == co.weight() {
+		co.needsFold = false
+	}
 	co.wasMember = co.wasMember || !isMissing
 	if isMissing && co.isJoined && co.leave == nil {
 		co.needsFold = true
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 
-	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
@@ -97,7 +96,9 @@
 
 // folded ends an attempt to bring the maps up to date.
 type folded struct {
-	err error
+	// known are the members known before.
+	known []placer.Member
+	err   error
 }
 
 // leaveAsked begins a planned stop.
@@ -121,12 +122,12 @@
 	reply chan<- Status
 }
 
-// configAwaited ends a wait for another configuration. ReadAt is when it began.
+// configAwaited ends a wait for another configuration. ReadAt is as of when its
+// outcome is known.
 type configAwaited struct {
-	config    cataloguer.Config
-	isChanged bool
-	readAt    timer.Instant
-	err       error
+	awaited Awaited
+	readAt  timer.Instant
+	err     error
 }
 
 // heartbeatArrived is a heartbeat of the backend server.
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -21,7 +21,7 @@
 	re := co.ho.Renewal(now)
 	for _, wt := range co.ho.Targets() {
 		if me, ok := co.ds.member(wt.Incarnation); ok {
-			co.send(me, &peerproto.Datagram{RenewalSentAt: toWireTime(re.SentAt)}, now)
+			co.send(me, &peerproto.Datagram{RenewalSentAt: toWireTime(re.SentAt), Echo: co.echoes[wt.Incarnation]}, now)
 		}
 	}
 }
@@ -35,7 +35,7 @@
 func (co *Controller) sendTo(address netip.AddrPort, incarnation uint64, da *peerproto.Datagram, now timer.Instant) {
 	da.From, da.To = co.self.Incarnation, uint32(incarnation)
 	da.Documents = co.ds.hash
-	if da.GetAckSentAt() != 0 {
+	if da.GetAckSentAt() != 0 || da.GetEcho() != 0 {
 		co.addReport(da, now)
 	}
 	if err := co.sender.Send(address, da); err != nil {
@@ -53,6 +53,11 @@
 	return timer.Instant((ms - 1) * uint64(timer.Millisecond))
 }
 
+// wireClock returns the low half of an instant in milliseconds, never 0.
+func wireClock(at timer.Instant) uint32 {
+	return max(1, uint32(uint64(at)/uint64(timer.Millisecond)))
+}
+
 // onDatagram takes what a peer sent. Renewals are answered whether or not the
 // maps name the sender: a new one is not yet in them, and a revoked one must
 // learn of it.
@@ -74,7 +79,11 @@
 			Watcher: da.GetFrom(), Holder: co.self.Incarnation,
 			SentAt: fromWireTime(da.GetAckSentAt()), Revoked: da.GetRevoked(),
 		})
-		co.takeFreshness(da)
+		co.takeFreshness(da, fromWireTime(da.GetAckSentAt()))
+		co.echoes[da.GetFrom()] = da.GetClock()
+	}
+	if da.GetEcho() != 0 {
+		co.takeFreshness(da, now.Add(-timer.Span(wireClock(now)-da.GetEcho())*timer.Millisecond))
 	}
 	if da.GetRenewalSentAt() != 0 {
 		co.answer(da, address, now)
@@ -84,6 +93,8 @@
 	case da.GetDocuments() == co.ds.hash:
 	case isKnown:
 		co.fetchFrom(from)
+	case co.configs != nil:
+		co.fetchFrom(placer.Member{Incarnation: da.GetFrom(), Address: address.String()})
 	default:
 		co.pollWhole(now)
 	}
@@ -103,7 +114,9 @@
 // datagram's arrival, which is the later and so the safe instant.
 func (co *Controller) answer(da *peerproto.Datagram, address netip.AddrPort, now timer.Instant) {
 	ack := co.wa.Renew(leaser.Renewal{Holder: da.GetFrom(), SentAt: fromWireTime(da.GetRenewalSentAt())}, now)
-	co.sendTo(address, da.GetFrom(), &peerproto.Datagram{AckSentAt: toWireTime(ack.SentAt), Revoked: ack.Revoked}, now)
+	co.sendTo(address, da.GetFrom(), &peerproto.Datagram{
+		AckSentAt: toWireTime(ack.SentAt), Revoked: ack.Revoked, Clock: wireClock(now),
+	}, now)
 }
 
 // candidates lists the instances that may watch this one. Those that have been
--- a/instance/controller/options.go
+++ b/instance/controller/options.go
@@ -38,8 +38,17 @@
 // the table.
 type Configs interface {
 	// Await returns the configuration as soon as its origin is another than the
-	// given one, or false after a while. It fails once ctx ends.
-	Await(ctx context.Context, origin string) (co cataloguer.Config, isChanged bool, err error)
+	// given one, or after a while that it is unchanged. It fails once ctx ends.
+	Await(ctx context.Context, origin string) (Awaited, error)
+}
+
+// Awaited is what Configs knows at the end of a wait.
+type Awaited struct {
+	// IsChanged says that Config is another than the one known before.
+	IsChanged bool
+	Config    cataloguer.Config
+	// Age is how old the knowledge is at the most.
+	Age timer.Span
 }
 
 // WithConfigs sets where operators keep the configuration.
--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -23,10 +23,10 @@
 	}
 }
 
-// takeFreshness counts a peer's knowledge from when this instance sent the
-// renewal that the datagram answers. It counts only if both hold the same
-// documents.
-func (co *Controller) takeFreshness(da *peerproto.Datagram) {
+// takeFreshness counts a peer's knowledge from when this instance sent what the
+// datagram answers. It counts only if both hold the same documents. It spreads
+// both ways between holders and watchers: the pollers may watch nobody.
+func (co *Controller) takeFreshness(da *peerproto.Datagram, sentAt timer.Instant) {
 	if da.GetDocuments() != co.ds.hash {
 		return
 	}
@@ -35,7 +35,7 @@
 		report.HasRead = true
 		report.Age = timer.Span(age-1) * timer.Millisecond
 	}
-	co.fr.Merge(report, fromWireTime(da.GetAckSentAt()))
+	co.fr.Merge(report, sentAt)
 	co.pu.SetFresh(co.fr.Until())
 }
 
--- a/instance/controller/status.go
+++ b/instance/controller/status.go
@@ -64,6 +64,22 @@
 	return st
 }
 
+// logBeliefs logs when the lease or the knowledge of withdrawn keys begins or
+// ceases to count.
+func (co *Controller) logBeliefs(now timer.Instant) {
+	if hasLease := co.ho.IsValid(now); hasLease != co.hadLease {
+		co.hadLease = hasLease
+		co.lo.Info("lease changed", "isValid", hasLease, "incarnation", co.self.Incarnation,
+			"watchers", len(co.ho.Committed().Watchers), "row", co.ho.Committed().Version)
+	}
+	if isFresh := co.pu.IsFresh(); isFresh != co.wasFresh {
+		co.wasFresh = isFresh
+		age, hasRead := co.fr.ReadAge(now)
+		co.lo.Info("freshness changed", "isFresh", isFresh, "hasRead", hasRead, "readAge", age.Duration().String(),
+			"config", co.ds.config.Version, "documents", co.ds.hash)
+	}
+}
+
 // observe evaluates the conditions of all warnings.
 func (co *Controller) observe(now timer.Instant) {
 	self := co.self.BackendServer
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/placer"
-	"cornellanding.example/core/retrier"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/wire/peerproto"
@@ -30,27 +28,6 @@
 	ownerCheck = 20 * time.Millisecond
 )
 
-// budget is a retry budget that several goroutines share.
-type budget struct {
-	mu sync.Mutex
-	bu *retrier.Budget
-}
-
-func (bu *budget) deposit() {
-	bu.mu.Lock()
-	defer bu.mu.Unlock()
-	if bu.bu == nil {
-		bu.bu = retrier.NewBudget()
-	}
-	bu.bu.Deposit()
-}
-
-func (bu *budget) withdraw() bool {
-	bu.mu.Lock()
-	defer bu.mu.Unlock()
-	return bu.bu.Withdraw()
-}
-
 // attempt is the result of one forward.
 type attempt struct {
 	to      placer.Member
@@ -75,7 +52,7 @@
 
 // dispatch forwards a call until it is answered or refused for good.
 func (fo *Forwarder) dispatch(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *Refusal) {
-	fo.retries.deposit()
+	fo.retries.deposit(ca.service, fo.entries())
 	sv, ok := fo.so.View().Services[ca.service]
 	if !ok {
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Code: CodeNoOwner, Reason: "the service is not known"}
@@ -145,7 +122,7 @@
 	if ca.route.MaxAttempts > 0 && ca.arrivals >= ca.route.MaxAttempts {
 		return false
 	}
-	return fo.retries.withdraw()
+	return fo.retries.withdraw(ca.service)
 }
 
 func (fo *Forwarder) order(ca *call) []placer.Member {
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -121,7 +121,7 @@
 	callerOf    string
 	dataCentre  string
 	decided     atomic.Uint64
-	retries     budget
+	retries     *budgets
 
 	muxMu      sync.Mutex
 	mux        atomic.Pointer[http.ServeMux]
@@ -133,7 +133,7 @@
 	if so == nil || gates == nil || homes == nil {
 		return nil, errors.New("forwarder: source, gates and homes are needed")
 	}
-	fo := &Forwarder{so: so, gates: gates, shares: newShares(so, homes), choices: newChoices(), isHedging: true, lo: hclog.NewNullLogger()}
+	fo := &Forwarder{so: so, gates: gates, shares: newShares(so, homes), choices: newChoices(), isHedging: true, retries: newBudgets(), lo: hclog.NewNullLogger()}
 	for _, opt := range opts {
 		opt(fo)
 	}
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -184,11 +184,7 @@
 // takeSpare uses this entry's own small part of the rate.
 func (ss *shares) takeSpare(sh *share, workspace string, now timer.Instant) bool {
 	vi := ss.so.View()
-	entries := 0
-	if tb := vi.Tables[folder.LimitsService]; tb != nil {
-		entries = len(tb.Map.Members)
-	}
-	return sh.spare.Take(vi.Limits[workspace].Rate, entries, now)
+	return sh.spare.Take(vi.Limits[workspace].Rate, entriesOf(vi), now)
 }
 
 // sweep lets idle shares give their tokens up until ctx ends.
