Let a new start of a server get higher fencing tokens, pollers fail over, and a planned stop cut no request

Tokens now hold the map version and the starts seen. - CONFIG: the one poller of each data centre was cut off or turned away, and nobody else read the configuration. Pollers that fail ask the next members, and more members poll the older the latest known read is. - LOST: closing idle connections in a planned stop cut a request that had just been read and was passed on. Connections now stay open until the process ends, answers say Connection: close, and the instance follows what is agreed until callers have gone.

--- a/core/registrar/grant.go
+++ b/core/registrar/grant.go
@@ -12,10 +12,18 @@
 	maxReply = 3800
 	// rowSize and handoverSize are a row's share of a reply at the most, in
 	// bytes of JSON.
-	rowSize      = 24
+	rowSize      = 26
 	handoverSize = 20
+	// startBits is the part of a fencing token that tells starts of the server
+	// apart under one map version.
+	startBits = 10
+	maxStarts = 1<<startBits - 1
 )
 
+// fence returns the token for a partition obtained at a map version. It is above
+// those of all earlier versions, and of earlier starts of the server.
+func (re *Registrar) fence(epoch uint64) uint64 { return epoch<<startBits | re.starts }
+
 // Grant returns the reply to the latest heartbeat: all that the server is to
 // hold. The holds end before the lease does.
 func (re *Registrar) Grant(wanted []Want, leaseUntil, now timer.Instant) (Reply, []uint32) {
@@ -76,7 +84,7 @@
 // unless that hold may have ended: then others may have held it since.
 func (re *Registrar) row(wa Want, now timer.Instant) Hold {
 	cu := re.keys[wa.Partition]
-	ho := Hold{Range: re.ranges[wa.Partition], Fence: wa.Epoch, Handover: cu.received}
+	ho := Hold{Range: re.ranges[wa.Partition], Fence: re.fence(wa.Epoch), Handover: cu.received}
 	if cu.isListed && cu.fence != 0 && now.Before(cu.until) {
 		ho.Fence = cu.fence
 	}
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -161,7 +161,9 @@
 	term      timer.Span
 	maxHold   timer.Span
 
-	latest   Heartbeat
+	latest Heartbeat
+	// starts counts the starts of the server that this instance has seen.
+	starts   uint64
 	isKnown  bool
 	isDown   bool
 	isLeaver bool
@@ -214,6 +216,7 @@
 	if re.isKnown && !isSame {
 		re.forget()
 		re.isLeaver = false
+		re.starts = min(re.starts+1, maxStarts)
 	}
 	re.latest, re.isKnown, re.isDown, re.beatAt = hb, true, false, now
 	re.list(hb)
--- a/instance/controller/configs.go
+++ b/instance/controller/configs.go
@@ -11,9 +11,12 @@
 const (
 	// configPatience bounds one wait for another configuration. It is longer
 	// than the wait that is asked for, and shorter than freshness lasts.
-	configPatience = 3200 * time.Millisecond
-	// configBackoff separates waits that failed.
-	configBackoff = 150 * timer.Millisecond
+	configPatience = 2500 * time.Millisecond
+	// configBackoff separates waits that failed. It doubles up to
+	// maxConfigBackoff.
+	configBackoff    = 150 * timer.Millisecond
+	maxConfigBackoff = 1200 * timer.Millisecond
+	maxConfigErrors  = 4
 )
 
 // pollConfig waits for another configuration where operators keep it. Only
@@ -40,8 +43,12 @@
 func (co *Controller) onConfig(ev configAwaited, now timer.Instant) {
 	co.isAwaiting = false
 	co.nextConfigAt = now
-	if ev.err != nil {
-		co.nextConfigAt = now.Add(configBackoff)
+	if ev.err == nil {
+		co.configErrors = 0
+	} else {
+		co.nextConfigAt = now.Add(min(configBackoff<<co.configErrors, maxConfigBackoff))
+		co.configErrors = min(co.configErrors+1, maxConfigErrors)
+		co.passPolling(now)
 	}
 	fetched := documentsFetched{readAt: ev.readAt, isTable: true, err: ev.err}
 	isNews := ev.awaited.IsChanged && ev.awaited.Config.Origin != co.ds.config.Origin &&
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -56,9 +56,6 @@
 	safetyInterval   = 30 * timer.Second
 	peerTimeout      = 2 * time.Second
 	pollersPerCentre = 2
-	// awaitersPerCentre is how many members of a data centre await a
-	// configuration that is kept elsewhere.
-	awaitersPerCentre = 1
 	// firstFoldSpread spreads the folds of instances that find no map when they
 	// join, so that one of them finds most others. It tells them the map.
 	firstFoldSpread = 500 * timer.Millisecond
@@ -112,6 +109,8 @@
 	echoes             map[uint64]uint32
 	hadLease, wasFresh bool
 	nextConfigAt       timer.Instant
+	configErrors       int
+	pollUntil          timer.Instant
 
 	ho      *leaser.Holder
 	wa      *leaser.Watcher
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -101,9 +101,10 @@
 	err   error
 }
 
-// leaveAsked begins a planned stop.
+// leaveAsked begins a planned stop, or ends it if done is set.
 type leaveAsked struct {
-	done chan struct{}
+	handedOver chan struct{}
+	done       chan struct{}
 }
 
 // left ends a planned stop.
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -71,6 +71,9 @@
 		}
 		return
 	}
+	if da.GetPoll() {
+		co.pollUntil = now.Add(passedPolling)
+	}
 	if da.GetSuspect() != 0 {
 		co.blame(da.GetSuspect())
 	}
--- a/instance/controller/leave.go
+++ b/instance/controller/leave.go
@@ -14,6 +14,8 @@
 	leaveWeight leavePhase = iota
 	// leaveHandover waits until others own everything and no work runs.
 	leaveHandover
+	// leaveServed waits for Leave: callers are served until then.
+	leaveServed
 	// leaveEnd writes that the incarnation left.
 	leaveEnd
 )
@@ -21,14 +23,29 @@
 type leaving struct {
 	phase  leavePhase
 	isBusy bool
-	done   chan struct{}
+	// handedOver is closed when nothing is owned any more.
+	handedOver chan struct{}
+	// done is closed at the end, and nil until Leave.
+	done chan struct{}
 }
 
-// Leave hands everything over and ends Run with ErrLeft.
+// HandOver gives all that the instance owns to others. The instance goes on
+// following what is agreed, so that it can serve callers until Leave.
+func (co *Controller) HandOver(ctx context.Context) error {
+	done := make(chan struct{})
+	return co.await(ctx, leaveAsked{handedOver: done}, done)
+}
+
+// Leave ends Run with ErrLeft, after HandOver.
 func (co *Controller) Leave(ctx context.Context) error {
 	done := make(chan struct{})
+	return co.await(ctx, leaveAsked{done: done}, done)
+}
+
+// await posts an event and waits until done is closed.
+func (co *Controller) await(ctx context.Context, ev event, done <-chan struct{}) error {
 	select {
-	case co.events <- leaveAsked{done: done}:
+	case co.events <- ev:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -41,12 +58,20 @@
 }
 
 func (co *Controller) onLeave(ev leaveAsked) {
-	if co.leave != nil {
-		return
+	if co.leave == nil {
+		co.leave = &leaving{handedOver: make(chan struct{})}
+	}
+	if ev.handedOver != nil {
+		co.leave.handedOver = ev.handedOver
 	}
-	co.leave = &leaving{done: ev.done}
-	if !co.isJoined {
+	if ev.done != nil {
+		co.leave.done = ev.done
+	}
+	switch {
+	case !co.isJoined && co.leave.done != nil:
 		co.finishLeaving()
+	case !co.isJoined:
+		close(co.leave.handedOver)
 	}
 }
 
@@ -60,6 +85,11 @@
 		co.writeLeaving(folder.Active)
 	case leaveHandover:
 		if co.hasHandedOver() {
+			co.leave.phase = leaveServed
+			close(co.leave.handedOver)
+		}
+	case leaveServed:
+		if co.leave.done != nil {
 			co.leave.phase = leaveEnd
 		}
 	case leaveEnd:
--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -10,6 +10,21 @@
 	"cornellanding.example/wire/peerproto"
 )
 
+const (
+	// awaitersPerCentre is how many members of a data centre await a
+	// configuration that is kept elsewhere, and maxAwaiters how many if none of
+	// them succeeds.
+	awaitersPerCentre = 1
+	maxAwaiters       = 3
+	// lateRead is the age of the latest known success after which more members
+	// await: a wait of 600 ms and the way through the fleet. Each further step
+	// adds one.
+	lateRead     = 1200 * timer.Millisecond
+	lateReadStep = 200 * timer.Millisecond
+	// passedPolling is how long a member awaits for one that can't.
+	passedPolling = 2 * timer.Second
+)
+
 // mapsInterval separates reads of the maps where the configuration is awaited.
 const mapsInterval = 10 * timer.Second
 
@@ -85,11 +100,37 @@
 		}
 	}
 	if co.configs != nil {
-		return lower < awaitersPerCentre
+		return lower < co.awaiters() || co.pu.Now().Before(co.pollUntil)
 	}
 	return lower < pollersPerCentre
 }
 
+// awaiters returns how many members of a data centre are to await the
+// configuration: more of them the longer nobody is known to have succeeded.
+func (co *Controller) awaiters() int {
+	age, hasRead := co.fr.ReadAge(co.pu.Now())
+	if !hasRead || age < lateRead {
+		return awaitersPerCentre
+	}
+	return min(maxAwaiters, awaitersPerCentre+1+int((age-lateRead)/lateReadStep))
+}
+
+// passPolling asks the next members of the data centre to await the
+// configuration in place of this one, which can't.
+func (co *Controller) passPolling(now timer.Instant) {
+	passed := 0
+	for _, me := range co.ds.members() {
+		if passed == maxAwaiters {
+			return
+		}
+		isOther := me.Incarnation > co.self.Incarnation || me.DataCentre != co.self.DataCentre
+		if me.Incarnation != co.self.Incarnation && isOther {
+			co.send(me, &peerproto.Datagram{Poll: true}, now)
+			passed++
+		}
+	}
+}
+
 // pollWhole reads the table soon, since a peer that the maps don't name holds
 // other documents: it has just joined, and can't be asked yet.
 func (co *Controller) pollWhole(now timer.Instant) {
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -39,8 +39,10 @@
 
 const (
 	leaveTimeout = 30 * time.Second
-	// lameDuck is how long callers are still served after readiness ends.
-	lameDuck       = 200 * time.Millisecond
+	// handOverShare and leaveShare are the parts of the limit, in percent, that a
+	// planned stop spends on handing over and on its last write.
+	handOverShare  = 50
+	leaveShare     = 15
 	rejoinDelay    = 100 * time.Millisecond
 	incarnationMin = uint64(1)
 )
@@ -88,6 +90,10 @@
 // WithStopLimit bounds a planned stop.
 func WithStopLimit(limit time.Duration) Option { return func(ro *Router) { ro.stopLimit = limit } }
 
+// WithPatientStop makes a planned stop wait until callers, who watch readiness,
+// have gone elsewhere.
+func WithPatientStop() Option { return func(ro *Router) { ro.isPatient = true } }
+
 // Router is one instance over all its incarnations.
 type Router struct {
 	se      parser.Settings
@@ -111,8 +117,10 @@
 	wrapCaller   func(fo *forwarder.Forwarder) http.Handler
 	entryOptions []forwarder.Option
 	stopLimit    time.Duration
-	kill         context.CancelFunc
-	killed       context.Context
+	// isPatient makes a planned stop wait until callers have gone elsewhere.
+	isPatient bool
+	kill      context.CancelFunc
+	killed    context.Context
 }
 
 // incarnation is all that a revocation ends.
@@ -317,13 +325,25 @@
 // stop is the planned stop: callers are told to go elsewhere, ownership is
 // handed over, and running work finishes.
 func (ro *Router) stop(in *incarnation, done <-chan error) error {
+	startedAt := time.Now()
 	in.pu.SetStopping()
+	ro.servers.stopKeepingAlive()
 	ctx, cancel := context.WithTimeout(ro.killed, ro.stopLimit)
 	defer cancel()
-	if err := in.co.Leave(ctx); err != nil {
+	handOverCtx, cancelHandOver := context.WithTimeout(ctx, ro.stopLimit*handOverShare/100)
+	defer cancelHandOver()
+	if err := in.co.HandOver(handOverCtx); err != nil {
 		ro.lo.Warn("planned stop without a handover", "error", err)
 	}
-	ro.servers.drain(ctx)
+	handedOverIn := time.Since(startedAt)
+	ro.servers.drain(ctx, ro.isPatient)
+	leaveCtx, cancelLeave := context.WithTimeout(ctx, ro.stopLimit*leaveShare/100)
+	defer cancelLeave()
+	err := in.co.Leave(leaveCtx)
+	ro.lo.Info("planned stop", "handedOverIn", handedOverIn.String(), "took", time.Since(startedAt).String(), "hasLeft", err == nil)
+	if err != nil {
+		return fmt.Errorf("router: planned stop: %w", err)
+	}
 	select {
 	case err := <-done:
 		return err
--- a/instance/router/servers.go
+++ b/instance/router/servers.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"cornellanding.example/core/timer"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 )
 
@@ -16,6 +18,11 @@
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
 	shutdownLimit  = 10 * time.Second
+	// quietSpan is how long no request must have begun before a stop ends, and
+	// patientQuietSpan so where callers go elsewhere by themselves.
+	quietSpan        = 150 * time.Millisecond
+	patientQuietSpan = 350 * time.Millisecond
+	quietCheck       = 20 * time.Millisecond
 )
 
 // servers are the three HTTP servers of an instance.
@@ -23,11 +30,17 @@
 	caller        *khttp.Server
 	peer          *khttp.Server
 	administrator *khttp.Server
+
+	isStopping atomic.Bool
+	active     atomic.Int64
+	// busyAt is when the latest caller's request began.
+	busyAt atomic.Int64
+	clock  timer.Clock
 }
 
 // listen binds the addresses, so that a port in use is an error at the start.
 func listen(ro *Router) (*servers, error) {
-	ss := &servers{}
+	ss := &servers{clock: ro.clock}
 	pick := func(choose func(*incarnation) http.Handler) http.Handler {
 		return http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
 			in := ro.current.Load()
@@ -39,11 +52,11 @@
 		})
 	}
 	var err error
-	ss.caller, err = newServer(ro.se.CallerAddress, pick(func(*incarnation) http.Handler { return ro.caller }))
+	ss.caller, err = newServer(ro.se.CallerAddress, ss.track(pick(func(*incarnation) http.Handler { return ro.caller }), true))
 	if err != nil {
 		return nil, err
 	}
-	ss.peer, err = newServer(ro.se.PeerAddress, pick(func(in *incarnation) http.Handler { return in.peer }))
+	ss.peer, err = newServer(ro.se.PeerAddress, ss.track(pick(func(in *incarnation) http.Handler { return in.peer }), false))
 	if err != nil {
 		ss.close()
 		return nil, err
@@ -95,18 +108,49 @@
 	}
 }
 
-// drain lets running requests finish and then stops callers' and peers'
-// servers.
-func (ss *servers) drain(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, shutdownLimit)
-	defer cancel()
-	// Callers see Connection: close on their next answers and come back
-	// elsewhere, instead of racing with the close of an idle connection.
-	ss.caller.SetKeepAlivesEnabled(false)
-	time.Sleep(lameDuck)
-	// What is cut after the limit has passed its own deadline.
-	_ = ss.caller.Shutdown(ctx)
-	_ = ss.peer.Shutdown(ctx)
+// stopKeepingAlive tells callers, with each answer from now on, to come back on
+// another connection. Connections at rest stay open: closing one could cut a
+// request that has just been read.
+func (ss *servers) stopKeepingAlive() { ss.isStopping.Store(true) }
+
+// drain returns once no request has run for a while. If it is patient that is
+// long enough for callers to notice that the instance is not ready.
+func (ss *servers) drain(ctx context.Context, isPatient bool) {
+	quiet := quietSpan
+	if isPatient {
+		quiet = patientQuietSpan
+	}
+	limit := time.NewTimer(shutdownLimit)
+	defer limit.Stop()
+	for {
+		since := ss.clock.Now().Sub(timer.Instant(ss.busyAt.Load()))
+		if ss.active.Load() == 0 && since.Duration() >= quiet {
+			return
+		}
+		select {
+		case <-time.After(quietCheck):
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// track counts the requests that run, and ends keep-alive in a planned stop. Only
+// callers keep the instance busy: peers go elsewhere at once.
+func (ss *servers) track(handler http.Handler, isCaller bool) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
+		ss.active.Add(1)
+		if isCaller {
+			ss.busyAt.Store(int64(ss.clock.Now()))
+		}
+		defer ss.active.Add(-1)
+		if ss.isStopping.Load() {
+			wr.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(wr, re)
+	})
 }
 
 func (ss *servers) close() {
