--- a/core/folder/folder.go
+++ b/core/folder/folder.go
@@ -109,13 +109,15 @@
 		}
 		members = append(members, placer.Member{
 			BackendServer: an.BackendServer, Incarnation: an.Lease.Incarnation, DataCentre: an.DataCentre,
-			Address: an.Address, Weight: weight(service, an, in.Config),
+			Address: an.Address, Weight: Weight(service, an, in.Config),
 		})
 	}
 	return members
 }
 
-func weight(service string, an Announcement, co cataloguer.Config) uint32 {
+// Weight returns the weight that an instance's row has in a service's map under a
+// configuration.
+func Weight(service string, an Announcement, co cataloguer.Config) uint32 {
 	if service == LimitsService && !an.IsStopping {
 		// A bucket lives in the instance: the state of the backend server
 		// beside it doesn't matter.
--- a/core/leaser/watcher.go
+++ b/core/leaser/watcher.go
@@ -141,6 +141,14 @@
 	return next, found
 }
 
+// Dismiss drops the promise to a holder whose committed row no longer names this
+// watcher. A taker with a former version of the row can't write it any more.
+func (wa *Watcher) Dismiss(holder uint64) {
+	if !wa.promises[holder].revoked {
+		delete(wa.promises, holder)
+	}
+}
+
 // Forget drops an expired promise at now. A revocation is kept for good: the
 // holder may be paused and send its next renewal at any later time.
 func (wa *Watcher) Forget(holder uint64, now timer.Instant) {
--- a/instance/controller/configs.go
+++ b/instance/controller/configs.go
@@ -9,9 +9,14 @@
 )
 
 const (
-	// configPatience bounds one wait for another configuration. It is longer
-	// than the wait that is asked for, and shorter than freshness lasts.
-	configPatience = 2500 * time.Millisecond
+	// awaitSpan is how long one wait for another configuration is to last, so
+	// that a member that can't read it is noticed within a second.
+	awaitSpan = 600 * time.Millisecond
+	// firstAwaitSpan is so for an instance that has not joined, on which nobody
+	// relies.
+	firstAwaitSpan = 2 * time.Second
+	// configPatience is how much longer a wait may take.
+	configPatience = 1500 * time.Millisecond
 	// configBackoff separates waits that failed. It doubles up to
 	// maxConfigBackoff.
 	configBackoff    = 150 * timer.Millisecond
@@ -27,10 +32,14 @@
 	}
 	co.isAwaiting = true
 	origin := co.ds.config.Origin
+	wait := awaitSpan
+	if !co.isJoined {
+		wait = firstAwaitSpan
+	}
 	co.spawn(func(ctx context.Context) event {
-		ctx, cancel := context.WithTimeout(ctx, configPatience)
+		ctx, cancel := context.WithTimeout(ctx, wait+configPatience)
 		defer cancel()
-		aw, err := co.configs.Await(ctx, origin)
+		aw, err := co.configs.Await(ctx, origin, wait)
 		readAt := now
 		if err == nil {
 			readAt = max(now, co.pu.Now().Add(-aw.Age))
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -30,6 +30,7 @@
 	"cornellanding.example/core/timer"
 	"cornellanding.example/core/warner"
 	"cornellanding.example/instance/publisher"
+	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/peerproto"
 	"github.com/hashicorp/go-hclog"
 )
@@ -58,12 +59,15 @@
 	pollersPerCentre = 2
 	// firstFoldSpread spreads the folds of instances that find no map when they
 	// join, so that one of them finds most others. It tells them the map.
-	firstFoldSpread = 500 * timer.Millisecond
-	// joinFoldSpread does so for those that start again.
-	joinFoldSpread = 40 * timer.Millisecond
-	// firstWatchDelay is how long the choice of watchers waits for the members
-	// that join at the same time.
-	firstWatchDelay = 600 * timer.Millisecond
+	firstFoldSpread = 1500 * timer.Millisecond
+	// foldSpreadPerMember does so for those that start again, all at once at the
+	// worst.
+	foldSpreadPerMember = 2 * timer.Millisecond
+	// minFoldSpread is the least wait after a fold that met another.
+	minFoldSpread = 15 * timer.Millisecond
+	// firstWatchDelay is how long the first choice of watchers waits for the
+	// members that join at the same time.
+	firstWatchDelay = firstFoldSpread + 300*timer.Millisecond
 	eventQueue      = 4096
 )
 
@@ -138,6 +142,8 @@
 	isRewatching  bool
 	isFolding     bool
 	needsFold     bool
+	// needsOwnFold says that the maps don't show the own row yet.
+	needsOwnFold  bool
 	takeovers     map[uint64]bool
 	nextTakeover  map[uint64]timer.Instant
 	nextJoinAt    timer.Instant
@@ -261,7 +267,7 @@
 }
 
 func (co *Controller) isBusy() bool {
-	if !co.isJoined || co.needsFold || co.leave != nil {
+	if !co.isJoined || co.needsFold || co.needsOwnFold || co.leave != nil {
 		return true
 	}
 	for _, te := range co.tenures {
@@ -373,8 +379,8 @@
 	co.writtenWeight = an.Weight
 	an.Lease = leaser.Row{Incarnation: co.self.Incarnation, Watchers: co.chooseWatchers(nil, now)}
 	co.spawn(func(ctx context.Context) event {
-		row, err := co.ledger.join(ctx, an, co.revokeFormer)
-		return rowCommitted{row: row, err: err}
+		row, isFirst, err := co.ledger.join(ctx, an, co.revokeFormer)
+		return rowCommitted{row: row, isFirst: isFirst, err: err}
 	})
 }
 
@@ -397,7 +403,9 @@
 		return
 	}
 	if isFound && ev.row.Incarnation == co.self.Incarnation {
+		former := co.ho.Committed().Watchers
 		co.ho.Commit(ev.row)
+		co.dismiss(former, now)
 	}
 	if ev.err != nil {
 		co.lo.Warn("row not written", "error", ev.err)
@@ -409,8 +417,8 @@
 	}
 	if !co.isJoined {
 		co.lo.Info("joined", "incarnation", co.self.Incarnation, "watchers", len(ev.row.Watchers))
-		co.needsFold = true
-		spread := joinFoldSpread
+		co.needsOwnFold = true
+		spread := foldSpreadPerMember * timer.Span(1+len(co.ds.members()))
 		if len(co.ds.members()) == 0 {
 			spread = firstFoldSpread
 			co.nextRewatchAt = now.Add(firstWatchDelay)
@@ -418,7 +426,8 @@
 		co.nextFoldAt = now.Add(timer.Span(rand.Int64N(int64(spread))))
 	}
 	co.isJoined = true
-	co.needsFold = co.needsFold || ev.isReport
+	co.hasSoughtOrphans = co.hasSoughtOrphans || ev.isFirst
+	co.needsOwnFold = co.needsOwnFold || ev.isReport
 	co.nextRenewAt = now
 }
 
@@ -426,27 +435,55 @@
 // waits a moment, since VMs are often lost together and one version for all of
 // them moves each partition once.
 func (co *Controller) refold(now timer.Instant) {
-	if !co.needsFold || co.isFolding || now.Before(co.nextFoldAt) {
+	if !co.needsFold && !co.needsOwnFold || co.isFolding || now.Before(co.nextFoldAt) {
 		return
 	}
-	co.isFolding, co.needsFold = true, false
+	co.isFolding = true
 	known := co.ds.members()
+	isForOthers := co.needsFold
+	co.needsFold, co.needsOwnFold = false, false
 	co.spawn(func(ctx context.Context) event {
-		docs, err := co.ledger.fold(ctx)
+		docs, isDone, err := co.ledger.foldOnce(ctx)
 		co.post(ctx, documentsFetched{documents: docs})
-		return folded{known: known, err: err}
+		return folded{known: known, isForOthers: isForOthers, isDone: isDone, err: err}
 	})
 }
 
 func (co *Controller) onFolded(ev folded, now timer.Instant) {
 	co.isFolding = false
 	co.welcome(ev.known, now)
-	if ev.err != nil {
+	if ev.isDone {
+		return
+	}
+	// Somebody else folded, or the table did not answer. The other's maps may
+	// show the own row already, and then nothing is left to do.
+	co.needsFold = co.needsFold || ev.isForOthers
+	co.needsOwnFold = co.needsOwnFold || !co.isOwnRowFolded()
+	spread := minFoldSpread + foldSpreadPerMember*timer.Span(len(co.ds.members()))
+	co.nextFoldAt = now.Add(minFoldSpread + timer.Span(rand.Int64N(int64(spread))))
+	var conflict *tabler.ConflictError
+	if !errors.As(ev.err, &conflict) {
 		co.lo.Warn("maps not folded", "error", ev.err)
-		co.needsFold = true
 	}
 }
 
+// isOwnRowFolded reports whether the maps show the own row as it was written
+// last.
+func (co *Controller) isOwnRowFolded() bool {
+	an := co.announcement(co.writtenWeight)
+	for _, service := range []string{co.self.Service, folder.LimitsService} {
+		tb := co.ds.tables[service]
+		if tb == nil {
+			return false
+		}
+		me, ok := tb.Map.ByIncarnation(co.self.Incarnation)
+		if !ok || me.Weight != folder.Weight(service, an, co.ds.config) {
+			return false
+		}
+	}
+	return true
+}
+
 // welcome tells new members of the maps that name them: they know nobody whom
 // they could ask.
 func (co *Controller) welcome(known []placer.Member, now timer.Instant) {
@@ -462,6 +499,9 @@
 func (co *Controller) onDocuments(ev documentsFetched, now timer.Instant) {
 	if ev.isPoll {
 		co.isFetching = false
+		if ev.err != nil && !co.isJoined {
+			co.nextPollAt = now.Add(joinBackoff)
+		}
 	}
 	if ev.isTable {
 		co.noteTable(ev)
@@ -526,7 +566,9 @@
 	co.pu.Publish(co.ds.view())
 	co.checkMembership()
 	co.nextRenewAt = now
-	co.nextRewatchAt = min(co.nextRewatchAt, now)
+	if co.hasLostWatcher() {
+		co.nextRewatchAt = min(co.nextRewatchAt, now)
+	}
 	co.lo.Debug("documents applied", "config", co.ds.config.Version, "hash", co.ds.hash)
 }
 
@@ -539,12 +581,10 @@
 		co.err = ErrRevoked
 		return
 	}
-	if !isMissing && !co.wasMember && co.writtenWeight == co.weight() {
-		co.needsFold = false
-	}
 	co.wasMember = co.wasMember || !isMissing
-	if isMissing && co.isJoined && co.leave == nil {
-		co.needsFold = true
+	if co.isJoined && co.leave == nil {
+		isShown := co.isOwnRowFolded()
+		co.needsOwnFold = co.needsOwnFold && !isShown || isMissing
 	}
 }
 
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -54,6 +54,8 @@
 // rowCommitted brings the own row as it was read back.
 type rowCommitted struct {
 	row leaser.Row
+	// isFirst says that the backend server had no row before.
+	isFirst bool
 	// isEnded says that the row was found left or revoked.
 	isEnded bool
 	// isReport says that the write changed what the maps are folded from.
@@ -98,7 +100,10 @@
 type folded struct {
 	// known are the members known before.
 	known []placer.Member
-	err   error
+	// isForOthers says that it was not only to show the own row.
+	isForOthers bool
+	isDone      bool
+	err         error
 }
 
 // leaveAsked begins a planned stop, or ends it if done is set.
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -71,6 +71,9 @@
 		}
 		return
 	}
+	if da.GetDismissed() {
+		co.wa.Dismiss(da.GetFrom())
+	}
 	if da.GetPoll() {
 		co.pollUntil = now.Add(passedPolling)
 	}
@@ -181,6 +184,19 @@
 	co.replaceWatchers(chosen, now)
 }
 
+// dismiss tells former watchers that the committed row names no more, so that
+// they don't look for a lost holder.
+func (co *Controller) dismiss(former []leaser.Watch, now timer.Instant) {
+	for _, wt := range former {
+		if co.ho.Committed().Names(wt.Incarnation) {
+			continue
+		}
+		if me, ok := co.ds.member(wt.Incarnation); ok {
+			co.send(me, &peerproto.Datagram{Dismissed: true}, now)
+		}
+	}
+}
+
 // hasLostWatcher reports whether a watcher's incarnation is no member any more.
 func (co *Controller) hasLostWatcher() bool {
 	for _, wt := range co.ho.Committed().Watchers {
--- a/instance/controller/ledger_test.go
+++ b/instance/controller/ledger_test.go
@@ -176,7 +176,7 @@
 			isRevoked := false
 			an := rowOf(2, 0)
 			an.Address = "here"
-			row, err := le.join(context.Background(), an, func(ctx context.Context, former folder.Announcement) error {
+			row, _, err := le.join(context.Background(), an, func(ctx context.Context, former folder.Announcement) error {
 				isRevoked = true
 				return le.end(ctx, former, folder.Revoked)
 			})
--- a/instance/controller/options.go
+++ b/instance/controller/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/registrar"
@@ -38,8 +39,8 @@
 // the table.
 type Configs interface {
 	// Await returns the configuration as soon as its origin is another than the
-	// given one, or after a while that it is unchanged. It fails once ctx ends.
-	Await(ctx context.Context, origin string) (Awaited, error)
+	// given one, or after the wait that it is unchanged. It fails once ctx ends.
+	Await(ctx context.Context, origin string, wait time.Duration) (Awaited, error)
 }
 
 // Awaited is what Configs knows at the end of a wait.
--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -25,8 +25,12 @@
 	passedPolling = 2 * timer.Second
 )
 
-// mapsInterval separates reads of the maps where the configuration is awaited.
-const mapsInterval = 10 * timer.Second
+const (
+	// mapsInterval separates reads of the maps where the configuration is
+	// awaited, and firstMapsInterval so before the instance has joined.
+	mapsInterval      = 10 * timer.Second
+	firstMapsInterval = 3 * timer.Second
+)
 
 // addReport tells what is known of the table.
 func (co *Controller) addReport(da *peerproto.Datagram, now timer.Instant) {
@@ -145,8 +149,11 @@
 		return
 	}
 	co.nextPollAt = now.Add(pollInterval)
-	if !co.isJoined && co.configs == nil {
+	switch {
+	case !co.isJoined && co.configs == nil:
 		co.nextPollAt = now.Add(joinBackoff)
+	case !co.isJoined:
+		co.nextPollAt = now.Add(firstMapsInterval)
 	}
 	if co.configs != nil && co.isJoined && !co.isWholeDue {
 		// The configuration is awaited, and maps spread by peers. The poll is
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -321,26 +321,27 @@
 }
 
 // join announces the instance, after the former incarnation of its backend
-// server is known to serve nothing. It returns the row as committed.
-func (le *ledger) join(ctx context.Context, an folder.Announcement, revoke func(context.Context, folder.Announcement) error) (leaser.Row, error) {
+// server is known to serve nothing. It returns the row as committed, and whether
+// there was none before.
+func (le *ledger) join(ctx context.Context, an folder.Announcement, revoke func(context.Context, folder.Announcement) error) (row leaser.Row, isFirst bool, err error) {
 	former, err := le.readRow(ctx, an.BackendServer)
 	if err != nil {
-		return leaser.Row{}, err
+		return leaser.Row{}, false, err
 	}
 	if former.Lease.Incarnation == an.Lease.Incarnation && former.State == folder.Active {
-		return former.Lease, nil
+		return former.Lease, false, nil
 	}
 	if !isEnded(former, an) {
 		if err := revoke(ctx, former); err != nil {
-			return leaser.Row{}, fmt.Errorf("controller: former incarnation: %w", err)
+			return leaser.Row{}, false, fmt.Errorf("controller: former incarnation: %w", err)
 		}
 	}
 	an.Lease.Version = former.Lease.Version
 	committed, err := le.writeRow(ctx, an)
 	if err != nil {
-		return leaser.Row{}, err
+		return leaser.Row{}, false, err
 	}
-	return committed.Lease, nil
+	return committed.Lease, former.Lease.Version == 0, nil
 }
 
 // isEnded reports whether the former incarnation provably serves nothing: it
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -14,8 +14,8 @@
 	// that are about to be obtained: the server takes no reply after a second.
 	replyPatience = 600 * timer.Millisecond
 	// serverPatience is how long joining waits for the server's first
-	// heartbeat: two of the usual second.
-	serverPatience = 2 * timer.Second
+	// heartbeat: three of the usual second.
+	serverPatience = 3 * timer.Second
 	// drainServing is how long a leaving server still gets work after its word
 	// was acknowledged, so that its keys can move first.
 	drainServing = 1200 * timer.Millisecond
