--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -92,8 +92,9 @@
 	decided uint64
 	// heardAt is when the server's word last taken was heard, and fellAt when
 	// it last fell over.
-	heardAt timer.Instant
-	fellAt  timer.Instant
+	heardAt    timer.Instant
+	fellAt     timer.Instant
+	isDraining bool
 	// isStartDue says that a timer will start what waits for a cold server.
 	isStartDue bool
 }
@@ -117,6 +118,13 @@
 // Close drops the pooled connections.
 func (ga *Gatekeeper) Close() { ga.bs.close() }
 
+// Drain refuses all new work from now on, as not run.
+func (ga *Gatekeeper) Drain() {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.isDraining = true
+}
+
 // Load returns how many requests run and wait, and the concurrency in force.
 func (ga *Gatekeeper) Load() (running, waiting, limit int) {
 	ga.mu.Lock()
@@ -295,6 +303,10 @@
 // enqueue waits for a slot. It returns nil once the request has one.
 func (ga *Gatekeeper) enqueue(ctx context.Context, jo *job) *peerproto.ForwardResponse {
 	ga.mu.Lock()
+	if ga.isDraining {
+		ga.mu.Unlock()
+		return refuse(admitter.CodeDraining, "this instance is stopping")
+	}
 	ga.follow(jo.sv.Limits)
 	if refusal := ga.followServer(); refusal != nil {
 		ga.mu.Unlock()
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -39,10 +39,13 @@
 
 const (
 	leaveTimeout = 30 * time.Second
-	// handOverShare and leaveShare are the parts of the limit, in percent, that a
-	// planned stop spends on handing over and on its last write.
-	handOverShare  = 50
-	leaveShare     = 15
+	// Until when, in percent of its limit, a planned stop hands over, serves
+	// callers, makes its last write, and lets running requests finish. Requests
+	// that begin in the first half have time to end.
+	handOverUntil  = 45
+	serveUntil     = 55
+	leaveUntil     = 75
+	finishUntil    = 100
 	rejoinDelay    = 100 * time.Millisecond
 	incarnationMin = uint64(1)
 )
@@ -323,24 +326,35 @@
 }
 
 // stop is the planned stop: callers are told to go elsewhere, ownership is
-// handed over, and running work finishes.
+// handed over, and running work finishes. What comes after that is refused as
+// not run, since the process could end before it has an answer.
 func (ro *Router) stop(in *incarnation, done <-chan error) error {
-	startedAt := time.Now()
+	startedAt := ro.clock.Now()
+	part := func(percent time.Duration) (context.Context, context.CancelFunc) {
+		left := ro.stopLimit*percent/100 - ro.clock.Now().Sub(startedAt).Duration()
+		return context.WithTimeout(ro.killed, left)
+	}
 	in.pu.SetStopping()
 	ro.servers.stopKeepingAlive()
-	ctx, cancel := context.WithTimeout(ro.killed, ro.stopLimit)
+	ctx, cancel := part(handOverUntil)
 	defer cancel()
-	handOverCtx, cancelHandOver := context.WithTimeout(ctx, ro.stopLimit*handOverShare/100)
-	defer cancelHandOver()
-	if err := in.co.HandOver(handOverCtx); err != nil {
+	if err := in.co.HandOver(ctx); err != nil {
 		ro.lo.Warn("planned stop without a handover", "error", err)
 	}
-	handedOverIn := time.Since(startedAt)
-	ro.servers.drain(ctx, ro.isPatient)
-	leaveCtx, cancelLeave := context.WithTimeout(ctx, ro.stopLimit*leaveShare/100)
-	defer cancelLeave()
-	err := in.co.Leave(leaveCtx)
-	ro.lo.Info("planned stop", "handedOverIn", handedOverIn.String(), "took", time.Since(startedAt).String(), "hasLeft", err == nil)
+	handedOverIn := ro.clock.Now().Sub(startedAt)
+	ctx, cancel = part(serveUntil)
+	defer cancel()
+	ro.servers.awaitQuiet(ctx, ro.isPatient)
+	ro.servers.refuse()
+	in.ga.Drain()
+	ctx, cancel = part(leaveUntil)
+	defer cancel()
+	err := in.co.Leave(ctx)
+	ctx, cancel = part(finishUntil)
+	defer cancel()
+	running := ro.servers.awaitIdle(ctx)
+	ro.lo.Info("planned stop", "handedOverIn", handedOverIn.Duration().String(),
+		"took", ro.clock.Now().Sub(startedAt).Duration().String(), "hasLeft", err == nil, "stillRunning", running)
 	if err != nil {
 		return fmt.Errorf("router: planned stop: %w", err)
 	}
--- a/instance/router/servers.go
+++ b/instance/router/servers.go
@@ -17,7 +17,6 @@
 	bodyTimeout    = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
-	shutdownLimit  = 10 * time.Second
 	// quietSpan is how long no request must have begun before a stop ends, and
 	// patientQuietSpan so where callers go elsewhere by themselves.
 	quietSpan        = 150 * time.Millisecond
@@ -32,6 +31,7 @@
 	administrator *khttp.Server
 
 	isStopping atomic.Bool
+	isRefusing atomic.Bool
 	active     atomic.Int64
 	// busyAt is when the latest caller's request began.
 	busyAt atomic.Int64
@@ -113,30 +113,33 @@
 // request that has just been read.
 func (ss *servers) stopKeepingAlive() { ss.isStopping.Store(true) }
 
-// drain returns once no request has run for a while. If it is patient that is
-// long enough for callers to notice that the instance is not ready.
-func (ss *servers) drain(ctx context.Context, isPatient bool) {
+// awaitQuiet returns once no caller's request has run for a while, or ctx ends.
+// If it is patient that is long enough for callers to notice that the instance
+// is not ready.
+func (ss *servers) awaitQuiet(ctx context.Context, isPatient bool) {
 	quiet := quietSpan
 	if isPatient {
 		quiet = patientQuietSpan
 	}
-	limit := time.NewTimer(shutdownLimit)
-	defer limit.Stop()
 	for {
 		since := ss.clock.Now().Sub(timer.Instant(ss.busyAt.Load()))
-		if ss.active.Load() == 0 && since.Duration() >= quiet {
-			return
-		}
-		select {
-		case <-time.After(quietCheck):
-		case <-limit.C:
-			return
-		case <-ctx.Done():
+		if ss.active.Load() == 0 && since.Duration() >= quiet || !timer.Sleep(ctx, quietCheck) {
 			return
 		}
 	}
 }
 
+// refuse refuses what callers ask from now on.
+func (ss *servers) refuse() { ss.isRefusing.Store(true) }
+
+// awaitIdle returns once no request runs, or ctx ends. It returns how many still
+// run.
+func (ss *servers) awaitIdle(ctx context.Context) int64 {
+	for ss.active.Load() > 0 && timer.Sleep(ctx, quietCheck) {
+	}
+	return ss.active.Load()
+}
+
 // track counts the requests that run, and ends keep-alive in a planned stop. Only
 // callers keep the instance busy: peers go elsewhere at once.
 func (ss *servers) track(handler http.Handler, isCaller bool) http.Handler {
@@ -149,6 +152,13 @@
 		if ss.isStopping.Load() {
 			wr.Header().Set("Connection", "close")
 		}
+		// The count went up before the check, so that whoever refuses and then
+		// sees no request knows that none is passed on.
+		if isCaller && ss.isRefusing.Load() {
+			wr.Header().Set("Retry-After", "0.1")
+			http.Error(wr, "stopping: the request has not run", http.StatusServiceUnavailable)
+			return
+		}
 		handler.ServeHTTP(wr, re)
 	})
 }
