--- a/cmd/cornellanding/sidecar.go
+++ b/cmd/cornellanding/sidecar.go
@@ -12,7 +12,7 @@
 
 type sidecarCommand struct {
 	*streams
-	Settings string `long:"settings" description:"Settings file of the platform; the default is the path in CORNELLANDING_NODE_FILE"`
+	Settings string `long:"settings" description:"Settings file of the platform; by default the one that the environment names"`
 }
 
 // Execute implements flags.Commander.
