Compare servers of a shared service by route, and hedge late idempotent reads there

Cause: the balancer mixed routes of 22 ms and 360 ms in one latency, so that it did not see stragglers, and a hedge's delay was of no route.

--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -31,10 +31,27 @@
 type choice struct {
 	mu         sync.Mutex
 	ba         *balancer.Balancer
-	he         *retrier.Hedger
+	routes     map[string]*routeLatency
 	mapVersion uint64
 }
 
+// routeLatency is what is known of one route's latency at a service.
+type routeLatency struct {
+	he *retrier.Hedger
+	// mean is smoothed, 0 if nothing is known.
+	mean float64
+}
+
+const (
+	// meanWeight smooths a route's mean latency.
+	meanWeight = 0.05
+	// usualLatency stands for a route's mean latency in the balancer, so that
+	// routes of different length can be compared.
+	usualLatency = 100 * timer.Millisecond
+	// maxLatencyRoutes bounds the routes whose latency is kept.
+	maxLatencyRoutes = 4096
+)
+
 func newChoices() *choices { return &choices{services: map[string]*choice{}} }
 
 func (cs *choices) of(tb *placer.Table, dataCentre string) *choice {
@@ -42,7 +59,7 @@
 	defer cs.mu.Unlock()
 	ch := cs.services[tb.Map.Service]
 	if ch == nil {
-		ch = &choice{ba: balancer.New(), he: retrier.NewHedger()}
+		ch = &choice{ba: balancer.New(), routes: map[string]*routeLatency{}}
 		cs.services[tb.Map.Service] = ch
 	}
 	ch.follow(tb.Map, dataCentre)
@@ -82,24 +99,50 @@
 }
 
 // finish takes an attempt that ended by itself.
-func (ch *choice) finish(incarnation uint64, latency timer.Span, isFailed bool) {
+func (ch *choice) finish(incarnation uint64, route string, latency timer.Span, isFailed bool) {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	ch.ba.Finish(incarnation, latency, isFailed)
-	ch.he.Observe(latency)
+	ch.ba.Finish(incarnation, ch.compare(route, latency), isFailed)
+	rl := ch.of(route)
+	rl.he.Observe(latency)
+	if rl.mean == 0 {
+		rl.mean = float64(latency)
+	}
+	rl.mean += meanWeight * (float64(latency) - rl.mean)
+}
+
+// compare returns a latency as if the route took the usual time.
+func (ch *choice) compare(route string, latency timer.Span) timer.Span {
+	mean := ch.of(route).mean
+	if mean == 0 {
+		return usualLatency
+	}
+	return timer.Span(float64(latency) / mean * float64(usualLatency))
+}
+
+// of returns what is known of a route. The lock must be held.
+func (ch *choice) of(route string) *routeLatency {
+	rl := ch.routes[route]
+	if rl == nil {
+		rl = &routeLatency{he: retrier.NewHedger()}
+		if len(ch.routes) < maxLatencyRoutes {
+			ch.routes[route] = rl
+		}
+	}
+	return rl
 }
 
 // cancel takes an attempt that was given up, as the loser of a hedge is.
-func (ch *choice) cancel(incarnation uint64, elapsed timer.Span) {
+func (ch *choice) cancel(incarnation uint64, route string, elapsed timer.Span) {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	ch.ba.Cancel(incarnation, elapsed)
+	ch.ba.Cancel(incarnation, ch.compare(route, elapsed))
 }
 
-func (ch *choice) delay() time.Duration {
+func (ch *choice) delay(route string) time.Duration {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	return ch.he.Delay().Duration()
+	return ch.of(route).he.Delay().Duration()
 }
 
 // dispatchShared tries servers until one answers. A late answer to an
@@ -146,7 +189,7 @@
 		ca.arrivals += at.arrivals
 		return at, true
 	}
-	hedge := time.NewTimer(ch.delay())
+	hedge := time.NewTimer(ch.delay(ca.route.Name))
 	defer hedge.Stop()
 	underWay := 1
 	for {
@@ -180,7 +223,7 @@
 	*tried = append(*tried, incarnation)
 	to, ok := tb.Map.ByIncarnation(incarnation)
 	if !ok {
-		ch.cancel(incarnation, 0)
+		ch.cancel(incarnation, ca.route.Name, 0)
 		return false
 	}
 	copied := ca.copy()
@@ -193,9 +236,9 @@
 		at.arrivals = copied.arrivals - before
 		latency := fo.so.Now().Sub(startedAt)
 		if at.err != nil && ctx.Err() != nil {
-			ch.cancel(incarnation, latency)
+			ch.cancel(incarnation, copied.route.Name, latency)
 		} else {
-			ch.finish(incarnation, latency, at.outcome() != gatekeeper.OutcomeAnswered)
+			ch.finish(incarnation, copied.route.Name, latency, at.outcome() != gatekeeper.OutcomeAnswered)
 		}
 		results <- at
 	}()
