--- a/instance/forwarder/request.go
+++ b/instance/forwarder/request.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
@@ -105,6 +106,10 @@
 	ca.key, ca.target, ca.host, ca.headers, ca.body = rq.Key, rq.Target, rq.Host, rq.Headers, rq.Body
 	ca.method, ca.callerService = rq.Method, fo.callerOf
 	ca.setDeadline(rq.Patience)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := timer.FromDuration(time.Until(deadline))
+		ca.deadlineAt = min(ca.deadlineAt, fo.so.Now().Add(left))
+	}
 	if vi.Services[ca.service].Class == cataloguer.Exclusive && ca.key == "" {
 		return nil, &Refusal{Status: http.StatusBadRequest, Code: CodeBadRequest, Reason: "the entity key is missing"}
 	}
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -342,9 +342,8 @@
 	}
 }
 
-// followServer takes what the backend server says of itself, and refuses if it
-// must get no new work. The lock must be held.
-func (ga *Gatekeeper) followServer() *peerproto.ForwardResponse {
+// refuseForServer refuses if the backend server must get no new work.
+func (ga *Gatekeeper) refuseForServer() *peerproto.ForwardResponse {
 	bs := ga.pu.BackendServer()
 	switch {
 	case bs == nil:
@@ -353,6 +352,20 @@
 		return refuse(CodeNoServer, "the backend server has not been heard of")
 	case bs.RefuseAt != 0 && !ga.pu.Now().Before(bs.RefuseAt):
 		return refuse(admitter.CodeDraining, "the backend server is leaving")
+	default:
+		return nil
+	}
+}
+
+// followServer takes what the backend server says of itself, and refuses if it
+// must get no new work. The lock must be held.
+func (ga *Gatekeeper) followServer() *peerproto.ForwardResponse {
+	if refusal := ga.refuseForServer(); refusal != nil {
+		return refusal
+	}
+	bs := ga.pu.BackendServer()
+	if bs == nil {
+		return nil
 	}
 	if bs.HeardAt > ga.heardAt && bs.HeardAt > ga.fellAt {
 		ga.heardAt = bs.HeardAt
@@ -490,6 +503,9 @@
 	if ctx.Err() != nil {
 		return refuse(admitter.CodeDeadline, "the deadline passed before the start"), false
 	}
+	if refusal := ga.refuseForServer(); refusal != nil {
+		return refusal, false
+	}
 	if jo.sv.Class == cataloguer.Shared {
 		return ga.run(ctx, jo, 0)
 	}
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -42,10 +42,12 @@
 	// Until when, in percent of its limit, a planned stop hands over, serves
 	// callers, makes its last write, and lets running requests finish. Requests
 	// that begin in the first half have time to end.
-	handOverUntil  = 45
-	serveUntil     = 55
-	leaveUntil     = 75
-	finishUntil    = 100
+	handOverUntil = 45
+	serveUntil    = 55
+	leaveUntil    = 75
+	finishUntil   = 95
+	// answerUntil is by when requests that begin in a planned stop are answered.
+	answerUntil    = 88
 	rejoinDelay    = 100 * time.Millisecond
 	incarnationMin = uint64(1)
 )
@@ -335,7 +337,7 @@
 		return context.WithTimeout(ro.killed, left)
 	}
 	in.pu.SetStopping()
-	ro.servers.stopKeepingAlive()
+	ro.servers.stopKeepingAlive(startedAt.Add(timer.FromDuration(ro.stopLimit * answerUntil / 100)))
 	ctx, cancel := part(handOverUntil)
 	defer cancel()
 	if err := in.co.HandOver(ctx); err != nil {
--- a/instance/router/servers.go
+++ b/instance/router/servers.go
@@ -22,6 +22,8 @@
 	quietSpan        = 150 * time.Millisecond
 	patientQuietSpan = 350 * time.Millisecond
 	quietCheck       = 20 * time.Millisecond
+	// cancelSpan is how long cancelled requests may take to be answered.
+	cancelSpan = 200 * time.Millisecond
 )
 
 // servers are the three HTTP servers of an instance.
@@ -36,11 +38,18 @@
 	// busyAt is when the latest caller's request began.
 	busyAt atomic.Int64
 	clock  timer.Clock
+	// endAt is by when requests that begin in a planned stop must have an
+	// answer, 0 before the stop.
+	endAt atomic.Int64
+	// ended is cancelled when a planned stop can wait no longer.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // listen binds the addresses, so that a port in use is an error at the start.
 func listen(ro *Router) (*servers, error) {
 	ss := &servers{clock: ro.clock}
+	ss.ended, ss.end = context.WithCancel(context.Background())
 	pick := func(choose func(*incarnation) http.Handler) http.Handler {
 		return http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
 			in := ro.current.Load()
@@ -111,7 +120,10 @@
 // stopKeepingAlive tells callers, with each answer from now on, to come back on
 // another connection. Connections at rest stay open: closing one could cut a
 // request that has just been read.
-func (ss *servers) stopKeepingAlive() { ss.isStopping.Store(true) }
+func (ss *servers) stopKeepingAlive(endAt timer.Instant) {
+	ss.endAt.Store(int64(endAt))
+	ss.isStopping.Store(true)
+}
 
 // awaitQuiet returns once no caller's request has run for a while, or ctx ends.
 // If it is patient that is long enough for callers to notice that the instance
@@ -132,12 +144,18 @@
 // refuse refuses what callers ask from now on.
 func (ss *servers) refuse() { ss.isRefusing.Store(true) }
 
-// awaitIdle returns once no request runs, or ctx ends. It returns how many still
-// run.
+// awaitIdle returns once no request runs, or a moment after ctx ends: what runs
+// then is cancelled, so that its caller gets an answer. It returns how many were.
 func (ss *servers) awaitIdle(ctx context.Context) int64 {
 	for ss.active.Load() > 0 && timer.Sleep(ctx, quietCheck) {
 	}
-	return ss.active.Load()
+	cancelled := ss.active.Load()
+	ss.end()
+	ctx, cancel := context.WithTimeout(context.Background(), cancelSpan)
+	defer cancel()
+	for ss.active.Load() > 0 && timer.Sleep(ctx, quietCheck) {
+	}
+	return cancelled
 }
 
 // track counts the requests that run, and ends keep-alive in a planned stop. Only
@@ -159,10 +177,33 @@
 			http.Error(wr, "stopping: the request has not run", http.StatusServiceUnavailable)
 			return
 		}
-		handler.ServeHTTP(wr, re)
+		ctx, cancel := ss.bound(re.Context())
+		defer cancel()
+		handler.ServeHTTP(wr, re.WithContext(ctx))
 	})
 }
 
+// bound ends a request's context when a planned stop can wait no longer. A
+// request that begins in a planned stop knows so from the start, and can be
+// refused as not run in time.
+func (ss *servers) bound(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	unhook := context.AfterFunc(ss.ended, cancel)
+	release := func() {
+		unhook()
+		cancel()
+	}
+	if !ss.isStopping.Load() {
+		return ctx, release
+	}
+	left := timer.Instant(ss.endAt.Load()).Sub(ss.clock.Now())
+	ctx, cancelDeadline := context.WithTimeout(ctx, left.Duration())
+	return ctx, func() {
+		cancelDeadline()
+		release()
+	}
+}
+
 func (ss *servers) close() {
 	for _, server := range ss.all() {
 		// The process or the test ends; nothing is left to do on an error.
