--- /dev/null
+++ b/instance/forwarder/request_test.go
@@ -0,0 +1,280 @@
+package forwarder
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"cornellanding.example/core/admitter"
+	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/gatekeeper"
+	"cornellanding.example/instance/publisher"
+	"cornellanding.example/wire/peerproto"
+	"github.com/matryer/is"
+)
+
+// fleet is a fake of all gates and bucket homes.
+type fleet struct {
+	pu *publisher.Publisher
+	mu sync.Mutex
+	// gates answer by address.
+	gates map[string]func(ctx context.Context, rq *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error)
+	seen  []*peerproto.ForwardRequest
+	// grant answers asks for tokens; nil is silence.
+	grant *peerproto.GrantResponse
+}
+
+func (fl *fleet) View() *publisher.View { return fl.pu.View() }
+func (fl *fleet) Now() timer.Instant    { return fl.pu.Now() }
+func (fl *fleet) IsFresh() bool         { return true }
+
+func (fl *fleet) Forward(ctx context.Context, address string, rq *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+	fl.mu.Lock()
+	fl.seen = append(fl.seen, rq)
+	gate := fl.gates[address]
+	fl.mu.Unlock()
+	if gate == nil {
+		return nil, false, errors.New("connection refused")
+	}
+	answer, wasSent, err := gate(ctx, rq)
+	if answer != nil {
+		answer.RequestId = rq.GetRequestId()
+	}
+	return answer, wasSent, err
+}
+
+func (fl *fleet) Grant(context.Context, string, *peerproto.GrantRequest) (*peerproto.GrantResponse, error) {
+	if fl.grant == nil {
+		return nil, errors.New("no answer")
+	}
+	return fl.grant, nil
+}
+
+func answered(body string) (*peerproto.ForwardResponse, bool, error) {
+	return &peerproto.ForwardResponse{Outcome: gatekeeper.OutcomeAnswered, Status: 200, Body: []byte(body)}, true, nil
+}
+
+func refused(code string) (*peerproto.ForwardResponse, bool, error) {
+	return &peerproto.ForwardResponse{Outcome: gatekeeper.OutcomeNotRun, Code: code}, true, nil
+}
+
+const testCredential = "Bearer k"
+
+// newFleet returns a forwarder before two members of a shared service and two of
+// an exclusive one.
+func newFleet(t *testing.T, opts ...Option) (*Forwarder, *fleet) {
+	t.Helper()
+	fl := &fleet{
+		pu:    publisher.New(timer.Boot{}, publisher.Self{}),
+		gates: map[string]func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error){},
+		grant: &peerproto.GrantResponse{Immediate: 1, Tokens: 5},
+	}
+	co := cataloguer.Config{Version: 1, Keys: []cataloguer.Key{{Digest: sha256.Sum256([]byte("k")), Workspace: "w"}}}
+	co.Catalogue.Services = []cataloguer.Service{{Name: "pages", Class: cataloguer.Shared}, {Name: "keys", Class: cataloguer.Exclusive, Partitions: 8, KeySpace: 64}}
+	co.Catalogue.Workspaces = []cataloguer.Workspace{{Name: "w", Rate: 100, Burst: 100, HasPriority: true, Priority: 3}}
+	route := cataloguer.Route{Host: "x.example", Access: cataloguer.WorkspaceAccess, Idempotent: true, Timeout: timer.Second, MaxAttempts: 2}
+	for name, change := range map[string]func(rt *cataloguer.Route){
+		"/page/":     func(rt *cataloguer.Route) { rt.Service = "pages" },
+		"/page/sub/": func(rt *cataloguer.Route) { rt.Service = "pages"; rt.Priority = 1; rt.Access = cataloguer.OpenAccess },
+		"/key/":      func(rt *cataloguer.Route) { rt.Service = "keys" },
+		"/order/":    func(rt *cataloguer.Route) { rt.Service = "keys"; rt.Idempotent = false },
+	} {
+		rt := route
+		rt.Name, rt.Prefix = name, name
+		change(&rt)
+		co.Catalogue.Routes = append(co.Catalogue.Routes, rt)
+	}
+	tables := map[string]*placer.Table{}
+	for _, service := range []string{"pages", "keys", folder.LimitsService} {
+		ma := placer.NewMap(service, 0)
+		if service != "pages" {
+			ma = placer.NewMap(service, 8)
+		}
+		ma.KeySpace = 64
+		ma = ma.Next(0)
+		for i, address := range []string{"a", "b"} {
+			ma = ma.WithMember(placer.Member{BackendServer: address, Incarnation: uint64(i + 1), Address: address, Weight: placer.FullWeight})
+		}
+		tables[service] = placer.NewTable(ma)
+	}
+	fl.pu.Publish(publisher.NewView(co, tables))
+	fo, err := New(fl, fl, fl, opts...)
+	is.New(t).NoErr(err)
+	return fo, fl
+}
+
+func (fl *fleet) set(gate func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error), addresses ...string) {
+	for _, address := range addresses {
+		fl.gates[address] = gate
+	}
+}
+
+func toPath(path string) Request {
+	return Request{ID: "r1", Host: "X.example", Path: path, Target: path, Method: http.MethodGet, Key: "17", Authorization: testCredential}
+}
+
+// TestDo covers what a request can come to.
+func TestDo(t *testing.T) {
+	fine := func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return answered("ok")
+	}
+	shed := func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return refused(gatekeeper.CodeShed)
+	}
+	lost := func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return nil, true, errors.New("reset")
+	}
+	cases := map[string]struct {
+		request func(rq *Request)
+		gate    func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error)
+		status  int
+		outcome string
+		// sends is how many copies a gate may get at the most, 0 for any.
+		sends int
+	}{
+		"answered":              {gate: fine, status: 200, sends: 1},
+		"longest prefix, open":  {request: func(rq *Request) { rq.Path, rq.Authorization = "/page/sub/x", "" }, gate: fine, status: 200},
+		"unknown route":         {request: func(rq *Request) { rq.Path = "/other/" }, status: 404, outcome: "notRun"},
+		"unknown host":          {request: func(rq *Request) { rq.Host = "y.example" }, status: 404, outcome: "notRun"},
+		"no credential":         {request: func(rq *Request) { rq.Authorization = "" }, status: 401, outcome: "notRun"},
+		"wrong credential":      {request: func(rq *Request) { rq.Authorization = "Bearer x" }, status: 401, outcome: "notRun"},
+		"no key":                {request: func(rq *Request) { rq.Path, rq.Key = "/key/", "" }, status: 400, outcome: "notRun"},
+		"shed twice at most":    {request: func(rq *Request) { rq.Path = "/key/" }, gate: shed, status: 503, outcome: "notRun", sends: 2},
+		"order lost, not again": {request: func(rq *Request) { rq.Path = "/order/" }, gate: lost, status: 502, outcome: "unknown", sends: 2},
+		"nobody there":          {request: func(rq *Request) { rq.Path = "/order/" }, status: 503, outcome: "notRun"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fo, fl := newFleet(t, WithRetryBudget(0.5, 20))
+			if tc.gate != nil {
+				fl.set(tc.gate, "a", "b")
+			}
+			rq := toPath("/page/x")
+			if tc.request != nil {
+				tc.request(&rq)
+			}
+			answer, rf := fo.Do(context.Background(), rq)
+			if tc.outcome == "" {
+				is.Equal(rf, nil)
+				is.Equal(answer.Status, tc.status)
+				return
+			}
+			is.True(rf != nil)
+			is.Equal(rf.Status, tc.status)
+			is.Equal(rf.Outcome, tc.outcome)
+			if tc.sends > 0 {
+				is.True(len(fl.seen) <= tc.sends)
+			}
+		})
+	}
+}
+
+// TestOrderReachesOneGate never sends a copy of an order to another gate once the
+// first may have run it.
+func TestOrderReachesOneGate(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t, WithRetryBudget(1, 100))
+	lost := func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return nil, true, errors.New("reset")
+	}
+	fl.set(lost, "a", "b")
+	for range 20 {
+		_, rf := fo.Do(context.Background(), toPath("/order/x"))
+		is.True(rf.HasRun())
+	}
+	to := map[uint64]bool{}
+	for _, rq := range fl.seen {
+		to[rq.GetTo()] = true
+	}
+	is.Equal(len(to), 1)
+}
+
+// TestWhatIsPassedOn sees the request as the gate does.
+func TestWhatIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t, WithCallerService("keys"))
+	fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return answered("ok")
+	}, "a", "b")
+	rq := toPath("/key/a%2Fb?c=1")
+	rq.Path, rq.Patience = "/key/a%2Fb", 200*timer.Millisecond
+	_, rf := fo.Do(context.Background(), rq)
+	is.Equal(rf, nil)
+	got := fl.seen[0]
+	is.Equal(got.GetPathAndQuery(), "/key/a%2Fb?c=1")
+	is.Equal(got.GetWorkspace(), "w")
+	is.Equal(got.GetPriority(), uint32(3)) // the workspace's goes first
+	is.Equal(got.GetCallerService(), "keys")
+	is.True(time.Duration(got.GetRemaining()) < 200*time.Millisecond) // the caller's time, less what has passed
+}
+
+// TestRefusalOfHedge waits for the first copy though the second one is refused.
+func TestRefusalOfHedge(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t, WithRetryBudget(1, 100))
+	var first sync.Once
+	fl.set(func(ctx context.Context, _ *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		isFirst := false
+		first.Do(func() { isFirst = true })
+		if !isFirst {
+			return refused(admitter.CodeDeadline)
+		}
+		select {
+		case <-time.After(300 * time.Millisecond):
+			return answered("the first")
+		case <-ctx.Done():
+			return nil, true, ctx.Err()
+		}
+	}, "a", "b")
+	answer, rf := fo.Do(context.Background(), toPath("/page/x"))
+	is.Equal(rf, nil)
+	is.Equal(string(answer.Body), "the first")
+	is.Equal(len(fl.seen), 2) // it was hedged
+}
+
+// TestSplit spreads by weight.
+func TestSplit(t *testing.T) {
+	is := is.New(t)
+	splits := []cataloguer.Split{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[choose(splits, float64(i)/1000)]++
+	}
+	is.Equal(counts["x"], 900)
+	is.Equal(counts["y"], 100)
+	is.Equal(choose(splits, 1), "y")
+}
+
+// TestSilentHome serves a part of a workspace's rate while its bucket's home does
+// not answer, and refuses the rest soon.
+func TestSilentHome(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t)
+	fl.grant = nil
+	fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return answered("ok")
+	}, "a", "b")
+	served := 0
+	end := time.Now().Add(time.Second)
+	for time.Now().Before(end) {
+		before := time.Now()
+		_, rf := fo.Do(context.Background(), toPath("/page/x"))
+		if rf == nil {
+			served++
+			continue
+		}
+		is.Equal(rf.Code, CodeNoLimits)
+		is.True(!rf.HasRun())
+		is.True(time.Since(before) < 900*time.Millisecond)
+	}
+	is.True(served >= 5)
+	is.True(served <= 60) // well below the rate of 100
+}
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -199,7 +199,8 @@
 			ca.arrivals += at.arrivals
 			isUnknown := at.outcome() == gatekeeper.OutcomeUnknown
 			ca.mayHaveRun = ca.mayHaveRun || isUnknown
-			if underWay == 0 || isFinal(at, ca) {
+			// A refusal of one copy says nothing of the other.
+			if underWay == 0 || at.outcome() == gatekeeper.OutcomeAnswered {
 				ca.mayHaveRun = ca.mayHaveRun || underWay > 0
 				return at, true
 			}
--- a/instance/gatekeeper/gatekeeper_test.go
+++ b/instance/gatekeeper/gatekeeper_test.go
@@ -203,6 +203,30 @@
 	is.True(ga.pu.IsIdle("counter", 0) && ga.pu.IsIdle("counter", 1) && ga.pu.IsIdle("counter", 2) && ga.pu.IsIdle("counter", 3))
 }
 
+// TestLeavingServerGetsNothingFromTheQueue lets a request wait until the server
+// must get no new work any more.
+func TestLeavingServerGetsNothingFromTheQueue(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(t, emulator.WithServiceTime(300*time.Millisecond))
+	ga.pu.SetBackendServer(publisher.BackendServer{ID: "i-1", Slots: 1, HeardAt: 1})
+	first, second := make(chan *peerproto.ForwardResponse, 1), make(chan *peerproto.ForwardResponse, 1)
+	go func() { first <- ga.Forward(context.Background(), request("1", "body")) }()
+	for ga.calls.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go func() { second <- ga.Forward(context.Background(), request("2", "body")) }()
+	for _, waiting, _ := ga.Load(); waiting == 0; _, waiting, _ = ga.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	ga.pu.SetBackendServer(publisher.BackendServer{ID: "i-1", Slots: 1, HeardAt: 2, RefuseAt: ga.pu.Now()})
+	is.Equal((<-first).GetOutcome(), uint32(OutcomeAnswered)) // running work goes on
+	answer := <-second
+	is.Equal(answer.GetOutcome(), uint32(OutcomeNotRun))
+	is.Equal(answer.GetCode(), admitter.CodeDraining)
+	is.Equal(ga.calls.Load(), int32(1))
+	is.Equal(ga.Forward(context.Background(), request("3", "body")).GetCode(), admitter.CodeDraining)
+}
+
 func BenchmarkForward(b *testing.B) {
 	ga := newGate(&testing.T{}, emulator.WithoutRecords())
 	rq := request("1", "body")
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -41,13 +41,14 @@
 	leaveTimeout = 30 * time.Second
 	// Until when, in percent of its limit, a planned stop hands over, serves
 	// callers, makes its last write, and lets running requests finish. Requests
-	// that begin in the first half have time to end.
-	handOverUntil = 45
-	serveUntil    = 55
+	// that begin in the first half have time to end: work that still runs is
+	// broken off only in the last sixth of the time granted.
+	handOverUntil = 40
+	serveUntil    = 50
 	leaveUntil    = 75
-	finishUntil   = 95
+	finishUntil   = 98
 	// answerUntil is by when requests that begin in a planned stop are answered.
-	answerUntil    = 88
+	answerUntil    = 96
 	rejoinDelay    = 100 * time.Millisecond
 	incarnationMin = uint64(1)
 )
