--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -74,6 +74,11 @@
 // address.
 func WithRefused(refused func()) Option { return func(ga *Gatekeeper) { ga.refused = refused } }
 
+// WithObserver sets who is told of each request, for metrics.
+func WithObserver(observe func(outcome, code string, latency timer.Span)) Option {
+	return func(ga *Gatekeeper) { ga.observe = observe }
+}
+
 // Gatekeeper is the gate of one backend server.
 type Gatekeeper struct {
 	pu          *publisher.Publisher
@@ -82,6 +87,7 @@
 	sampleEvery uint64
 	tell        func(fingerprint uint64)
 	refused     func()
+	observe     func(outcome, code string, latency timer.Span)
 
 	mu      sync.Mutex
 	gate    *admitter.Gate
@@ -107,7 +113,7 @@
 	ga := &Gatekeeper{
 		pu: pu, bs: newBackend(address), lo: hclog.NewNullLogger(),
 		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan turn{},
-		tell: func(uint64) {}, refused: func() {},
+		tell: func(uint64) {}, refused: func() {}, observe: func(string, string, timer.Span) {},
 	}
 	for _, opt := range opts {
 		opt(ga)
@@ -138,15 +144,18 @@
 // Forward runs a request or refuses it. It never returns an error: the answer
 // tells the outcome.
 func (ga *Gatekeeper) Forward(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
+	startedAt := ga.pu.Now()
 	answer := ga.forward(ctx, rq)
+	took := ga.pu.Now().Sub(startedAt)
+	ga.observe(OutcomeName(answer.GetOutcome()), answer.GetCode(), took)
 	answer.RequestId = rq.GetRequestId()
 	running, waiting, _ := ga.Load()
 	answer.Running, answer.Waiting = uint32(running), uint32(waiting)
-	ga.log(rq, answer)
+	ga.log(rq, answer, took)
 	return answer
 }
 
-func (ga *Gatekeeper) log(rq *peerproto.ForwardRequest, answer *peerproto.ForwardResponse) {
+func (ga *Gatekeeper) log(rq *peerproto.ForwardRequest, answer *peerproto.ForwardResponse, took timer.Span) {
 	ga.mu.Lock()
 	ga.decided++
 	isSampled := ga.sampleEvery > 0 && ga.decided%ga.sampleEvery == 0
@@ -155,8 +164,10 @@
 		return
 	}
 	ga.lo.Info("gate", "requestId", rq.GetRequestId(), "route", rq.GetRoute(), "workspace", rq.GetWorkspace(),
-		"outcome", OutcomeName(answer.GetOutcome()), "code", answer.GetCode(), "status", answer.GetStatus(),
-		"attempt", rq.GetAttempt())
+		"outcome", OutcomeName(answer.GetOutcome()), "code", answer.GetCode(), "reason", answer.GetReason(),
+		"status", answer.GetStatus(), "attempt", rq.GetAttempt(), "key", rq.GetKey(),
+		"running", answer.GetRunning(), "waiting", answer.GetWaiting(),
+		"leaseLeft", ga.pu.LeaseUntil().Sub(ga.pu.Now()).Duration().String(), "took", took.Duration().String())
 }
 
 // OutcomeName returns the name of an outcome in answers and logs.
--- a/instance/meter/meter.go
+++ b/instance/meter/meter.go
@@ -23,6 +23,10 @@
 	registry *prometheus.Registry
 	answers  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	gated    *prometheus.CounterVec
+	runs     *prometheus.HistogramVec
+	calls    *prometheus.CounterVec
+	callTime *prometheus.HistogramVec
 	rejected prometheus.Counter
 }
 
@@ -37,11 +41,25 @@
 			Namespace: namespace, Name: "answer_seconds", Help: "Time from a request's arrival to its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		}, []string{"service"}),
+		gated: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gate_requests_total", Help: "Requests at the own gate by outcome and refusal code.",
+		}, []string{"outcome", "code"}),
+		runs: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "gate_seconds", Help: "Time that requests spent at the own gate, waiting included.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
+		}, []string{"outcome"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_calls_total", Help: "Calls to the platform's store by kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		callTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "store_call_seconds", Help: "Time of calls to the platform's store, waits for changes included.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+		}, []string{"kind"}),
 		rejected: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "rejected_peer_calls_total", Help: "Peer calls without a right tag.",
 		}),
 	}
-	me.registry.MustRegister(me.answers, me.latency, me.rejected)
+	me.registry.MustRegister(me.answers, me.latency, me.gated, me.runs, me.calls, me.callTime, me.rejected)
 	return me
 }
 
@@ -51,6 +69,18 @@
 	me.latency.WithLabelValues(service).Observe(latency.Duration().Seconds())
 }
 
+// Gated counts a request at the own gate.
+func (me *Meter) Gated(outcome, code string, latency timer.Span) {
+	me.gated.WithLabelValues(outcome, code).Inc()
+	me.runs.WithLabelValues(outcome).Observe(latency.Duration().Seconds())
+}
+
+// Called counts a call to the platform's store.
+func (me *Meter) Called(kind, outcome string, latency timer.Span) {
+	me.calls.WithLabelValues(kind, outcome).Inc()
+	me.callTime.WithLabelValues(kind).Observe(latency.Duration().Seconds())
+}
+
 // Rejected counts a peer call without a right tag.
 func (me *Meter) Rejected() { me.rejected.Inc() }
 
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -228,6 +228,11 @@
 // Gauge registers a gauge that is read when it is scraped.
 func (ro *Router) Gauge(name, help string, read func() float64) { ro.meter.Gauge(name, help, read) }
 
+// Called counts a call to the platform's store.
+func (ro *Router) Called(kind, outcome string, latency timer.Span) {
+	ro.meter.Called(kind, outcome, latency)
+}
+
 // Metrics serves the instance's metrics.
 func (ro *Router) Metrics() http.Handler { return ro.meter.Handler() }
 
@@ -391,6 +396,7 @@
 	gateOptions := []gatekeeper.Option{
 		gatekeeper.WithLogger(ro.lo), gatekeeper.WithSample(ro.se.Log.SampleEvery),
 		gatekeeper.WithTell(func(fingerprint uint64) { in.co.Suspect(fingerprint) }),
+		gatekeeper.WithObserver(ro.meter.Gated),
 		gatekeeper.WithRefused(func() { in.co.ServerRefused() }),
 	}
 	if ro.codec != nil {
