--- a/cmd/cornellanding/serve.go
+++ b/cmd/cornellanding/serve.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"cornellanding.example/instance/router"
+	"cornellanding.example/platform/adapter"
 	"cornellanding.example/wire/parser"
 )
 
@@ -64,11 +65,19 @@
 	return nil
 }
 
-// check tells settings from a catalogue by the first field that only a
-// catalogue has.
+// hasField reports whether a YAML file has a field at its top.
+func hasField(content []byte, field string) bool {
+	return bytes.HasPrefix(content, []byte(field+":")) || bytes.Contains(content, []byte("\n"+field+":"))
+}
+
+// check tells settings, those of the platform and a catalogue apart by a field
+// that only one of them has.
 func check(file string, content []byte) error {
-	isCatalogue := bytes.HasPrefix(content, []byte("dataCentres:")) || bytes.Contains(content, []byte("\ndataCentres:"))
-	if isCatalogue {
+	if hasField(content, "node") {
+		_, err := adapter.ParseSettings(file, content)
+		return err
+	}
+	if hasField(content, "dataCentres") {
 		_, err := parser.Catalogue(file, content)
 		return err
 	}
