Keep the lease while watchers are replaced, and take a leaving server's refused connections for what they are

The reply to a server's word that it leaves now waits for the maps, up to 400 ms, so that its keys move at once.

--- a/core/leaser/holder.go
+++ b/core/leaser/holder.go
@@ -105,8 +105,10 @@
 	committed   Row
 	// pending is the row of a compare-and-set whose outcome is not yet read.
 	pending *Row
-	acked   map[uint64]timer.Instant
-	revoked bool
+	// prospect is a row about to be proposed, whose watchers are renewed ahead.
+	prospect *Row
+	acked    map[uint64]timer.Instant
+	revoked  bool
 }
 
 // NewHolder returns a holder without a row, whose lease is not valid.
@@ -130,10 +132,20 @@
 // Committed returns the row the lease rests on.
 func (ho *Holder) Committed() Row { return ho.committed }
 
+// Prepare renews the watchers of a row ahead of its proposal. Otherwise the lease
+// would lapse at the proposal until they have acknowledged.
+func (ho *Holder) Prepare(row Row) { ho.prospect = &row }
+
+// IsPrepared reports whether the lease would be valid at now if it rested on the
+// prepared row alone.
+func (ho *Holder) IsPrepared(now timer.Instant) bool {
+	return ho.prospect != nil && now.Before(ho.rowDeadline(*ho.prospect))
+}
+
 // Propose must be called before a compare-and-set that replaces watchers is
 // issued. Until Commit, the lease needs a majority of both rows' watchers.
 func (ho *Holder) Propose(row Row) {
-	ho.pending = &row
+	ho.pending, ho.prospect = &row, nil
 }
 
 // Commit tells the row that was read back from the table. If it is the
@@ -150,7 +162,7 @@
 
 func (ho *Holder) forgetStrangers() {
 	for watcher := range ho.acked {
-		if !ho.committed.Names(watcher) {
+		if !ho.committed.Names(watcher) && (ho.prospect == nil || !ho.prospect.Names(watcher)) {
 			delete(ho.acked, watcher)
 		}
 	}
@@ -172,12 +184,14 @@
 // Targets lists the watchers to which renewals go.
 func (ho *Holder) Targets() []Watch {
 	targets := slices.Clone(ho.committed.Watchers)
-	if ho.pending == nil {
-		return targets
-	}
-	for _, wt := range ho.pending.Watchers {
-		if !slices.Contains(targets, wt) {
-			targets = append(targets, wt)
+	for _, row := range []*Row{ho.pending, ho.prospect} {
+		if row == nil {
+			continue
+		}
+		for _, wt := range row.Watchers {
+			if !slices.Contains(targets, wt) {
+				targets = append(targets, wt)
+			}
 		}
 	}
 	return targets
@@ -189,7 +203,8 @@
 	if ack.Holder != ho.incarnation {
 		return
 	}
-	isNamed := ho.committed.Names(ack.Watcher) || ho.pending != nil && ho.pending.Names(ack.Watcher)
+	isNamed := ho.committed.Names(ack.Watcher) || ho.pending != nil && ho.pending.Names(ack.Watcher) ||
+		ho.prospect != nil && ho.prospect.Names(ack.Watcher)
 	if !isNamed {
 		return
 	}
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -275,12 +275,18 @@
 }
 
 // Refuse takes the evidence that no process accepts connections at the server's
-// address: whatever it held, it holds no more.
+// address: whatever it held, it holds no more. It says nothing of a server that
+// leaves: that one stops listening before it ends.
 func (re *Registrar) Refuse() {
+	if re.isLeaving() {
+		return
+	}
 	re.isDown = true
 	re.forget()
 }
 
+func (re *Registrar) isLeaving() bool { return re.latest.IsDraining || re.isLeaver }
+
 // State returns what is known of the server at now.
 func (re *Registrar) State(now timer.Instant) State {
 	switch {
@@ -288,7 +294,7 @@
 		return Unknown
 	case re.isDown:
 		return Down
-	case re.latest.IsDraining || re.isLeaver:
+	case re.isLeaving():
 		return Draining
 	case now.Sub(re.beatAt) > silentAfter:
 		return Silent
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -76,8 +76,15 @@
 		"granted, hold ended":          {do: grant, at: 15 * second, isFree: true},
 		"granted, server starts again": {do: func(re *Registrar) { grant(re); re.Take(Heartbeat{ID: "s2", BornAt: 2, Sequence: 1}, 12*second) }, at: 12 * second, isFree: true},
 		"granted, address refuses":     {do: func(re *Registrar) { grant(re); re.Refuse() }, at: 12 * second, isFree: true},
-		"given up, still worked on":    {do: func(re *Registrar) { grant(re); re.Take(beat(2, held), 12*second) }, at: 12 * second},
-		"given up":                     {do: func(re *Registrar) { grant(re); re.Take(beat(2), 12*second) }, at: 12 * second, isFree: true},
+		"granted, leaving server stops listening": {do: func(re *Registrar) {
+			grant(re)
+			leaving := beat(2, held)
+			leaving.IsDraining = true
+			re.Take(leaving, 12*second)
+			re.Refuse()
+		}, at: 12 * second},
+		"given up, still worked on": {do: func(re *Registrar) { grant(re); re.Take(beat(2, held), 12*second) }, at: 12 * second},
+		"given up":                  {do: func(re *Registrar) { grant(re); re.Take(beat(2), 12*second) }, at: 12 * second, isFree: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -51,8 +51,10 @@
 	takeoverBackoff = 100 * timer.Millisecond
 	// watcherPatience is how long a watcher may be silent before it is
 	// replaced.
-	watcherPatience  = 2 * timer.Second
-	watcherWarmUp    = 60 * time.Millisecond
+	watcherPatience = 2 * timer.Second
+	// preparePatience is how long new watchers may take to acknowledge before
+	// they are proposed: some ways through a slow network.
+	preparePatience  = 150 * timer.Millisecond
 	rewatchInterval  = timer.Second
 	safetyInterval   = 30 * timer.Second
 	peerTimeout      = 2 * time.Second
@@ -140,8 +142,12 @@
 	isJoining     bool
 	isFetching    bool
 	isRewatching  bool
-	isFolding     bool
-	needsFold     bool
+	// prepared is the row whose watchers are renewed ahead of its proposal, at
+	// proposeAt at the latest.
+	prepared  *leaser.Row
+	proposeAt timer.Instant
+	isFolding bool
+	needsFold bool
 	// needsOwnFold says that the maps don't show the own row yet.
 	needsOwnFold  bool
 	takeovers     map[uint64]bool
@@ -267,7 +273,7 @@
 }
 
 func (co *Controller) isBusy() bool {
-	if !co.isJoined || co.needsFold || co.needsOwnFold || co.leave != nil {
+	if !co.isJoined || co.prepared != nil || co.needsFold || co.needsOwnFold || co.leave != nil {
 		return true
 	}
 	for _, te := range co.tenures {
@@ -355,6 +361,7 @@
 	co.watch(now)
 	co.findOrphans(now)
 	co.rewatch(now)
+	co.proposeWatchers(now)
 	co.settle(now)
 	co.obtain(now)
 	co.refold(now)
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -197,6 +197,14 @@
 	}
 }
 
+func watcherNames(watchers []leaser.Watch) []string {
+	var names []string
+	for _, wt := range watchers {
+		names = append(names, wt.BackendServer)
+	}
+	return names
+}
+
 // hasLostWatcher reports whether a watcher's incarnation is no member any more.
 func (co *Controller) hasLostWatcher() bool {
 	for _, wt := range co.ho.Committed().Watchers {
@@ -207,20 +215,32 @@
 	return false
 }
 
-// replaceWatchers proposes the new row before it is written: until the outcome
-// is read the lease needs both sets of watchers.
+// replaceWatchers renews new watchers before it proposes them, so that the lease
+// does not lapse in between.
 func (co *Controller) replaceWatchers(chosen []leaser.Watch, now timer.Instant) {
 	co.isRewatching = true
 	co.watchersSetAt = now
+	co.lo.Info("watchers change", "from", watcherNames(co.ho.Committed().Watchers), "to", watcherNames(chosen),
+		"leaseLeft", co.ho.Deadline().Sub(now).Duration().String())
 	row := leaser.Row{Incarnation: co.self.Incarnation, Version: co.ho.Committed().Version, Watchers: chosen}
-	co.ho.Propose(row)
+	co.ho.Prepare(row)
+	co.prepared, co.proposeAt = &row, now.Add(preparePatience)
 	co.nextRenewAt = now
+}
+
+// proposeWatchers writes the prepared row once its watchers have acknowledged,
+// or have had the time to. From the proposal until the outcome is read the lease
+// needs both sets of watchers.
+func (co *Controller) proposeWatchers(now timer.Instant) {
+	if co.prepared == nil || !co.ho.IsPrepared(now) && now.Before(co.proposeAt) {
+		return
+	}
+	row := *co.prepared
+	co.prepared = nil
+	co.ho.Propose(row)
 	an := co.announcement(co.writtenWeight)
 	an.Lease = row
 	co.spawn(func(ctx context.Context) event {
-		// The new watchers acknowledge before the row changes, so that the
-		// lease does not lapse in between.
-		timer.Sleep(ctx, watcherWarmUp)
 		found, err := co.ledger.writeRow(ctx, an)
 		return rowCommitted{row: found.Lease, err: err, isEnded: isOver(found)}
 	})
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -13,6 +13,10 @@
 	// replyPatience is how long the reply to a heartbeat waits for partitions
 	// that are about to be obtained: the server takes no reply after a second.
 	replyPatience = 600 * timer.Millisecond
+	// drainPatience is how long the reply to a server's word that it leaves waits
+	// for the maps to give its keys to others, so that the reply can leave them
+	// out. Some calls to the table take about half of it.
+	drainPatience = 400 * timer.Millisecond
 	// serverPatience is how long joining waits for the server's first
 	// heartbeat: three of the usual second.
 	serverPatience = 3 * timer.Second
@@ -90,14 +94,27 @@
 		co.open.reply <- registrar.Reply{}
 		co.open = nil
 	}
+	wasDraining := co.server == registrar.Draining
 	co.reviewServer(now)
 	co.open = &openHeartbeat{reply: ev.reply, replyAt: now}
-	if !hb.IsDraining && co.isAboutToObtain() {
+	switch {
+	case hb.IsDraining && !wasDraining:
+		co.open.replyAt = now.Add(drainPatience)
+	case !hb.IsDraining && co.isAboutToObtain():
 		co.open.replyAt = now.Add(replyPatience)
 	}
 	co.replyIfDue(now)
 }
 
+// replyIfLeft answers the open heartbeat of a leaving server once the maps give
+// its keys to others: the reply leaves them out.
+func (co *Controller) replyIfLeft(te *tenure) {
+	if co.open != nil && co.isToldHolds(te) && co.server == registrar.Draining && len(te.leaving) > 0 {
+		co.open.replyAt = 0
+		co.replyIfDue(co.pu.Now())
+	}
+}
+
 // isAboutToObtain reports whether partitions of the own service are pending.
 func (co *Controller) isAboutToObtain() bool {
 	te := co.tenures[co.self.Service]
@@ -151,7 +168,8 @@
 }
 
 func (co *Controller) onServerRefused(now timer.Instant) {
-	if co.re.State(now) == registrar.Unknown || co.re.State(now) == registrar.Down {
+	switch co.re.State(now) {
+	case registrar.Unknown, registrar.Down, registrar.Draining:
 		return
 	}
 	co.re.Refuse()
--- a/instance/controller/tenure.go
+++ b/instance/controller/tenure.go
@@ -88,6 +88,7 @@
 		te.pending[pt] = waits
 		co.obtainIfReleased(te, pt)
 	}
+	co.replyIfLeft(te)
 	co.lo.Info("placement", "service", te.service, "map", tb.Map.Version, "members", len(tb.Map.Members),
 		"owned", len(owned), "pending", len(te.pending))
 }
