--- a/bench/driller/processes.go
+++ b/bench/driller/processes.go
@@ -29,9 +29,9 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/examples"
 	"cornellanding.example/instance/administrator"
-	"cornellanding.example/standin/emulator"
 	"cornellanding.example/port/storer"
 	"cornellanding.example/port/tabler"
+	"cornellanding.example/standin/emulator"
 	"cornellanding.example/wire/parser"
 )
 
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -30,9 +30,9 @@
 	"cornellanding.example/examples"
 	"cornellanding.example/instance/administrator"
 	"cornellanding.example/instance/router"
-	"cornellanding.example/standin/emulator"
 	"cornellanding.example/port/storer"
 	"cornellanding.example/port/tabler"
+	"cornellanding.example/standin/emulator"
 	"cornellanding.example/wire/parser"
 	"github.com/hashicorp/go-hclog"
 )
--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -20,7 +20,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
@@ -213,44 +212,6 @@
 	}
 }
 
-// coldBurst is how many requests a cold server may get at once.
-const coldBurst = 2
-
-// SetColdRate sets how many requests a second a cold server bears. Without it,
-// or at 0, only its concurrency is bounded.
-func (ga *Gate) SetColdRate(perSecond float64) { ga.coldRate = perSecond }
-
-// SetCold takes the server's own word of until when it is cold.
-func (ga *Gate) SetCold(until timer.Instant) { ga.coldUntil = until }
-
-// isColdFull reports whether a cold server must get no other request yet. It
-// refills what a cold server bears.
-func (ga *Gate) isColdFull(now timer.Instant) bool {
-	if ga.coldRate <= 0 || !now.Before(ga.coldUntil) {
-		return false
-	}
-	earned := now.Sub(ga.coldFilledAt).Duration().Seconds() * ga.coldRate
-	ga.coldTokens = min(coldBurst, ga.coldTokens+earned)
-	ga.coldFilledAt = now
-	return ga.coldTokens < 1
-}
-
-// begin counts a run.
-func (ga *Gate) begin() {
-	ga.running++
-	ga.coldTokens = max(0, ga.coldTokens-1)
-}
-
-// StartAt returns when a waiting request may start at the earliest although no
-// run ends before, or false if nothing waits for that.
-func (ga *Gate) StartAt(now timer.Instant) (timer.Instant, bool) {
-	if ga.Waiting() == 0 || ga.running >= ga.limit || !ga.isColdFull(now) {
-		return 0, false
-	}
-	missing := timer.Span((1 - ga.coldTokens) / ga.coldRate * float64(timer.Second))
-	return min(now.Add(missing+1), ga.coldUntil), true
-}
-
 // Start returns the waiting tickets that start at now.
 func (ga *Gate) Start(now timer.Instant) []Ticket { return ga.start(now) }
 
@@ -268,66 +229,6 @@
 	maxComeBack = 2 * timer.Second
 )
 
-// queueFor returns the queue for a request that has to wait, or false if its
-// caller would give up before its turn. One that would miss its target waits
-// behind all others: it would only make them late too.
-func (ga *Gate) queueFor(rq Request, now timer.Instant) (int, bool) {
-	queue := int(rq.Priority)
-	if ga.latency == 0 {
-		return queue, true
-	}
-	own := ga.latencyOf(rq.Route)
-	if ga.startOf(queue, now).Add(own) <= rq.finishBy() {
-		return queue, true
-	}
-	return lateQueue, ga.startOf(lateQueue, now).Add(own) <= rq.DeadlineAt
-}
-
-// latencyOf returns the smoothed time of a route's runs, or that of all.
-func (ga *Gate) latencyOf(route string) timer.Span {
-	if own, ok := ga.latencies[route]; ok {
-		return timer.Span(own)
-	}
-	return timer.Span(ga.latency)
-}
-
-// startOf estimates when a request that joins a queue now would start.
-func (ga *Gate) startOf(queue int, now timer.Instant) timer.Instant {
-	ahead := 0
-	for i := range queue + 1 {
-		ahead += ga.queues[i].length
-	}
-	perStart := ga.latency / float64(max(1, ga.limit))
-	if ga.coldRate > 0 && now.Before(ga.coldUntil) {
-		perStart = max(perStart, float64(timer.Second)/ga.coldRate)
-	}
-	return now.Add(timer.Span(float64(ahead+1) * perStart))
-}
-
-// LatestStart returns when a waiting request must start at the latest: after it,
-// the request would most likely not end in time.
-func (ga *Gate) LatestStart(rq Request) timer.Instant {
-	return rq.DeadlineAt.Add(-ga.latencyOf(rq.Route) / latestStartShare)
-}
-
-// TakeExpired returns the tickets whose turn came too late since the last call.
-func (ga *Gate) TakeExpired() []Ticket {
-	expired := ga.expired
-	ga.expired = nil
-	return expired
-}
-
-// comeBack returns when a refused caller should come back: once what waits now
-// has started.
-func (ga *Gate) comeBack(now timer.Instant) timer.Span {
-	return min(max(ga.startOf(lateQueue, now).Sub(now), minComeBack), maxComeBack)
-}
-
-// isLate reports whether a request that starts now would miss its target.
-func (ga *Gate) isLate(rq Request, now timer.Instant) bool {
-	return now.Add(ga.latencyOf(rq.Route)) > rq.finishBy()
-}
-
 // SetDraining stops or resumes the admission of new work.
 func (ga *Gate) SetDraining(isDraining bool) { ga.isDraining = isDraining }
 
@@ -386,20 +287,6 @@
 	return ga.start(now)
 }
 
-func (ga *Gate) observe(co Completion) {
-	if ga.latency == 0 {
-		ga.latency = float64(co.Latency)
-	}
-	ga.latency += latencyWeight * (float64(co.Latency) - ga.latency)
-	own, isKnown := ga.latencies[co.Route]
-	switch {
-	case isKnown:
-		ga.latencies[co.Route] = own + latencyWeight*(float64(co.Latency)-own)
-	case len(ga.latencies) < maxRoutes:
-		ga.latencies[co.Route] = float64(co.Latency)
-	}
-}
-
 func (ga *Gate) start(now timer.Instant) []Ticket {
 	var started []Ticket
 	for pr := range ga.queues {
@@ -451,79 +338,3 @@
 	}
 	return false
 }
-
-// fairQueue serves its workspaces in turn.
-type fairQueue struct {
-	order  []string
-	queues map[string][]waiting
-	length int
-}
-
-func (qu *fairQueue) push(wa waiting) {
-	if qu.queues == nil {
-		qu.queues = map[string][]waiting{}
-	}
-	ws := wa.request.Workspace
-	if len(qu.queues[ws]) == 0 {
-		qu.order = append(qu.order, ws)
-	}
-	qu.queues[ws] = append(qu.queues[ws], wa)
-	qu.length++
-}
-
-func (qu *fairQueue) pop() (waiting, bool) {
-	if len(qu.order) == 0 {
-		return waiting{}, false
-	}
-	ws := qu.order[0]
-	qu.order = qu.order[1:]
-	next := qu.queues[ws][0]
-	qu.queues[ws] = qu.queues[ws][1:]
-	qu.length--
-	if len(qu.queues[ws]) > 0 {
-		qu.order = append(qu.order, ws)
-		return next, true
-	}
-	delete(qu.queues, ws)
-	return next, true
-}
-
-func (qu *fairQueue) lengthOf(ws string) int { return len(qu.queues[ws]) }
-
-func (qu *fairQueue) longest() int {
-	longest := 0
-	for _, ws := range qu.order {
-		longest = max(longest, len(qu.queues[ws]))
-	}
-	return longest
-}
-
-// dropLongest removes the newest request of the workspace that waits most.
-func (qu *fairQueue) dropLongest() (waiting, bool) {
-	longest := qu.longest()
-	for _, ws := range qu.order {
-		if len(qu.queues[ws]) == longest {
-			dropped := qu.queues[ws][longest-1]
-			qu.remove(dropped.ticket)
-			return dropped, true
-		}
-	}
-	return waiting{}, false
-}
-
-func (qu *fairQueue) remove(ticket Ticket) bool {
-	for ws, list := range qu.queues {
-		i := slices.IndexFunc(list, func(wa waiting) bool { return wa.ticket == ticket })
-		if i < 0 {
-			continue
-		}
-		qu.queues[ws] = slices.Delete(list, i, i+1)
-		qu.length--
-		if len(qu.queues[ws]) == 0 {
-			delete(qu.queues, ws)
-			qu.order = slices.DeleteFunc(qu.order, func(name string) bool { return name == ws })
-		}
-		return true
-	}
-	return false
-}
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -17,21 +17,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"cornellanding.example/core/cataloguer"
-	"cornellanding.example/core/folder"
 	"cornellanding.example/core/freshener"
 	"cornellanding.example/core/leaser"
-	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/core/warner"
 	"cornellanding.example/instance/publisher"
-	"cornellanding.example/port/tabler"
-	"cornellanding.example/wire/peerproto"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -373,135 +367,6 @@
 	}
 }
 
-// join announces the instance once the configuration is known.
-func (co *Controller) join(now timer.Instant) {
-	if co.isJoined || co.isJoining || co.leave != nil || now.Before(co.nextJoinAt) || co.ds.config.Version == 0 {
-		return
-	}
-	if !co.isServerKnown(now) {
-		return
-	}
-	co.isJoining = true
-	an := co.announcement(co.weight())
-	co.writtenWeight = an.Weight
-	an.Lease = leaser.Row{Incarnation: co.self.Incarnation, Watchers: co.chooseWatchers(nil, now)}
-	co.spawn(func(ctx context.Context) event {
-		row, isFirst, err := co.ledger.join(ctx, an, co.revokeFormer)
-		return rowCommitted{row: row, isFirst: isFirst, err: err}
-	})
-}
-
-func (co *Controller) announcement(weight uint32) folder.Announcement {
-	return folder.Announcement{
-		BackendServer: co.self.BackendServer, Service: co.self.Service, DataCentre: co.self.DataCentre,
-		Region: co.self.Region, Address: co.self.Address, Weight: weight, State: folder.Active,
-		Settled: co.reported,
-	}
-}
-
-// onRow takes the own row as it was read back. A row that is absent or whose
-// write's outcome is not proved leaves the lease as it is: a proposal then goes
-// on to need both sets of watchers.
-func (co *Controller) onRow(ev rowCommitted, now timer.Instant) {
-	co.isJoining, co.isRewatching = false, false
-	isFound := ev.row.Version != 0
-	if co.isJoined && isFound && (ev.isEnded || ev.row.Incarnation != co.self.Incarnation) {
-		co.err = ErrRevoked
-		return
-	}
-	if isFound && ev.row.Incarnation == co.self.Incarnation {
-		former := co.ho.Committed().Watchers
-		co.ho.Commit(ev.row)
-		co.dismiss(former, now)
-	}
-	if ev.err != nil {
-		co.lo.Warn("row not written", "error", ev.err)
-		co.nextJoinAt = now.Add(joinBackoff)
-		if ev.isWeight {
-			co.writtenWeight = ev.formerWeight
-		}
-		return
-	}
-	if !co.isJoined {
-		co.lo.Info("joined", "incarnation", co.self.Incarnation, "watchers", len(ev.row.Watchers))
-		co.needsOwnFold = true
-		spread := foldSpreadPerMember * timer.Span(1+len(co.ds.members()))
-		if len(co.ds.members()) == 0 {
-			spread = firstFoldSpread
-			co.nextRewatchAt = now.Add(firstWatchDelay)
-		}
-		co.nextFoldAt = now.Add(timer.Span(rand.Int64N(int64(spread))))
-	}
-	co.isJoined = true
-	co.hasSoughtOrphans = co.hasSoughtOrphans || ev.isFirst
-	co.needsOwnFold = co.needsOwnFold || ev.isReport
-	co.nextRenewAt = now
-}
-
-// refold brings the maps up to date if something changed. After a takeover it
-// waits a moment, since VMs are often lost together and one version for all of
-// them moves each partition once.
-func (co *Controller) refold(now timer.Instant) {
-	if !co.needsFold && !co.needsOwnFold || co.isFolding || now.Before(co.nextFoldAt) {
-		return
-	}
-	co.isFolding = true
-	known := co.ds.members()
-	isForOthers := co.needsFold
-	co.needsFold, co.needsOwnFold = false, false
-	co.spawn(func(ctx context.Context) event {
-		docs, isDone, err := co.ledger.foldOnce(ctx)
-		co.post(ctx, documentsFetched{documents: docs})
-		return folded{known: known, isForOthers: isForOthers, isDone: isDone, err: err}
-	})
-}
-
-func (co *Controller) onFolded(ev folded, now timer.Instant) {
-	co.isFolding = false
-	co.welcome(ev.known, now)
-	if ev.isDone {
-		return
-	}
-	// Somebody else folded, or the table did not answer. The other's maps may
-	// show the own row already, and then nothing is left to do.
-	co.needsFold = co.needsFold || ev.isForOthers
-	co.needsOwnFold = co.needsOwnFold || !co.isOwnRowFolded()
-	spread := minFoldSpread + foldSpreadPerMember*timer.Span(len(co.ds.members()))
-	co.nextFoldAt = now.Add(minFoldSpread + timer.Span(rand.Int64N(int64(spread))))
-	var conflict *tabler.ConflictError
-	if !errors.As(ev.err, &conflict) {
-		co.lo.Warn("maps not folded", "error", ev.err)
-	}
-}
-
-// isOwnRowFolded reports whether the maps show the own row as it was written
-// last.
-func (co *Controller) isOwnRowFolded() bool {
-	an := co.announcement(co.writtenWeight)
-	for _, service := range []string{co.self.Service, folder.LimitsService} {
-		tb := co.ds.tables[service]
-		if tb == nil {
-			return false
-		}
-		me, ok := tb.Map.ByIncarnation(co.self.Incarnation)
-		if !ok || me.Weight != folder.Weight(service, an, co.ds.config) {
-			return false
-		}
-	}
-	return true
-}
-
-// welcome tells new members of the maps that name them: they know nobody whom
-// they could ask.
-func (co *Controller) welcome(known []placer.Member, now timer.Instant) {
-	for _, me := range co.ds.members() {
-		_, isKnown := placer.Map{Members: known}.ByIncarnation(me.Incarnation)
-		if !isKnown && me.Incarnation != co.self.Incarnation {
-			co.send(me, &peerproto.Datagram{}, now)
-		}
-	}
-}
-
 // onDocuments applies documents, forwards only.
 func (co *Controller) onDocuments(ev documentsFetched, now timer.Instant) {
 	if ev.isPoll {
@@ -536,14 +401,6 @@
 	}
 }
 
-// changesWeights reports whether maps folded from one configuration may not be
-// those of the other.
-func changesWeights(before, after cataloguer.Config) bool {
-	isSameService := func(le, ri cataloguer.Service) bool { return le.Name == ri.Name && le.Partitions == ri.Partitions }
-	return !slices.Equal(before.Out, after.Out) || !slices.Equal(before.Drained, after.Drained) ||
-		!slices.EqualFunc(before.Catalogue.Services, after.Catalogue.Services, isSameService)
-}
-
 func (co *Controller) noteTable(ev documentsFetched) {
 	co.tableError = ""
 	if ev.err != nil {
@@ -578,25 +435,3 @@
 	}
 	co.lo.Debug("documents applied", "config", co.ds.config.Version, "hash", co.ds.hash)
 }
-
-// checkMembership looks for this incarnation in the maps. Once it has been
-// there, its absence means that it was revoked.
-func (co *Controller) checkMembership() {
-	isMissing := co.isMissing()
-	if isMissing && co.wasMember && co.leave == nil {
-		co.lo.Warn("revoked", "incarnation", co.self.Incarnation)
-		co.err = ErrRevoked
-		return
-	}
-	co.wasMember = co.wasMember || !isMissing
-	if co.isJoined && co.leave == nil {
-		isShown := co.isOwnRowFolded()
-		co.needsOwnFold = co.needsOwnFold && !isShown || isMissing
-	}
-}
-
-// isMissing reports whether the maps don't name this incarnation.
-func (co *Controller) isMissing() bool {
-	_, ok := co.ds.member(co.self.Incarnation)
-	return !ok
-}
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -11,7 +11,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
-	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
@@ -53,53 +52,6 @@
 	incarnationMin = uint64(1)
 )
 
-// Option sets one option of New.
-type Option func(*Router)
-
-// WithLogger sets the log.
-func WithLogger(lo hclog.Logger) Option { return func(ro *Router) { ro.lo = lo } }
-
-// WithClock sets the clock. The default is the boot clock.
-func WithClock(clk timer.Clock) Option { return func(ro *Router) { ro.clock = clk } }
-
-// WithReach makes addresses unreachable, for experiments: what an instance
-// sends to them is dropped, and so are their answers.
-func WithReach(reach func(address string) bool) Option {
-	return func(ro *Router) { ro.reach = reach }
-}
-
-// WithTable sets the table service, in place of the client for the address in
-// the settings.
-func WithTable(ta tabler.Table) Option { return func(ro *Router) { ro.table = ta } }
-
-// WithConfigs sets where operators keep the configuration, if that is not the
-// table. The instance then takes no edits.
-func WithConfigs(cs controller.Configs) Option { return func(ro *Router) { ro.configs = cs } }
-
-// WithHeartbeats lets the backend server announce itself and be told what it
-// holds, for no longer than maxHold at once. See Heartbeat.
-func WithHeartbeats(maxHold timer.Span) Option { return func(ro *Router) { ro.maxHold = maxHold } }
-
-// WithServerCodec sets the protocol of the backend server.
-func WithServerCodec(cd gatekeeper.Codec) Option { return func(ro *Router) { ro.codec = cd } }
-
-// WithCallerHandler sets the protocol of callers.
-func WithCallerHandler(wrap func(fo *forwarder.Forwarder) http.Handler) Option {
-	return func(ro *Router) { ro.wrapCaller = wrap }
-}
-
-// WithForwarderOptions sets options of the entry side.
-func WithForwarderOptions(opts ...forwarder.Option) Option {
-	return func(ro *Router) { ro.entryOptions = append(ro.entryOptions, opts...) }
-}
-
-// WithStopLimit bounds a planned stop.
-func WithStopLimit(limit time.Duration) Option { return func(ro *Router) { ro.stopLimit = limit } }
-
-// WithPatientStop makes a planned stop wait until callers, who watch readiness,
-// have gone elsewhere.
-func WithPatientStop() Option { return func(ro *Router) { ro.isPatient = true } }
-
 // Router is one instance over all its incarnations.
 type Router struct {
 	se      parser.Settings
@@ -333,47 +285,6 @@
 	}
 }
 
-// stop is the planned stop: callers are told to go elsewhere, ownership is
-// handed over, and running work finishes. What comes after that is refused as
-// not run, since the process could end before it has an answer.
-func (ro *Router) stop(in *incarnation, done <-chan error) error {
-	startedAt := ro.clock.Now()
-	part := func(percent time.Duration) (context.Context, context.CancelFunc) {
-		left := ro.stopLimit*percent/100 - ro.clock.Now().Sub(startedAt).Duration()
-		return context.WithTimeout(ro.killed, left)
-	}
-	in.pu.SetStopping()
-	ro.servers.stopKeepingAlive(startedAt.Add(timer.FromDuration(ro.stopLimit * answerUntil / 100)))
-	ctx, cancel := part(handOverUntil)
-	defer cancel()
-	if err := in.co.HandOver(ctx); err != nil {
-		ro.lo.Warn("planned stop without a handover", "error", err)
-	}
-	handedOverIn := ro.clock.Now().Sub(startedAt)
-	ctx, cancel = part(serveUntil)
-	defer cancel()
-	ro.servers.awaitQuiet(ctx, ro.isPatient)
-	ro.servers.refuse()
-	in.ga.Drain()
-	ctx, cancel = part(leaveUntil)
-	defer cancel()
-	err := in.co.Leave(ctx)
-	ctx, cancel = part(finishUntil)
-	defer cancel()
-	running := ro.servers.awaitIdle(ctx)
-	ro.lo.Info("planned stop", "handedOverIn", handedOverIn.Duration().String(),
-		"took", ro.clock.Now().Sub(startedAt).Duration().String(), "hasLeft", err == nil, "stillRunning", running)
-	if err != nil {
-		return fmt.Errorf("router: planned stop: %w", err)
-	}
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return fmt.Errorf("router: planned stop: %w", ctx.Err())
-	}
-}
-
 func newIncarnationNumber() uint64 {
 	var raw [8]byte
 	// Read of crypto/rand never fails.
--- /dev/null
+++ b/instance/router/stop.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cornellanding.example/core/timer"
+)
+
+// stop is the planned stop: callers are told to go elsewhere, ownership is
+// handed over, and running work finishes. What comes after that is refused as
+// not run, since the process could end before it has an answer.
+func (ro *Router) stop(in *incarnation, done <-chan error) error {
+	startedAt := ro.clock.Now()
+	part := func(percent time.Duration) (context.Context, context.CancelFunc) {
+		left := ro.stopLimit*percent/100 - ro.clock.Now().Sub(startedAt).Duration()
+		return context.WithTimeout(ro.killed, left)
+	}
+	in.pu.SetStopping()
+	ro.servers.stopKeepingAlive(startedAt.Add(timer.FromDuration(ro.stopLimit * answerUntil / 100)))
+	ctx, cancel := part(handOverUntil)
+	defer cancel()
+	if err := in.co.HandOver(ctx); err != nil {
+		ro.lo.Warn("planned stop without a handover", "error", err)
+	}
+	handedOverIn := ro.clock.Now().Sub(startedAt)
+	ctx, cancel = part(serveUntil)
+	defer cancel()
+	ro.servers.awaitQuiet(ctx, ro.isPatient)
+	ro.servers.refuse()
+	in.ga.Drain()
+	ctx, cancel = part(leaveUntil)
+	defer cancel()
+	err := in.co.Leave(ctx)
+	ctx, cancel = part(finishUntil)
+	defer cancel()
+	running := ro.servers.awaitIdle(ctx)
+	ro.lo.Info("planned stop", "handedOverIn", handedOverIn.Duration().String(),
+		"took", ro.clock.Now().Sub(startedAt).Duration().String(), "hasLeft", err == nil, "stillRunning", running)
+	if err != nil {
+		return fmt.Errorf("router: planned stop: %w", err)
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("router: planned stop: %w", ctx.Err())
+	}
+}
