Keep a watcher's promise through a dismissal

Found in reading the change again: a dismissal that arrives after the watcher was named and renewed again deleted the promise, and the watcher would have voted to revoke a valid lease at once. The dismissal now only ends the watch.

--- a/core/leaser/watcher.go
+++ b/core/leaser/watcher.go
@@ -36,6 +36,8 @@
 type promise struct {
 	expiresAt timer.Instant
 	revoked   bool
+	// isDismissed says that the holder needs no takeover by this watcher.
+	isDismissed bool
 }
 
 // Watcher is the state of an instance that watches others. It lives in memory
@@ -72,6 +74,7 @@
 		return ack
 	}
 	pr.expiresAt = max(pr.expiresAt, now.Add(wa.term))
+	pr.isDismissed = false
 	wa.promises[re.Holder] = pr
 	return ack
 }
@@ -122,7 +125,11 @@
 func (wa *Watcher) Expired(now timer.Instant) []uint64 {
 	var expired []uint64
 	for holder, pr := range wa.promises {
-		if !pr.revoked && !now.Before(pr.expiresAt) {
+		switch {
+		case pr.revoked || now.Before(pr.expiresAt):
+		case pr.isDismissed:
+			delete(wa.promises, holder)
+		default:
 			expired = append(expired, holder)
 		}
 	}
@@ -141,11 +148,13 @@
 	return next, found
 }
 
-// Dismiss drops the promise to a holder whose committed row no longer names this
-// watcher. A taker with a former version of the row can't write it any more.
+// Dismiss ends the watch of a holder whose committed row no longer names this
+// watcher, until its next renewal. The promise itself stays until it expires: a
+// dismissal that arrives late must not free a watcher that is named again.
 func (wa *Watcher) Dismiss(holder uint64) {
-	if !wa.promises[holder].revoked {
-		delete(wa.promises, holder)
+	if pr, ok := wa.promises[holder]; ok && !pr.revoked {
+		pr.isDismissed = true
+		wa.promises[holder] = pr
 	}
 }
 
