Give up a call whose next try would find no time, and say why it was not served

Cause of TestCutOffOwnerStops, red once: since an attempt leaves 12 ms of a call's time, a try in its last 12 ms was refused for the deadline (504) in place of the reason that it had not run (503). With a delay of 40 ms between tries that is near a third of all such calls.

--- a/core/leaser/watcher_test.go
+++ b/core/leaser/watcher_test.go
@@ -14,8 +14,8 @@
 	wa.Renew(Renewal{Holder: 7}, 0)
 	wa.Dismiss(7)
 	is.True(!wa.Revoke(7, timer.Instant(500*timer.Millisecond)).Revoked) // the promise stays: the dismissal may be late
-	is.Equal(len(wa.Expired(timer.Instant(2*timer.Second))), 0)           // nobody to take over
-	wa.Renew(Renewal{Holder: 7}, timer.Instant(3*timer.Second))           // named again
+	is.Equal(len(wa.Expired(timer.Instant(2*timer.Second))), 0)          // nobody to take over
+	wa.Renew(Renewal{Holder: 7}, timer.Instant(3*timer.Second))          // named again
 	is.Equal(wa.Expired(timer.Instant(5*timer.Second)), []uint64{7})
 	wa.Renew(Renewal{Holder: 8}, 0)
 	wa.Revoke(8, timer.Instant(2*timer.Second))
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -87,7 +87,7 @@
 			}
 			failures = nextFailures(failures, last)
 		}
-		if !fo.mayTryAgain(ca, last) || !timer.Sleep(ctx, delay) {
+		if !fo.mayTryAgain(ca, last, delay) || !timer.Sleep(ctx, delay) {
 			return nil, notInTime(ctx, last)
 		}
 		delay = min(2*delay, maxRetryDelay)
@@ -109,8 +109,12 @@
 	return former, ok && former.Incarnation != owner.Incarnation
 }
 
-// mayTryAgain bounds how long and how often a call is tried that has not run.
-func (fo *Forwarder) mayTryAgain(ca *call, last attempt) bool {
+// mayTryAgain bounds how long and how often a call is tried that has not run. A
+// try after the delay must find more time than an attempt leaves.
+func (fo *Forwarder) mayTryAgain(ca *call, last attempt, delay time.Duration) bool {
+	if ca.deadlineAt.Sub(fo.so.Now())-timer.FromDuration(delay) <= answerReserve {
+		return false
+	}
 	if last.err == nil && last.answer.GetCode() == gatekeeper.CodeShed {
 		return fo.mayRepeat(ca)
 	}
@@ -155,10 +159,7 @@
 	ca.attempts++
 	ca.servedBy = to.BackendServer
 	result := make(chan attempt, 1)
-	go func() {
-		at := fo.try(ctx, copied, to)
-		result <- at
-	}()
+	go func() { result <- fo.try(ctx, copied, to) }()
 	ticker := time.NewTicker(ownerCheck)
 	defer ticker.Stop()
 	for {
--- a/instance/forwarder/request_test.go
+++ b/instance/forwarder/request_test.go
@@ -240,6 +240,25 @@
 	is.Equal(len(fl.seen), 2) // it was hedged
 }
 
+// TestRefusalNamesItsCause tells at the end of a call's time why it was not
+// served, whenever the last try happens to fall.
+func TestRefusalNamesItsCause(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t)
+	fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return refused(gatekeeper.CodeNotOwner)
+	}, "a", "b")
+	for ms := range 40 {
+		ca := newCall(fo.so.Now())
+		ca.take(cataloguer.Route{Name: "order", Service: "keys"})
+		ca.key, ca.deadlineAt = "17", fo.so.Now().Add(timer.Span(60+ms)*timer.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), ca.deadlineAt.Sub(fo.so.Now()).Duration())
+		_, rf := fo.dispatch(ctx, ca)
+		cancel()
+		is.Equal([]any{rf.Status, rf.Code}, []any{http.StatusServiceUnavailable, gatekeeper.CodeNotOwner})
+	}
+}
+
 // TestSplit spreads by weight.
 func TestSplit(t *testing.T) {
 	is := is.New(t)
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -169,7 +169,7 @@
 				ca.mayHaveRun = ca.mayHaveRun || last.outcome() == gatekeeper.OutcomeUnknown
 			}
 		}
-		if !fo.mayTryAgain(ca, last) || !timer.Sleep(ctx, delay) {
+		if !fo.mayTryAgain(ca, last, delay) || !timer.Sleep(ctx, delay) {
 			return nil, notInTime(ctx, last)
 		}
 		delay = min(2*delay, maxRetryDelay)
