--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -36,6 +36,18 @@
 	// arrivals is how many backend servers may have received the copy.
 	arrivals int
 	err      error
+	// isTooLate says that nothing was forwarded, since no time was left.
+	isTooLate bool
+}
+
+// latest returns the attempt that tells why a call was not served. One that
+// found no time says less than the one before it.
+func latest(before, at attempt) attempt {
+	isAttempt := before.answer != nil || before.err != nil
+	if at.isTooLate && isAttempt && before.outcome() == gatekeeper.OutcomeNotRun {
+		return before
+	}
+	return at
 }
 
 // outcome returns what is known of the request after the attempt.
@@ -73,10 +85,10 @@
 	for {
 		order := fo.order(ca)
 		if len(order) > 0 {
-			last = fo.tryOwner(ctx, ca, order[failures%len(order)])
+			last = latest(last, fo.tryOwner(ctx, ca, order[failures%len(order)]))
 			if isNotOwner(last) {
 				if former, ok := fo.formerOwner(ca, last.to); ok {
-					last = fo.tryOwner(ctx, ca, former)
+					last = latest(last, fo.tryOwner(ctx, ca, former))
 				}
 			}
 			if isFinal(last, ca) {
@@ -303,7 +315,7 @@
 	ca.servedBy = to.BackendServer
 	remaining := ca.deadlineAt.Sub(fo.so.Now()) - answerReserve
 	if remaining <= 0 {
-		return attempt{to: to, answer: &peerproto.ForwardResponse{
+		return attempt{to: to, isTooLate: true, answer: &peerproto.ForwardResponse{
 			Outcome: gatekeeper.OutcomeNotRun, Code: CodeDeadline, Reason: "the deadline passed",
 		}}
 	}
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -156,8 +156,8 @@
 		tb := fo.so.View().Tables[ca.service]
 		if tb != nil {
 			ch := fo.choices.of(tb, fo.dataCentre)
-			var isChosen bool
-			last, isChosen = fo.tryShared(ctx, ca, tb, ch, &tried)
+			at, isChosen := fo.tryShared(ctx, ca, tb, ch, &tried)
+			last = latest(last, at)
 			switch {
 			case !isChosen:
 				tried = nil
