--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -67,13 +67,13 @@
 }
 
 // isToldHolds reports whether the backend server is told which partitions of
-// the tenure it holds.
-func (co *Controller) isToldHolds(te *tenure) bool {
-	return co.re != nil && te.service == co.self.Service
+// the service it holds.
+func (co *Controller) isToldHolds(service string) bool {
+	return co.re != nil && service == co.self.Service
 }
 
 func (co *Controller) resizeRegistrar(service string, tb *placer.Table) {
-	if co.re == nil || service != co.self.Service {
+	if !co.isToldHolds(service) {
 		return
 	}
 	ranges := make([]placer.Range, tb.Map.Partitions)
@@ -109,7 +109,7 @@
 // replyIfLeft answers the open heartbeat of a leaving server once the maps give
 // its keys to others: the reply leaves them out.
 func (co *Controller) replyIfLeft(te *tenure) {
-	if co.open != nil && co.isToldHolds(te) && co.server == registrar.Draining && len(te.leaving) > 0 {
+	if co.open != nil && co.isToldHolds(te.service) && co.server == registrar.Draining && len(te.leaving) > 0 {
 		co.open.replyAt = 0
 		co.replyIfDue(co.pu.Now())
 	}
@@ -123,7 +123,7 @@
 
 // replyIfComplete answers the open heartbeat once nothing is pending.
 func (co *Controller) replyIfComplete(te *tenure) {
-	if co.open != nil && co.isToldHolds(te) && len(te.pending) == 0 {
+	if co.open != nil && co.isToldHolds(te.service) && len(te.pending) == 0 {
 		co.open.replyAt = 0
 		co.replyIfDue(co.pu.Now())
 	}
@@ -243,7 +243,7 @@
 	if !co.pu.IsIdle(service, pt) || co.pu.Epoch(service, pt) != 0 {
 		return false
 	}
-	if co.re == nil || service != co.self.Service {
+	if !co.isToldHolds(service) {
 		return true
 	}
 	return co.re.IsFree(pt, co.pu.Now())
@@ -251,7 +251,7 @@
 
 // handover returns the backend server's word for a partition.
 func (co *Controller) handover(service string, pt uint32) string {
-	if co.re == nil || service != co.self.Service {
+	if !co.isToldHolds(service) {
 		return ""
 	}
 	return co.re.Handover(pt)
@@ -259,7 +259,7 @@
 
 // isServerHolding reports whether the server may hold anything of the tenure.
 func (co *Controller) isServerHolding(te *tenure) bool {
-	if !co.isToldHolds(te) {
+	if !co.isToldHolds(te.service) {
 		return false
 	}
 	now := co.pu.Now()
--- a/instance/controller/tenure.go
+++ b/instance/controller/tenure.go
@@ -67,7 +67,7 @@
 		switch {
 		case owned[pt]:
 			delete(te.leaving, pt)
-		case co.isToldHolds(te) && co.pu.Epoch(te.service, pt) != 0 && co.re.Holds(pt, co.pu.Now()):
+		case co.isToldHolds(te.service) && co.pu.Epoch(te.service, pt) != 0 && co.re.Holds(pt, co.pu.Now()):
 			te.leaving[pt] = true
 		default:
 			co.drop(te, pt)
@@ -242,7 +242,7 @@
 		if !ok {
 			continue
 		}
-		if words := ev.answer.GetHandovers(); i < len(words) && words[i] != "" && co.isToldHolds(te) {
+		if words := ev.answer.GetHandovers(); i < len(words) && words[i] != "" && co.isToldHolds(te.service) {
 			co.re.Receive(pt, words[i])
 		}
 		delete(waits, ev.holder)
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -316,7 +316,7 @@
 }
 
 func passedOn(header http.Header) []*peerproto.Header {
-	named := connectionHeaders(header)
+	named := ConnectionHeaders(header)
 	var passed []*peerproto.Header
 	for name, values := range header {
 		if withheld[name] || named[name] {
@@ -329,9 +329,9 @@
 	return passed
 }
 
-// connectionHeaders lists the headers that Connection names, RFC 9110 section
+// ConnectionHeaders lists the headers that Connection names, RFC 9110 section
 // 7.6.1.
-func connectionHeaders(header http.Header) map[string]bool {
+func ConnectionHeaders(header http.Header) map[string]bool {
 	named := map[string]bool{}
 	for _, value := range header.Values("Connection") {
 		for _, name := range strings.Split(value, ",") {
