Refuse in the callers' own protocol in a planned stop, and only once callers have had a second to leave

Cause: after a gap of 150 ms without a request, which load on the processors makes, the stop began to refuse callers that still came, with plain text that they could not read and took for an unknown outcome (TestPlannedStopRefusesNothing, known red). A refusal is one of the forwarder's: code stopping, not run.

Ruled out: closing idle connections in the stop cut a request that was not idempotent beside six race-instrumented processes; dropped.

--- a/bench/launcher/launcher_test.go
+++ b/bench/launcher/launcher_test.go
@@ -204,6 +204,9 @@
 	is.NoErr(de.StopInstance(owner.Name))
 	results := <-done
 	for _, re := range results {
+		if re.Outcome != loader.Answered {
+			t.Logf("%+v", re)
+		}
 		is.Equal(re.Outcome, loader.Answered) // no request is cut or refused
 	}
 	check(t, de, results)
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -49,6 +49,7 @@
 	CodeDeadline     = "deadline"
 	CodeLost         = "answerLost"
 	CodeStarting     = "starting"
+	CodeStopping     = "stopping"
 )
 
 // Headers between callers and the instance.
@@ -117,6 +118,7 @@
 	lo          hclog.Logger
 	sampleEvery uint64
 	observer    Observer
+	isStopping  atomic.Bool
 	isHedging   bool
 	callerOf    string
 	dataCentre  string
@@ -143,6 +145,16 @@
 // Run gives up unused tokens of workspaces' buckets until ctx ends.
 func (fo *Forwarder) Run(ctx context.Context) { fo.shares.sweep(ctx) }
 
+// Stop refuses all requests that begin from now on, as not run.
+func (fo *Forwarder) Stop() { fo.isStopping.Store(true) }
+
+func (fo *Forwarder) refuseIfStopping() *Refusal {
+	if !fo.isStopping.Load() {
+		return nil
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Code: CodeStopping, Reason: "the instance is stopping", RetryAfter: comeBack}
+}
+
 // ServeHTTP implements http.Handler.
 func (fo *Forwarder) ServeHTTP(wr http.ResponseWriter, re *http.Request) {
 	fo.routes().ServeHTTP(wr, re)
@@ -227,6 +239,10 @@
 func (fo *Forwarder) serve(wr http.ResponseWriter, re *http.Request, rt cataloguer.Route) {
 	ca := newCall(fo.so.Now())
 	ca.take(rt)
+	if rf := fo.refuseIfStopping(); rf != nil {
+		fo.refuse(wr, ca, *rf)
+		return
+	}
 	if rf := fo.read(ca, re); rf != nil {
 		fo.refuse(wr, ca, *rf)
 		return
--- a/instance/forwarder/request.go
+++ b/instance/forwarder/request.go
@@ -94,6 +94,9 @@
 }
 
 func (fo *Forwarder) do(ctx context.Context, ca *call, rq Request) (*peerproto.ForwardResponse, *Refusal) {
+	if rf := fo.refuseIfStopping(); rf != nil {
+		return nil, rf
+	}
 	vi := fo.so.View()
 	if vi.Config.Version == 0 {
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Code: CodeStarting, Reason: "the instance has no catalogue yet", RetryAfter: comeBack}
--- a/instance/forwarder/request_test.go
+++ b/instance/forwarder/request_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/json"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -28,7 +30,7 @@
 	gates map[string]func(ctx context.Context, rq *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error)
 	seen  []*peerproto.ForwardRequest
 	// grant answers asks for tokens; nil is silence.
-	grant *peerproto.GrantResponse
+	grant func() *peerproto.GrantResponse
 }
 
 func (fl *fleet) View() *publisher.View { return fl.pu.View() }
@@ -51,10 +53,10 @@
 }
 
 func (fl *fleet) Grant(context.Context, string, *peerproto.GrantRequest) (*peerproto.GrantResponse, error) {
-	if fl.grant == nil {
-		return nil, errors.New("no answer")
+	if gr := fl.grant(); gr != nil {
+		return gr, nil
 	}
-	return fl.grant, nil
+	return nil, errors.New("no answer")
 }
 
 func answered(body string) (*peerproto.ForwardResponse, bool, error) {
@@ -74,7 +76,7 @@
 	fl := &fleet{
 		pu:    publisher.New(timer.Boot{}, publisher.Self{}),
 		gates: map[string]func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error){},
-		grant: &peerproto.GrantResponse{Immediate: 1, Tokens: 5},
+		grant: func() *peerproto.GrantResponse { return &peerproto.GrantResponse{Immediate: 1, Tokens: 5} },
 	}
 	co := cataloguer.Config{Version: 1, Keys: []cataloguer.Key{{Digest: sha256.Sum256([]byte("k")), Workspace: "w"}}}
 	co.Catalogue.Services = []cataloguer.Service{{Name: "pages", Class: cataloguer.Shared}, {Name: "keys", Class: cataloguer.Exclusive, Partitions: 8, KeySpace: 64}}
@@ -277,7 +279,7 @@
 func TestSilentHome(t *testing.T) {
 	is := is.New(t)
 	fo, fl := newFleet(t)
-	fl.grant = nil
+	fl.grant = func() *peerproto.GrantResponse { return nil }
 	fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
 		return answered("ok")
 	}, "a", "b")
@@ -297,3 +299,24 @@
 	is.True(served >= 5)
 	is.True(served <= 60) // well below the rate of 100
 }
+
+// TestStop refuses what begins after the stop in the caller's own protocol, as
+// not run.
+func TestStop(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t)
+	fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return answered("ok")
+	}, "a", "b")
+	_, rf := fo.Do(context.Background(), toPath("/page/x"))
+	is.Equal(rf, nil)
+	fo.Stop()
+	_, rf = fo.Do(context.Background(), toPath("/page/x"))
+	is.Equal(rf.Code, CodeStopping)
+	is.True(!rf.HasRun())
+	rec := httptest.NewRecorder()
+	fo.serve(rec, httptest.NewRequest(http.MethodGet, "/order/17", nil), cataloguer.Route{Name: "order", Service: "keys"})
+	var wire wireRefusal
+	is.NoErr(json.Unmarshal(rec.Body.Bytes(), &wire))
+	is.Equal([]any{rec.Code, wire.Code, wire.Outcome}, []any{http.StatusServiceUnavailable, CodeStopping, "notRun"})
+}
--- a/instance/router/options.go
+++ b/instance/router/options.go
@@ -55,6 +55,6 @@
 // WithStopLimit bounds a planned stop.
 func WithStopLimit(limit time.Duration) Option { return func(ro *Router) { ro.stopLimit = limit } }
 
-// WithPatientStop makes a planned stop wait until callers, who watch readiness,
-// have gone elsewhere.
-func WithPatientStop() Option { return func(ro *Router) { ro.isPatient = true } }
+// WithQuietSpan sets for how long no request must have begun before a planned
+// stop refuses what still comes: the time that callers take to go elsewhere.
+func WithQuietSpan(span time.Duration) Option { return func(ro *Router) { ro.quietSpan = span } }
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -75,10 +75,9 @@
 	wrapCaller   func(fo *forwarder.Forwarder) http.Handler
 	entryOptions []forwarder.Option
 	stopLimit    time.Duration
-	// isPatient makes a planned stop wait until callers have gone elsewhere.
-	isPatient bool
-	kill      context.CancelFunc
-	killed    context.Context
+	quietSpan    time.Duration
+	kill         context.CancelFunc
+	killed       context.Context
 }
 
 // incarnation is all that a revocation ends.
@@ -94,7 +93,8 @@
 
 // New binds the instance's addresses.
 func New(se parser.Settings, opts ...Option) (*Router, error) {
-	ro := &Router{se: se, clock: timer.Boot{}, meter: meter.New(), reach: func(string) bool { return true }, stopLimit: leaveTimeout}
+	ro := &Router{se: se, clock: timer.Boot{}, meter: meter.New(), stopLimit: leaveTimeout, quietSpan: quietSpan}
+	ro.reach = func(string) bool { return true }
 	for _, opt := range opts {
 		opt(ro)
 	}
--- a/instance/router/servers.go
+++ b/instance/router/servers.go
@@ -17,11 +17,11 @@
 	bodyTimeout    = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
-	// quietSpan is how long no request must have begun before a stop ends, and
-	// patientQuietSpan so where callers go elsewhere by themselves.
-	quietSpan        = 150 * time.Millisecond
-	patientQuietSpan = 350 * time.Millisecond
-	quietCheck       = 20 * time.Millisecond
+	// quietSpan is how long no request must have begun before a planned stop
+	// refuses what still comes: callers that ask for the instances once a second
+	// have left by then.
+	quietSpan  = time.Second
+	quietCheck = 20 * time.Millisecond
 	// cancelSpan is how long cancelled requests may take to be answered.
 	cancelSpan = 200 * time.Millisecond
 )
@@ -33,7 +33,6 @@
 	administrator *khttp.Server
 
 	isStopping atomic.Bool
-	isRefusing atomic.Bool
 	active     atomic.Int64
 	// busyAt is when the latest caller's request began.
 	busyAt atomic.Int64
@@ -125,14 +124,9 @@
 	ss.isStopping.Store(true)
 }
 
-// awaitQuiet returns once no caller's request has run for a while, or ctx ends.
-// If it is patient that is long enough for callers to notice that the instance
-// is not ready.
-func (ss *servers) awaitQuiet(ctx context.Context, isPatient bool) {
-	quiet := quietSpan
-	if isPatient {
-		quiet = patientQuietSpan
-	}
+// awaitQuiet returns once no caller's request has begun for a while and none
+// runs, or ctx ends.
+func (ss *servers) awaitQuiet(ctx context.Context, quiet time.Duration) {
 	for {
 		since := ss.clock.Now().Sub(timer.Instant(ss.busyAt.Load()))
 		if ss.active.Load() == 0 && since.Duration() >= quiet || !timer.Sleep(ctx, quietCheck) {
@@ -141,9 +135,6 @@
 	}
 }
 
-// refuse refuses what callers ask from now on.
-func (ss *servers) refuse() { ss.isRefusing.Store(true) }
-
 // awaitIdle returns once no request runs, or a moment after ctx ends: what runs
 // then is cancelled, so that its caller gets an answer. It returns how many were.
 func (ss *servers) awaitIdle(ctx context.Context) int64 {
@@ -170,13 +161,6 @@
 		if ss.isStopping.Load() {
 			wr.Header().Set("Connection", "close")
 		}
-		// The count went up before the check, so that whoever refuses and then
-		// sees no request knows that none is passed on.
-		if isCaller && ss.isRefusing.Load() {
-			wr.Header().Set("Retry-After", "0.1")
-			http.Error(wr, "stopping: the request has not run", http.StatusServiceUnavailable)
-			return
-		}
 		ctx, cancel := ss.bound(re.Context())
 		defer cancel()
 		handler.ServeHTTP(wr, re.WithContext(ctx))
