Don't count the wait for a slow home as a wait for the rate

Cause: a request waited for the answer of its workspace's bucket home, which a handover or load held up for 150 ms and more. The home, which fills from empty, then named a wait of some milliseconds, and the request was refused as above the rate, since the whole time counted against the 50 ms that it may wait for a token. Seen in six runs of TestPlannedStopRefusesNothing at once: all 429 of three traces came after 150 ms or more, together, as a home answered; the workspaces used a tenth of their rates.

--- a/instance/forwarder/request_test.go
+++ b/instance/forwarder/request_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -300,6 +301,27 @@
 	is.True(served <= 60) // well below the rate of 100
 }
 
+// TestSlowHome serves a request whose bucket's home answers late and has the
+// next token soon: the wait for the answer is not a wait for the rate.
+func TestSlowHome(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t)
+	fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return answered("ok")
+	}, "a", "b")
+	var asks atomic.Int64
+	fl.grant = func() *peerproto.GrantResponse {
+		if asks.Add(1) == 1 {
+			time.Sleep(150 * time.Millisecond)
+			return &peerproto.GrantResponse{RetryAfter: int64(5 * timer.Millisecond)}
+		}
+		return &peerproto.GrantResponse{Immediate: 1}
+	}
+	_, rf := fo.Do(context.Background(), toPath("/page/x"))
+	is.Equal(rf, nil)
+	is.Equal(asks.Load(), int64(2))
+}
+
 // TestStop refuses what begins after the stop in the caller's own protocol, as
 // not run.
 func TestStop(t *testing.T) {
--- a/instance/forwarder/shares.go
+++ b/instance/forwarder/shares.go
@@ -84,9 +84,15 @@
 		return next.refusal()
 	}
 	defer sh.waiters.Add(-1)
-	startedAt := ss.so.Now()
+	// overAt is when the home first said that the rate is used up. The wait for
+	// its answer before that is no wait for the rate.
+	overAt := timer.Instant(0)
 	for {
-		if next.isOverRate() && ss.so.Now().Sub(startedAt)+next.retryAfter > ratePatience || !next.await(ctx) {
+		now := ss.so.Now()
+		if next.isOverRate() && overAt == 0 {
+			overAt = now
+		}
+		if next.isOverRate() && now.Sub(overAt)+next.retryAfter > ratePatience || !next.await(ctx) {
 			break
 		}
 		next = ss.takeOnce(sh, workspace, false)
