Soak real processes on the stand-in of the platform by a seeded plan

cornelbench soak and bench/soaker: instances as processes run the delivered program; clients, backend servers, the store and relays run in the soak. 21 kinds of faults overlap and come twice: kills, pauses, planned stops, reloads, crashed servers with a new id and the old one, a store that refuses, hangs, is slow, loses answers or its history, connections that are reset, slow, silent or cut one way, a zone taken out, a key withdrawn. Checked: runs and their number, truth of refusals, whole answers, owners and tokens, tenants, rates, withdrawn keys, service after the last fault, processes that end by themselves, planned stops in time. Each check has a history that breaks it (TestJudge, TestCheck).

Between two instances there is no relay; clocks are not stepped.

--- /dev/null
+++ b/bench/soaker/checks_test.go
@@ -0,0 +1,128 @@
+package soaker
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cornellanding.example/standin/platformer"
+	"github.com/matryer/is"
+)
+
+var (
+	start  = time.Unix(1_700_000_000, 0)
+	broken = errors.New("reset")
+)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func attemptOf(id string, status int) attempt {
+	atm := attempt{tenant: openTenant, service: keyService, startedAt: at(0), endedAt: at(50)}
+	atm.request = platformer.Request{ID: id, Key: 5}
+	atm.answer = platformer.Answer{Status: status}
+	if status == http.StatusOK {
+		atm.answer.Signature, atm.answer.Body = "s", atm.request.WantBody()
+	}
+	return atm
+}
+
+func runOf(id string, ms int) platformer.Run {
+	return platformer.Run{RequestID: id, Key: 5, Tenant: openTenant, Caller: keyService, Body: id, StartedAt: at(ms), EndedAt: at(ms + 5)}
+}
+
+func tenureOf(fence uint64, from, until int) platformer.Tenure {
+	return platformer.Tenure{From: 0, To: 9, Fence: fence, Since: at(from), Until: at(until)}
+}
+
+// TestJudge finds each kind of broken promise, and nothing in a sound history.
+func TestJudge(t *testing.T) {
+	for _, cas := range []struct {
+		name string
+		want string
+		make func(hi *history)
+	}{
+		{"sound", "", func(*history) {}},
+		{"answered and never run", "on no server", func(hi *history) { hi.servers[0].runs = nil }},
+		{"run twice", "ran 2 times", func(hi *history) { hi.servers[1].runs = []platformer.Run{runOf("r-1", 300)} }},
+		{"run though promised", "status 503 and ran", func(hi *history) { hi.attempts[0] = attemptOf("r-1", http.StatusServiceUnavailable) }},
+		{"nobody's request", "no client sent it", func(hi *history) { hi.servers[0].runs = append(hi.servers[0].runs, runOf("r-9", 20)) }},
+		{"another tenant", "ran for", func(hi *history) { hi.servers[0].runs[0].Tenant = "x" }},
+		{"forged caller", "for the service", func(hi *history) { hi.servers[0].runs[0].Caller = "forged" }},
+		{"credential passed on", "passed on", func(hi *history) { hi.servers[0].runs[0].HasCredential = true }},
+		{"another body", "with body", func(hi *history) { hi.servers[0].runs[0].Body = "x" }},
+		{"token falls", "got token", func(hi *history) { hi.servers[1].tenures[0].Fence = 1 }},
+		{"two holders for long", "at once", func(hi *history) { hi.servers[0].tenures[0].Until = at(700) }},
+		{"two holders with requests", "at once", func(hi *history) {
+			hi.servers[0].tenures[0].Until = at(200)
+			hi.servers[0].runs[0].StartedAt = at(150)
+			hi.servers[1].runs = []platformer.Run{runOf("r-2", 160)}
+			hi.attempts = append(hi.attempts, attemptOf("r-2", http.StatusOK))
+		}},
+		{"two holders for a moment", "", func(hi *history) { hi.servers[0].tenures[0].Until = at(200) }},
+		{"above the rate", "at most", func(hi *history) {
+			hi.tenants = []platformer.Tenant{{Name: openTenant, RatePerS: 1, Burst: 1}}
+			for range 40 {
+				hi.servers[0].runs = append(hi.servers[0].runs, runOf("r-1", 10))
+			}
+			hi.attempts[0].isRepeatable = true
+		}},
+		{"withdrawn key", "withdrawn", func(hi *history) {
+			hi.withdrawals = []withdrawal{{tenant: openTenant, from: at(-6000), until: at(1000)}}
+		}},
+		{"a reply too large", "bytes", func(hi *history) { hi.servers[0].faults = []string{"a reply of 9999 bytes"} }},
+	} {
+		t.Run(cas.name, func(t *testing.T) {
+			hi := history{
+				attempts: []attempt{attemptOf("r-1", http.StatusOK)},
+				servers: []server{
+					{id: "a", runs: []platformer.Run{runOf("r-1", 10)}, tenures: []platformer.Tenure{tenureOf(1, 0, 100)}},
+					{id: "b", tenures: []platformer.Tenure{tenureOf(2, 100, 900)}},
+				},
+			}
+			cas.make(&hi)
+			expect(t, cas.want, func(wa *watch) { wa.judge(hi) })
+		})
+	}
+}
+
+// TestCheck finds wrong answers as they come.
+func TestCheck(t *testing.T) {
+	for _, cas := range []struct {
+		name string
+		want string
+		make func(at *attempt)
+	}{
+		{"sound", "", func(*attempt) {}},
+		{"no signature", "a success", func(at *attempt) { at.answer.Signature = "" }},
+		{"another body", "a success", func(at *attempt) { at.answer.Body = "ran r-2" }},
+		{"signed failure", "signature", func(at *attempt) { at.answer.Status = http.StatusBadGateway }},
+		{"denied", "proper", func(at *attempt) { at.answer = platformer.Answer{Status: http.StatusNotFound} }},
+		{"refused in calm", "not served", func(at *attempt) {
+			at.answer, at.isCalm = platformer.Answer{Status: http.StatusServiceUnavailable}, true
+		}},
+		{"broken in calm", "not served", func(at *attempt) { at.answer, at.isCalm = platformer.Answer{Err: broken}, true }},
+		{"broken in trouble", "", func(at *attempt) { at.answer = platformer.Answer{Err: broken} }},
+	} {
+		t.Run(cas.name, func(t *testing.T) {
+			atm := attemptOf("r-1", http.StatusOK)
+			cas.make(&atm)
+			expect(t, cas.want, func(wa *watch) { wa.check(atm) })
+		})
+	}
+}
+
+func expect(t *testing.T, want string, judge func(wa *watch)) {
+	t.Helper()
+	wa := &watch{}
+	judge(wa)
+	found := strings.Join(wa.list(), "\n")
+	if want == "" {
+		is.New(t).Equal(found, "")
+		return
+	}
+	if !strings.Contains(found, want) {
+		t.Errorf("found %q, want %q", found, want)
+	}
+}
--- /dev/null
+++ b/bench/soaker/plan.go
@@ -0,0 +1,234 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"cornellanding.example/standin/platformer"
+)
+
+const (
+	// maxGap is the longest pause between the starts of two faults.
+	maxGap = 1500 * time.Millisecond
+	// minSpan and maxSpan bound how long a fault lasts: from less than a lease to
+	// well over one.
+	minSpan = 50 * time.Millisecond
+	maxSpan = 5 * time.Second
+	// againShare is how often a fault comes twice in a row.
+	againShare = 0.3
+	maxDelay   = 400 * time.Millisecond
+	// withdrawnSpan is how long a key stays withdrawn: longer than it may work.
+	withdrawnSpan  = withdrawnLimit + 2*time.Second
+	maxLostAnswers = 6
+)
+
+// action is one kind of fault. It returns once the fault is over.
+type action struct {
+	name string
+	do   func(pl *plan, on target)
+}
+
+// target is what the plan drew for one fault.
+type target struct {
+	vm    *vm
+	relay *relay
+	mode  Mode
+	span  time.Duration
+	count int
+}
+
+var actions = []action{
+	{"kill an instance", func(pl *plan, on target) { pl.kill(on.vm) }},
+	{"kill all instances", func(pl *plan, _ target) {
+		for _, one := range pl.fl.vms {
+			pl.kill(one)
+		}
+	}},
+	{"pause an instance", (*plan).pause},
+	{"stop an instance", (*plan).stop},
+	{"reload an instance", func(pl *plan, on target) { pl.signal(on.vm, syscall.SIGHUP) }},
+	{"crash a server", func(pl *plan, on target) { pl.crash(on, false) }},
+	{"crash a server that keeps its id", func(pl *plan, on target) { pl.crash(on, true) }},
+	{"the store refuses", func(pl *plan, on target) {
+		pl.harmStore(platformer.StoreFaults{Refuse: http.StatusServiceUnavailable}, on.span)
+	}},
+	{"the store turns calls away", func(pl *plan, on target) {
+		pl.harmStore(platformer.StoreFaults{Refuse: http.StatusTooManyRequests}, on.span)
+	}},
+	{"the store is silent", func(pl *plan, on target) { pl.harmStore(platformer.StoreFaults{IsSilent: true}, on.span) }},
+	{"the store is slow", func(pl *plan, on target) { pl.harmStore(platformer.StoreFaults{Delay: on.mode.Delay}, on.span) }},
+	{"the store loses answers", func(pl *plan, on target) {
+		pl.harmStore(platformer.StoreFaults{LoseAnswers: on.count}, on.span)
+	}},
+	{"the store forgets its history", func(pl *plan, on target) { pl.harmStore(platformer.StoreFaults{IsForgetful: true}, on.span) }},
+	{"connections are reset", func(_ *plan, on target) { on.relay.reset() }},
+	{"connections are slow", func(_ *plan, on target) { on.harm(Mode{Delay: on.mode.Delay}) }},
+	{"connections are silent", func(_ *plan, on target) { on.harm(Mode{IsSilentIn: true, IsSilentOut: true}) }},
+	{"connections are cut one way", func(_ *plan, on target) {
+		on.harm(Mode{IsSilentIn: on.mode.IsSilentIn, IsSilentOut: !on.mode.IsSilentIn})
+	}},
+	{"the store's connections are reset", func(pl *plan, _ target) { pl.fl.storeBy.reset() }},
+	{"the store's connections are cut one way", func(pl *plan, on target) {
+		pl.store.Lock()
+		defer pl.store.Unlock()
+		on.relay = pl.fl.storeBy
+		on.harm(Mode{IsSilentIn: on.mode.IsSilentIn, IsSilentOut: !on.mode.IsSilentIn})
+	}},
+	{"a zone is taken out", (*plan).evacuate},
+	{"a key is withdrawn", func(pl *plan, _ target) { pl.withdraw() }},
+}
+
+// plan draws faults and carries them out, several at once.
+type plan struct {
+	fl     *fleet
+	se     Settings
+	random *rand.Rand
+	count  int
+	wg     sync.WaitGroup
+	// store is held while the store is harmed or must not be.
+	store sync.Mutex
+
+	mu          sync.Mutex
+	withdrawals []withdrawal
+	pauses      map[*vm]time.Time
+}
+
+func newPlan(fl *fleet, se Settings) *plan {
+	return &plan{fl: fl, se: se, random: rand.New(rand.NewPCG(se.Seed, 2)), pauses: map[*vm]time.Time{}}
+}
+
+// run starts faults until the time is over, and returns once all have ended.
+func (pl *plan) run(ctx context.Context) {
+	defer pl.wg.Wait()
+	end := time.Now().Add(pl.se.For)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		ac := actions[pl.random.IntN(len(actions))]
+		on := pl.draw()
+		times := 1
+		if pl.random.Float64() < againShare {
+			times = 2
+		}
+		pl.se.say("%s, %d times: %s, %s, mode %+v", ac.name, times, on.vm.place.Name, on.span.Round(time.Millisecond), on.mode)
+		pl.wg.Go(func() {
+			for range times {
+				ac.do(pl, on)
+			}
+		})
+		pl.count += times
+		time.Sleep(time.Duration(pl.random.Int64N(int64(maxGap))))
+	}
+}
+
+// draw draws a target. It takes the same numbers whatever the kind of fault is.
+func (pl *plan) draw() target {
+	one := pl.fl.vms[pl.random.IntN(len(pl.fl.vms))]
+	relays := []*relay{one.callers, one.control, one.app}
+	return target{
+		vm: one, relay: relays[pl.random.IntN(len(relays))],
+		span:  minSpan + time.Duration(pl.random.Int64N(int64(maxSpan-minSpan))),
+		mode:  Mode{Delay: time.Duration(pl.random.Int64N(int64(maxDelay))), IsSilentIn: pl.random.IntN(2) == 0},
+		count: 1 + pl.random.IntN(maxLostAnswers),
+	}
+}
+
+func (on target) harm(mo Mode) {
+	on.relay.set(mo)
+	time.Sleep(on.span)
+	on.relay.set(Mode{})
+}
+
+func (pl *plan) signal(one *vm, sig syscall.Signal) <-chan error {
+	exited, err := one.signal(sig)
+	if err != nil {
+		pl.fl.check.fail("%s: signal %v: %v", one.place.Name, sig, err)
+	}
+	return exited
+}
+
+func (pl *plan) kill(one *vm) { pl.signal(one, syscall.SIGKILL) }
+
+func (pl *plan) pause(on target) {
+	pl.signal(on.vm, syscall.SIGSTOP)
+	time.Sleep(on.span)
+	pl.mu.Lock()
+	pl.pauses[on.vm] = time.Now()
+	pl.mu.Unlock()
+	pl.signal(on.vm, syscall.SIGCONT)
+}
+
+func (pl *plan) wasPaused(one *vm, since time.Time) bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return pl.pauses[one].After(since)
+}
+
+// stop is a planned stop. It must end in the time that the platform grants, unless
+// the process was paused meanwhile.
+func (pl *plan) stop(on target) {
+	startedAt := time.Now()
+	exited := pl.signal(on.vm, syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(stopLimit + stopSlack):
+		if !pl.wasPaused(on.vm, startedAt) {
+			pl.fl.check.fail("%s: a planned stop takes longer than %s", on.vm.place.Name, stopLimit)
+		}
+		pl.kill(on.vm)
+	}
+}
+
+func (pl *plan) crash(on target, isSameID bool) {
+	id := pl.fl.crashServer(on.vm)
+	if !isSameID {
+		id = ""
+	}
+	time.Sleep(on.span / 2)
+	if err := pl.fl.startServer(on.vm, id); err != nil {
+		pl.fl.check.fail("%s: the server does not start: %v", on.vm.place.Name, err)
+	}
+}
+
+func (pl *plan) harmStore(fa platformer.StoreFaults, span time.Duration) {
+	pl.store.Lock()
+	defer pl.store.Unlock()
+	pl.fl.store.SetFaults(fa)
+	time.Sleep(span)
+	pl.fl.store.SetFaults(platformer.StoreFaults{})
+}
+
+func (pl *plan) evacuate(on target) {
+	key := "evacuate/" + on.vm.place.Zone
+	pl.fl.store.Put("op", key, []byte("{}"))
+	time.Sleep(on.span)
+	pl.fl.store.Remove("op", key)
+}
+
+// withdraw takes a tenant's key away for a while in which the store is well.
+func (pl *plan) withdraw() {
+	pl.store.Lock()
+	defer pl.store.Unlock()
+	setKeys := func(keys ...string) {
+		pl.fl.configure(func(co *platformer.Config) {
+			co.Tenants = slices.Clone(co.Tenants)
+			for i := range co.Tenants {
+				if co.Tenants[i].Name == limitedTenant {
+					co.Tenants[i].Keys = keys
+				}
+			}
+		})
+	}
+	wi := withdrawal{tenant: limitedTenant, from: time.Now()}
+	setKeys(fmt.Sprintf("another-%d", pl.fl.config.Version))
+	time.Sleep(withdrawnSpan)
+	wi.until = time.Now()
+	setKeys("key-of-" + limitedTenant)
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.withdrawals = append(pl.withdrawals, wi)
+}
--- a/cmd/cornelbench/main.go
+++ b/cmd/cornelbench/main.go
@@ -6,6 +6,7 @@
 //	cornelbench backend-server --listen 127.0.0.1:7200 --name ordering-1 --slots 9
 //	cornelbench load --scenario FILE
 //	cornelbench drill --binary ./cornellanding --seed 1
+//	cornelbench soak --binary ./cornellanding --seeds 10
 //	cornelbench cost
 //	cornelbench compare --seed 1
 //	cornelbench capacity --binary ./cornellanding
@@ -69,6 +70,7 @@
 	add("backend-server", "Run a backend server.", &backendServerCommand{})
 	add("load", "Send open-loop load to running instances.", &loadCommand{})
 	add("drill", "Start processes, break them under load and check the invariants.", &drillCommand{})
+	add("soak", "Run instances on the stand-in of the platform, break them by a seeded plan and check the promises.", &soakCommand{})
 	add("cost", "Measure what the router adds to a request.", &costCommand{})
 	add("compare", "Compare decisions with naive versions on simulated time.", &compareCommand{})
 	add("capacity", "Measure the slopes behind docs/CAPACITY.md.", &capacityCommand{})
--- a/standin/platformer/server.go
+++ b/standin/platformer/server.go
@@ -28,6 +28,13 @@
 	Until    time.Time
 }
 
+// Tenure is a span in which a server held a range under one token.
+type Tenure struct {
+	From, To     uint64
+	Fence        uint64
+	Since, Until time.Time
+}
+
 // Run is one request that a server ran.
 type Run struct {
 	RequestID string
@@ -36,10 +43,25 @@
 	Caller    string
 	Deadline  string
 	Body      string
-	StartedAt time.Time
-	EndedAt   time.Time
+	// HasCredential says that the caller's credential was passed on.
+	HasCredential bool
+	StartedAt     time.Time
+	// EndedAt is zero while the request runs.
+	EndedAt time.Time
 }
 
+// ServerOption sets one option of NewServer.
+type ServerOption func(*Server)
+
+// WithAnyKey makes the server one of a service that holds no keys.
+func WithAnyKey() ServerOption { return func(bs *Server) { bs.isSharded = false } }
+
+// WithWork sets how long a request takes.
+func WithWork(span time.Duration) ServerOption { return func(bs *Server) { bs.work = span } }
+
+// WithZone sets the zone that the server announces.
+func WithZone(zone string) ServerOption { return func(bs *Server) { bs.zone = zone } }
+
 // Server is a backend server that announces itself to the address beside it and
 // runs a request only while it holds the request's key. It implements
 // http.Handler for the requests.
@@ -49,12 +71,18 @@
 	service   string
 	address   string
 	control   string
+	zone      string
 	isSharded bool
 	work      time.Duration
+	client    *http.Client
 
 	mu       sync.Mutex
 	sequence uint64
 	holds    []Hold
+	tenures  []Tenure
+	// current holds the place of each range's latest tenure, by its first key.
+	current  map[uint64]int
+	hasEnded bool
 	freed    [][3]any
 	runs     []Run
 	maxFence map[uint64]uint64
@@ -62,10 +90,65 @@
 }
 
 // NewServer returns a server of a sharded service.
-func NewServer(id, service, address, control string) *Server {
-	return &Server{
-		id: id, born: time.Now().UnixMilli(), service: service, address: address, control: control,
-		isSharded: true, work: 5 * time.Millisecond, maxFence: map[uint64]uint64{},
+func NewServer(id, service, address, control string, opts ...ServerOption) *Server {
+	bs := &Server{
+		id: id, born: time.Now().UnixMilli(), service: service, address: address, control: control, zone: "a",
+		isSharded: true, work: 5 * time.Millisecond, maxFence: map[uint64]uint64{}, current: map[uint64]int{},
+		client: &http.Client{Transport: &http.Transport{}},
+	}
+	for _, opt := range opts {
+		opt(bs)
+	}
+	return bs
+}
+
+// ID returns the server's id.
+func (bs *Server) ID() string { return bs.id }
+
+// Tenures returns what the server has held, in order. One that goes on ends when
+// the latest reply says.
+func (bs *Server) Tenures() []Tenure {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	return append([]Tenure(nil), bs.tenures...)
+}
+
+// End is the crash of the server: it holds nothing and runs nothing from now on.
+func (bs *Server) End() {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	now := time.Now()
+	bs.hasEnded, bs.holds = true, nil
+	for i := range bs.tenures {
+		if now.Before(bs.tenures[i].Until) {
+			bs.tenures[i].Until = now
+		}
+	}
+	for i := range bs.runs {
+		if bs.runs[i].EndedAt.IsZero() {
+			bs.runs[i].EndedAt = now
+		}
+	}
+	bs.client.CloseIdleConnections()
+}
+
+// keep notes a hold of a reply as a tenure. The lock must be held.
+func (bs *Server) keep(ho Hold, now time.Time) {
+	if i, ok := bs.current[ho.From]; ok {
+		te := &bs.tenures[i]
+		if te.To == ho.To && te.Fence == ho.Fence && now.Before(te.Until) {
+			te.Until = ho.Until
+			return
+		}
+	}
+	bs.current[ho.From] = len(bs.tenures)
+	bs.tenures = append(bs.tenures, Tenure{From: ho.From, To: ho.To, Fence: ho.Fence, Since: now, Until: ho.Until})
+}
+
+// giveUp ends the tenure of a range. The lock must be held.
+func (bs *Server) giveUp(from uint64, now time.Time) {
+	if i, ok := bs.current[from]; ok && now.Before(bs.tenures[i].Until) {
+		bs.tenures[i].Until = now
 	}
 }
 
@@ -121,7 +204,7 @@
 	if err != nil {
 		panic(err)
 	}
-	answer, err := http.DefaultClient.Do(re)
+	answer, err := bs.client.Do(re)
 	if err != nil {
 		return false
 	}
@@ -143,12 +226,15 @@
 			holds = append(holds, [3]uint64{ho.From, ho.To, ho.Fence})
 		}
 	}
-	body, err := json.Marshal(map[string]any{
+	said := map[string]any{
 		"address": bs.address, "born": bs.born,
-		"info":   map[string]any{"service": bs.service, "version": "v1", "zone": "a", "slots": 4},
+		"info":   map[string]any{"service": bs.service, "version": "v1", "zone": bs.zone, "slots": 4},
 		"status": map[string]any{"state": "ready", "seq": bs.sequence, "coldRemainingS": 0},
-		"holds":  holds, "freed": bs.freed,
-	})
+	}
+	if bs.isSharded {
+		said["holds"], said["freed"] = holds, bs.freed
+	}
+	body, err := json.Marshal(said)
 	if err != nil {
 		panic(err)
 	}
@@ -172,9 +258,10 @@
 		return false
 	}
 	bs.freed = bs.freed[freed:]
-	if reply.Holds == nil {
+	if reply.Holds == nil || bs.hasEnded {
 		return false
 	}
+	now := time.Now()
 	until := sentAt.Add(time.Duration(reply.HoldS * float64(time.Second)))
 	var next []Hold
 	for _, row := range reply.Holds {
@@ -187,6 +274,9 @@
 		}
 		bs.maxFence[from] = fence
 		next = append(next, Hold{From: from, To: to, Fence: fence, Until: until})
+		if now.Before(until) {
+			bs.keep(next[len(next)-1], now)
+		}
 	}
 	gaveUp := false
 	for _, ho := range bs.holds {
@@ -196,6 +286,7 @@
 		}
 		if !isKept && time.Now().Before(ho.Until) {
 			bs.freed = append(bs.freed, [3]any{ho.From, ho.To, fmt.Sprintf("%s-%d", bs.id, ho.From)})
+			bs.giveUp(ho.From, now)
 			gaveUp = true
 		}
 	}
@@ -216,8 +307,11 @@
 	if err != nil {
 		return
 	}
-	startedAt := time.Now()
-	if bs.isSharded && !bs.isHeld(key) {
+	place, ok := bs.begin(Run{
+		RequestID: id, Key: key, Tenant: re.Header.Get("X-Tenant-Id"), Caller: re.Header.Get("X-Caller-Service"),
+		Deadline: re.Header.Get("X-Deadline-Ms"), Body: string(body), HasCredential: re.Header.Get("Authorization") != "",
+	})
+	if !ok {
 		wr.Header().Set("X-Not-Executed", "1")
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -227,19 +321,32 @@
 	case <-re.Context().Done():
 	}
 	bs.mu.Lock()
-	bs.runs = append(bs.runs, Run{
-		RequestID: id, Key: key, Tenant: re.Header.Get("X-Tenant-Id"), Caller: re.Header.Get("X-Caller-Service"),
-		Deadline: re.Header.Get("X-Deadline-Ms"), Body: string(body), StartedAt: startedAt, EndedAt: time.Now(),
-	})
+	if bs.runs[place].EndedAt.IsZero() {
+		bs.runs[place].EndedAt = time.Now()
+	}
 	bs.mu.Unlock()
 	wr.Header().Set("X-Server-Signature", bs.id+"."+id)
 	// A failed write is the caller's broken connection.
 	_, _ = io.WriteString(wr, "ran "+id)
 }
 
-func (bs *Server) isHeld(key uint64) bool {
-	for _, ho := range bs.Holds() {
-		if key >= ho.From && key <= ho.To {
+// begin notes the start of a run and returns its place, or false if the server
+// may not run it.
+func (bs *Server) begin(ru Run) (int, bool) {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	ru.StartedAt = time.Now()
+	if bs.hasEnded || bs.isSharded && !bs.isHeld(ru.Key, ru.StartedAt) {
+		return 0, false
+	}
+	bs.runs = append(bs.runs, ru)
+	return len(bs.runs) - 1, true
+}
+
+// isHeld reports whether the server holds a key. The lock must be held.
+func (bs *Server) isHeld(key uint64, now time.Time) bool {
+	for _, ho := range bs.holds {
+		if key >= ho.From && key <= ho.To && now.Before(ho.Until) {
 			return true
 		}
 	}
