Give a server no token below one that it has seen

Cause: a tight reply joins neighbouring ranges under the higher token of the two. Once that hold had lapsed and the next reply was not tight, the range came under the token of its own map version again, which the server refuses as seen before: it served those keys no more until another map. After another start of the server such a token was not above that of its former start. The registrar now keeps the highest map version in any token for a range.

Test: registrar.TestTokensNeverFall, red before. The soak writes a log for each VM and who held what when.

--- a/bench/soaker/checks.go
+++ b/bench/soaker/checks.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -39,7 +41,10 @@
 	}
 }
 
-const maxFound = 20
+const (
+	maxFound    = 20
+	clockLayout = "15:04:05.000"
+)
 
 func (wa *watch) list() []string {
 	wa.mu.Lock()
@@ -103,6 +108,19 @@
 	return server{id: bs.ID(), runs: bs.Runs(), tenures: bs.Tenures(), faults: bs.Faults()}
 }
 
+// write lists all tenures, by range and time.
+func (hi history) write(path string) error {
+	var lines []string
+	for _, bs := range hi.servers {
+		for _, te := range bs.tenures {
+			lines = append(lines, fmt.Sprintf("%05d %s - %s %-8s token %d",
+				te.From, te.Since.Format(clockLayout), te.Until.Format(clockLayout), bs.id, te.Fence))
+		}
+	}
+	slices.Sort(lines)
+	return os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+}
+
 // run is a run and the server that made it.
 type run struct {
 	platformer.Run
--- a/bench/soaker/fleet.go
+++ b/bench/soaker/fleet.go
@@ -42,10 +42,14 @@
 type vm struct {
 	place    platformer.Place
 	settings string
+	log      *os.File
 	callers  *relay
 	control  *relay
 	app      *relay
 
+	// crash is held from the crash of the server to its next start.
+	crash sync.Mutex
+
 	mu       sync.Mutex
 	instance *exec.Cmd
 	exited   chan error
@@ -62,7 +66,6 @@
 type fleet struct {
 	program string
 	folder  string
-	log     *os.File
 	store   *platformer.Store
 	storeAt *http.Server
 	storeBy *relay
@@ -85,9 +88,6 @@
 		network: fmt.Sprintf("127.%d.%d.", 16+se.Seed%200, os.Getpid()%250),
 	}
 	var err error
-	if fl.log, err = os.Create(filepath.Join(se.Folder, "log.jsonl")); err != nil {
-		return nil, err
-	}
 	fl.configure(func(co *platformer.Config) { *co = firstConfig() })
 	storeAt := fmt.Sprintf("%s1:%d", fl.network, storePort)
 	if fl.storeAt, err = serve(storeAt, fl.store); err != nil {
@@ -128,6 +128,10 @@
 	if err := os.WriteFile(one.settings, pl.Settings(), 0o600); err != nil {
 		return err
 	}
+	var err error
+	if one.log, err = os.Create(filepath.Join(fl.folder, pl.Name+".jsonl")); err != nil {
+		return err
+	}
 	for port, by := range map[int]**relay{platformer.OutboundPort: &one.callers, platformer.ControlPort: &one.control, serverPort: &one.app} {
 		re, err := startRelay(pl.Address(port+relayOffset), pl.Address(port))
 		if err != nil {
@@ -181,7 +185,7 @@
 // soak is over, as the platform does.
 func (fl *fleet) startInstance(one *vm) error {
 	cmd := exec.Command(fl.program, "sidecar", "--settings", one.settings)
-	cmd.Stdout, cmd.Stderr = fl.log, fl.log
+	cmd.Stdout, cmd.Stderr = one.log, one.log
 	one.mu.Lock()
 	defer one.mu.Unlock()
 	if err := cmd.Start(); err != nil {
@@ -283,6 +287,7 @@
 		for _, re := range []*relay{one.callers, one.control, one.app} {
 			re.close()
 		}
+		one.log.Close()
 	}
 	if fl.storeBy != nil {
 		fl.storeBy.close()
@@ -290,5 +295,4 @@
 	if fl.storeAt != nil {
 		fl.storeAt.Close()
 	}
-	fl.log.Close()
 }
--- a/bench/soaker/plan.go
+++ b/bench/soaker/plan.go
@@ -184,6 +184,8 @@
 }
 
 func (pl *plan) crash(on target, isSameID bool) {
+	on.vm.crash.Lock()
+	defer on.vm.crash.Unlock()
 	id := pl.fl.crashServer(on.vm)
 	if !isSameID {
 		id = ""
--- a/bench/soaker/soaker.go
+++ b/bench/soaker/soaker.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"path/filepath"
 	"time"
 )
 
@@ -24,7 +25,8 @@
 type Settings struct {
 	// Program is the path of the program that instances run.
 	Program string
-	// Folder gets the settings and the log.
+	// Folder gets the settings, the log of each VM, and a list of who held which
+	// keys when.
 	Folder string
 	// Seed decides on the faults and the load.
 	Seed uint64
@@ -95,6 +97,9 @@
 		}
 	}
 	check.judge(hi)
+	if err := hi.write(filepath.Join(se.Folder, "holds.txt")); err != nil {
+		return Report{}, err
+	}
 	rp := Report{Faults: pl.count, Requests: len(attempts), Statuses: map[int]int{}, Broken: check.list()}
 	for _, at := range attempts {
 		rp.Statuses[at.answer.Status]++
--- a/core/registrar/grant.go
+++ b/core/registrar/grant.go
@@ -37,6 +37,8 @@
 		cu := &re.keys[pt]
 		// The server counts from when it sent the heartbeat, before now.
 		cu.until = max(cu.until, now.Add(span+span/driftShare))
+		fence, _ := find(holds, re.ranges[pt])
+		cu.epoch = max(cu.epoch, fence>>startBits)
 	}
 	return Reply{Holds: holds, Span: span}, granted
 }
@@ -81,10 +83,11 @@
 }
 
 // row keeps the token under which the server holds the partition already,
-// unless that hold may have ended: then others may have held it since.
+// unless that hold may have ended: then others may have held it since. The server
+// takes no token below one that it has seen, also of a row joined to this one.
 func (re *Registrar) row(wa Want, now timer.Instant) Hold {
 	cu := re.keys[wa.Partition]
-	ho := Hold{Range: re.ranges[wa.Partition], Fence: re.fence(wa.Epoch), Handover: cu.received}
+	ho := Hold{Range: re.ranges[wa.Partition], Fence: re.fence(max(wa.Epoch, cu.epoch)), Handover: cu.received}
 	if cu.isListed && cu.fence != 0 && now.Before(cu.until) {
 		ho.Fence = cu.fence
 	}
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -149,6 +149,9 @@
 	// isListed says that the latest heartbeat named it.
 	isListed bool
 	fence    uint64
+	// epoch is the highest map version in a token for the partition that the
+	// server, or its former start, may have seen.
+	epoch uint64
 	// freed is the server's word for the range, for the next holder.
 	freed string
 	// received is the former holder's word, until the server holds the range.
@@ -226,7 +229,7 @@
 // forget frees all: another start of the server holds nothing.
 func (re *Registrar) forget() {
 	for pt := range re.keys {
-		re.keys[pt] = custody{received: re.keys[pt].received}
+		re.keys[pt] = custody{received: re.keys[pt].received, epoch: re.keys[pt].epoch}
 	}
 }
 
@@ -238,6 +241,7 @@
 		cu.isListed = isListed
 		if isListed {
 			cu.fence = fence
+			cu.epoch = max(cu.epoch, fence>>startBits)
 			cu.received = ""
 			cu.freed = ""
 			continue
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -148,6 +148,36 @@
 	is.True(again.Holds[0].Fence > first.Holds[0].Fence)
 }
 
+// TestTokensNeverFall grants a range under the higher token of its neighbour,
+// since the reply is tight, and again after the hold has lapsed or the server has
+// started again.
+func TestTokensNeverFall(t *testing.T) {
+	is := is.New(t)
+	re, err := New(Start(10*second), Term(term))
+	is.NoErr(err)
+	var (
+		ranges []placer.Range
+		wanted []Want
+	)
+	for pt := range uint32(512) {
+		ranges = append(ranges, placer.Range{From: pt * 128, To: pt*128 + 127})
+		wanted = append(wanted, Want{Partition: pt, Epoch: 1 + uint64(pt%2)})
+	}
+	re.Resize(ranges)
+	re.Take(beat(1), 11*second)
+	reply, _ := re.Grant(wanted, 14*second, 11*second)
+	token := reply.Holds[0].Fence
+	is.True(token > 1<<startBits) // the neighbour's
+
+	re.Take(beat(2), 20*second) // the holds have lapsed
+	reply, _ = re.Grant(wanted[:1], 23*second, 20*second)
+	is.True(reply.Holds[0].Fence >= token) // the server takes none below what it has seen
+
+	re.Take(Heartbeat{ID: "s2", BornAt: 2, Sequence: 1}, 21*second)
+	reply, _ = re.Grant(wanted[:1], 24*second, 21*second)
+	is.True(reply.Holds[0].Fence > token) // another start needs a higher one
+}
+
 // TestHandover passes the word of the former holder on until the server holds
 // the range, and gives the own server's word to the next holder.
 func TestHandover(t *testing.T) {
--- a/standin/platformer/server.go
+++ b/standin/platformer/server.go
@@ -141,6 +141,7 @@
 			return
 		}
 	}
+	bs.giveUp(ho.From, now) // under its former token
 	bs.current[ho.From] = len(bs.tenures)
 	bs.tenures = append(bs.tenures, Tenure{From: ho.From, To: ho.To, Fence: ho.Fence, Since: now, Until: ho.Until})
 }
@@ -269,7 +270,7 @@
 		to, _ := strconv.ParseUint(string(row[1]), 10, 64)
 		fence, _ := strconv.ParseUint(string(row[2]), 10, 64)
 		if fence < bs.maxFence[from] {
-			bs.errs = append(bs.errs, fmt.Sprintf("key %d: token %d after %d", from, fence, bs.maxFence[from]))
+			bs.errs = append(bs.errs, fmt.Sprintf("%s: key %d: token %d after %d", now.Format(time.StampMilli), from, fence, bs.maxFence[from]))
 			continue
 		}
 		bs.maxFence[from] = fence
