--- a/bench/soaker/checks.go
+++ b/bench/soaker/checks.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// holdSlack is for how long two servers may hold a range, if neither or only
+	// overlapLimit is for how long two servers may hold a range, if neither or only
 	// one of them begins requests on it: the platform's bound.
-	holdSlack = 500 * time.Millisecond
+	overlapLimit = 500 * time.Millisecond
 	// quotaWindow and the next two are the platform's bounds on a tenant's rate.
 	quotaWindow    = 5 * time.Second
 	quotaOvershoot = 0.1
@@ -224,7 +224,7 @@
 	if both <= 0 {
 		return
 	}
-	if both > holdSlack || begins(earlier, later.Since, until) && begins(later, later.Since, until) {
+	if both > overlapLimit || begins(earlier, later.Since, until) && begins(later, later.Since, until) {
 		wa.fail("keys from %d: %s and %s held them at once for %s", later.From, earlier.id, later.id, both)
 	}
 }
--- a/bench/soaker/fleet.go
+++ b/bench/soaker/fleet.go
@@ -52,7 +52,8 @@
 
 	mu       sync.Mutex
 	instance *exec.Cmd
-	exited   chan error
+	// exited is closed when the process has ended.
+	exited chan struct{}
 	// isAsked says that the soak has told the process to end.
 	isAsked bool
 	server  *platformer.Server
@@ -192,16 +193,16 @@
 		return err
 	}
 	one.instance, one.isAsked = cmd, false
-	one.exited = make(chan error, 1)
+	one.exited = make(chan struct{})
 	fl.wg.Add(1)
 	go fl.tend(one, cmd, one.exited)
 	return nil
 }
 
-func (fl *fleet) tend(one *vm, cmd *exec.Cmd, exited chan<- error) {
+func (fl *fleet) tend(one *vm, cmd *exec.Cmd, exited chan struct{}) {
 	defer fl.wg.Done()
 	err := cmd.Wait()
-	exited <- err
+	close(exited)
 	one.mu.Lock()
 	isAsked := one.isAsked
 	one.mu.Unlock()
@@ -220,7 +221,7 @@
 
 // signal sends a signal to the instance of a VM. One that ends the process is
 // expected to.
-func (one *vm) signal(sig syscall.Signal) (<-chan error, error) {
+func (one *vm) signal(sig syscall.Signal) (<-chan struct{}, error) {
 	one.mu.Lock()
 	defer one.mu.Unlock()
 	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
--- a/bench/soaker/plan.go
+++ b/bench/soaker/plan.go
@@ -143,7 +143,7 @@
 	on.relay.set(Mode{})
 }
 
-func (pl *plan) signal(one *vm, sig syscall.Signal) <-chan error {
+func (pl *plan) signal(one *vm, sig syscall.Signal) <-chan struct{} {
 	exited, err := one.signal(sig)
 	if err != nil {
 		pl.fl.check.fail("%s: signal %v: %v", one.place.Name, sig, err)
@@ -215,7 +215,7 @@
 func (pl *plan) withdraw() {
 	pl.store.Lock()
 	defer pl.store.Unlock()
-	setKeys := func(keys ...string) {
+	useKeys := func(keys ...string) {
 		pl.fl.configure(func(co *platformer.Config) {
 			co.Tenants = slices.Clone(co.Tenants)
 			for i := range co.Tenants {
@@ -226,10 +226,10 @@
 		})
 	}
 	wi := withdrawal{tenant: limitedTenant, from: time.Now()}
-	setKeys(fmt.Sprintf("another-%d", pl.fl.config.Version))
+	useKeys(fmt.Sprintf("another-%d", pl.fl.config.Version))
 	time.Sleep(withdrawnSpan)
 	wi.until = time.Now()
-	setKeys("key-of-" + limitedTenant)
+	useKeys("key-of-" + limitedTenant)
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.withdrawals = append(pl.withdrawals, wi)
--- a/standin/platformer/store.go
+++ b/standin/platformer/store.go
@@ -15,6 +15,7 @@
 package platformer
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -63,6 +64,9 @@
 	Remove   []Row `json:"remove"`
 }
 
+// maxValue is how long a value may be in base64.
+const maxValue = 65536
+
 // pageLength is how many rows an answer holds at the most.
 const pageLength = 500
 
@@ -227,6 +231,12 @@
 		http.Error(wr, err.Error(), http.StatusBadRequest)
 		return
 	}
+	for _, se := range tx.Set {
+		if base64.StdEncoding.EncodedLen(len(se.Value)) > maxValue {
+			http.Error(wr, "a value is too long", http.StatusBadRequest)
+			return
+		}
+	}
 	st.mu.Lock()
 	found, isHeld := st.apply(tx)
 	isLost := isHeld && st.faults.LoseAnswers > 0
