--- a/bench/soaker/soaker_test.go
+++ b/bench/soaker/soaker_test.go
@@ -23,7 +23,8 @@
 		name string
 		seed uint64
 	}{
-		{"a first seed", 1},
+		{"a token fell after a joined row's hold had lapsed", 101},
+		{"one that held", 1},
 	} {
 		t.Run(cas.name, func(t *testing.T) {
 			is := is.New(t)
