Let a restarted home's buckets fill since its process began

A home whose latest lost owner was a former incarnation at the same address counts from the start of its own incarnation, and assumes its grants until a term after that.

Test: controller.TestBucketsOfFormerSelf, red before for the former incarnation.

--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -102,7 +102,9 @@
 	}
 	for pt := range uint32(64) {
 		if was, _ := before.Owner(pt); was.Incarnation == 1 {
-			is.Equal(len(gone.Losses(pt)), 1) // the loss is on record
+			losses := gone.Losses(pt)
+			is.Equal(len(losses), 1) // the loss is on record
+			is.Equal(losses[0].Owner, was)
 		}
 	}
 	settled := joined.WithSettled(joined.Version)
--- a/core/placer/table.go
+++ b/core/placer/table.go
@@ -221,25 +221,31 @@
 	return prior
 }
 
-// Losses returns the versions at which the partition passed on from an owner
-// that is gone, newest first. What a live prior owner knows of the partition is
-// complete only if it obtained it at the newest of them or later.
-func (tb *Table) Losses(pt uint32) []uint64 {
-	var losses []uint64
+// Loss is a version at which a partition passed on from an owner that is gone.
+type Loss struct {
+	Version uint64
+	Owner   Member
+}
+
+// Losses returns the partition's losses, newest first. What a live prior owner
+// knows of the partition is complete only if it obtained it at the newest of them
+// or later.
+func (tb *Table) Losses(pt uint32) []Loss {
+	var losses []Loss
 	gens := tb.Map.Generations()
 	for i := 1; i < len(gens); i++ {
 		index := best(seedsOf(gens[i].Members), pt)
 		if index < 0 {
 			continue
 		}
-		former := gens[i].Members[index].Incarnation
-		_, isLive := tb.Map.ByIncarnation(former)
+		former := gens[i].Members[index]
+		_, isLive := tb.Map.ByIncarnation(former.Incarnation)
 		isSameAsNext := false
 		if next := best(seedsOf(gens[i-1].Members), pt); next >= 0 {
-			isSameAsNext = gens[i-1].Members[next].Incarnation == former
+			isSameAsNext = gens[i-1].Members[next].Incarnation == former.Incarnation
 		}
 		if !isLive && !isSameAsNext {
-			losses = append(losses, gens[i-1].Version)
+			losses = append(losses, Loss{Version: gens[i-1].Version, Owner: former})
 		}
 	}
 	return losses
--- a/instance/controller/options.go
+++ b/instance/controller/options.go
@@ -31,8 +31,9 @@
 type Buckets interface {
 	// Export returns the buckets of a partition that is served no longer.
 	Export(pt uint32) []*peerproto.Bucket
-	// Import is called before a partition is served at an epoch.
-	Import(pt uint32, epoch uint64, buckets []*peerproto.Bucket, isFirst bool, losses int)
+	// Import is called before a partition is served at an epoch. Nobody has
+	// granted anything of the buckets that are not handed over after since.
+	Import(pt uint32, epoch uint64, buckets []*peerproto.Bucket, isFirst bool, losses int, since timer.Instant)
 }
 
 // Configs is the port to where operators keep the configuration, if that is not
--- a/instance/controller/tenure.go
+++ b/instance/controller/tenure.go
@@ -122,7 +122,7 @@
 func (co *Controller) importBuckets(te *tenure, tb *placer.Table, pt uint32) {
 	lostUntil, losses := uint64(0), tb.Losses(pt)
 	if len(losses) > 0 {
-		lostUntil = losses[0]
+		lostUntil = losses[0].Version
 	}
 	latest := uint64(0)
 	for _, bu := range te.buckets[pt] {
@@ -135,10 +135,20 @@
 		}
 	}
 	isFirst := latest == 0 && lostUntil == 0 && tb.Map.Settled == 0
-	co.buckets.Import(pt, tb.Map.Version, complete, isFirst, co.recentLosses(losses))
+	since, recent := co.pu.Now(), co.recentLosses(losses)
+	if len(complete) == 0 && len(losses) > 0 && co.isFormerSelf(losses[0].Owner) {
+		since, recent = min(since, co.startedAt), max(recent, 1)
+	}
+	co.buckets.Import(pt, tb.Map.Version, complete, isFirst, recent, since)
 	delete(te.buckets, pt)
 }
 
+// isFormerSelf reports whether a lost member was a former incarnation on this VM,
+// which granted nothing after this one began: both bind the same address.
+func (co *Controller) isFormerSelf(me placer.Member) bool {
+	return me.BackendServer == co.self.BackendServer && me.Address == co.self.Address
+}
+
 // learnedVersion tells when a version of a map was applied here.
 type learnedVersion struct {
 	version uint64
@@ -170,14 +180,14 @@
 // recentLosses counts the losses whose owner's grants may not have expired. An
 // owner granted nothing after the version that removed it was committed, which
 // was before it was seen here. Versions seen longer ago are not on record.
-func (co *Controller) recentLosses(losses []uint64) int {
+func (co *Controller) recentLosses(losses []placer.Loss) int {
 	now, recent := co.pu.Now(), 0
-	for _, version := range losses {
-		if version <= co.learnedBefore {
+	for _, loss := range losses {
+		if loss.Version <= co.learnedBefore {
 			continue
 		}
 		for _, le := range co.learned {
-			if le.version < version {
+			if le.version < loss.Version {
 				continue
 			}
 			if now.Sub(le.at) < limiter.GrantTerm {
--- a/instance/controller/tenure_test.go
+++ b/instance/controller/tenure_test.go
@@ -34,7 +34,7 @@
 
 func (silent) Export(uint32) []*peerproto.Bucket { return nil }
 
-func (silent) Import(uint32, uint64, []*peerproto.Bucket, bool, int) {}
+func (silent) Import(uint32, uint64, []*peerproto.Bucket, bool, int, timer.Instant) {}
 
 // newMember returns a controller with that incarnation, whose clock stands
 // still and whose lease the test sets.
@@ -131,6 +131,53 @@
 	is.Equal(co.err, ErrRevoked)
 }
 
+// importer notes since when nobody has granted anything of a partition's buckets.
+type importer struct {
+	silent
+	since  map[uint32]timer.Instant
+	losses map[uint32]int
+}
+
+func (im importer) Import(pt uint32, _ uint64, _ []*peerproto.Bucket, _ bool, losses int, since timer.Instant) {
+	im.since[pt], im.losses[pt] = since, losses
+}
+
+// TestBucketsOfFormerSelf lets the buckets of a former incarnation on this VM fill
+// since this one began, and those of others only since their owner is known to be
+// gone.
+func TestBucketsOfFormerSelf(t *testing.T) {
+	for _, cas := range []struct {
+		name     string
+		lost     placer.Member
+		isFormer bool
+	}{
+		{"on this VM", placer.Member{BackendServer: name(1), Incarnation: 9, Address: "10.0.0.1:7780", Weight: placer.FullWeight}, true},
+		{"of that name elsewhere", placer.Member{BackendServer: name(1), Incarnation: 9, Address: "10.0.0.2:7780", Weight: placer.FullWeight}, false},
+		{"another", placer.Member{BackendServer: name(8), Incarnation: 9, Address: "10.0.0.1:7780", Weight: placer.FullWeight}, false},
+	} {
+		t.Run(cas.name, func(t *testing.T) {
+			is := is.New(t)
+			self := placer.Member{BackendServer: name(1), Incarnation: 1, Address: "10.0.0.1:7780", Weight: placer.FullWeight}
+			co := newMember(t, 1)
+			co.self.Address = self.Address
+			im := importer{since: map[uint32]timer.Instant{}, losses: map[uint32]int{}}
+			co.buckets = im
+			co.startedAt = co.pu.Now().Add(-2 * timer.Second)
+			ma := placer.NewMap(folder.LimitsService, 8).Next(0).WithMember(cas.lost)
+			co.apply(t, ma.Next(0).WithoutMember(cas.lost.BackendServer, cas.lost.Incarnation).WithMember(self))
+			is.Equal(len(im.since), 8)
+			want := co.pu.Now()
+			if cas.isFormer {
+				want = co.startedAt
+			}
+			for pt, since := range im.since {
+				is.Equal(since, want)
+				is.Equal(im.losses[pt], 1)
+			}
+		})
+	}
+}
+
 // TestPlannedStopWaitsForRunningWork looks at the end of a handover.
 func TestPlannedStopWaitsForRunningWork(t *testing.T) {
 	is := is.New(t)
--- a/instance/granter/granter.go
+++ b/instance/granter/granter.go
@@ -43,10 +43,11 @@
 
 // tenure is a partition of the limits service as obtained.
 type tenure struct {
-	epoch      uint64
-	obtainedAt timer.Instant
-	isFirst    bool
-	losses     int
+	epoch uint64
+	// since is from when nobody has granted anything of what was not handed over.
+	since   timer.Instant
+	isFirst bool
+	losses  int
 }
 
 // New returns a granter without buckets.
@@ -92,9 +93,8 @@
 	return ask
 }
 
-// homeOf returns the workspace's bucket. One that was not handed over starts
-// empty when the partition was obtained, or full if it never had an owner
-// before.
+// homeOf returns the workspace's bucket. One that was not handed over was empty
+// at the worst when its former home ended, and full if it never had one.
 func (gr *Granter) homeOf(ws cataloguer.Workspace, te tenure, now timer.Instant) *limiter.Home {
 	present := gr.homes[ws.Name]
 	if present != nil && present.epoch == te.epoch {
@@ -104,7 +104,7 @@
 		}
 		return present.ho
 	}
-	opts := []limiter.HomeOption{limiter.HomeRate(ws.Rate), limiter.HomeBurst(ws.Burst), limiter.HomeSince(te.obtainedAt), limiter.HomeLosses(te.losses)}
+	opts := []limiter.HomeOption{limiter.HomeRate(ws.Rate), limiter.HomeBurst(ws.Burst), limiter.HomeSince(te.since), limiter.HomeLosses(te.losses)}
 	former, ok := gr.handed[ws.Name]
 	switch {
 	case ok && former.epoch == te.epoch:
--- a/instance/granter/handover.go
+++ b/instance/granter/handover.go
@@ -39,11 +39,12 @@
 
 // Import takes a partition that is about to be obtained at the epoch, with the
 // buckets handed over. IsFirst says that it never had an owner before, and
-// losses how many owners were lost within the term of a grant.
-func (gr *Granter) Import(pt uint32, epoch uint64, buckets []*peerproto.Bucket, isFirst bool, losses int) {
+// losses how many owners were lost within the term of a grant. Nobody has granted
+// anything of the other buckets after since.
+func (gr *Granter) Import(pt uint32, epoch uint64, buckets []*peerproto.Bucket, isFirst bool, losses int, since timer.Instant) {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
-	gr.tenures[pt] = tenure{epoch: epoch, obtainedAt: gr.pu.Now(), isFirst: isFirst, losses: losses}
+	gr.tenures[pt] = tenure{epoch: epoch, since: since, isFirst: isFirst, losses: losses}
 	for _, bu := range buckets {
 		gr.handed[bu.GetWorkspace()] = handed{epoch: epoch, state: toState(bu)}
 	}
