Work out earlier owners once for each partition of a map

Cause: each instance, at each version of the bucket homes' map, computed all members' scores anew for every generation on record and every partition that it obtained.

Test: placer.TestLineage compares prior owners, losses and former owners with the naive versions over random histories.

--- /dev/null
+++ b/core/placer/lineage_test.go
@@ -0,0 +1,127 @@
+package placer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// naivePrior and naiveLosses work from whole member lists, generation by
+// generation.
+func naivePrior(tb *Table, incarnation uint64) map[uint32][]Member {
+	prior := map[uint32][]Member{}
+	for _, ge := range tb.Map.Generations()[1:] {
+		seeds := seedsOf(ge.Members)
+		for _, pt := range tb.OwnedBy(incarnation) {
+			index := best(seeds, pt)
+			if index < 0 {
+				continue
+			}
+			live, ok := tb.Map.Member(ge.Members[index].BackendServer)
+			if ok && live.Incarnation != incarnation && !slices.Contains(prior[pt], live) {
+				prior[pt] = append(prior[pt], live)
+			}
+		}
+	}
+	return prior
+}
+
+func naiveLosses(tb *Table, pt uint32) []Loss {
+	var losses []Loss
+	gens := tb.Map.Generations()
+	for i := 1; i < len(gens); i++ {
+		index := best(seedsOf(gens[i].Members), pt)
+		if index < 0 {
+			continue
+		}
+		former := gens[i].Members[index]
+		next := best(seedsOf(gens[i-1].Members), pt)
+		isSameAsNext := next >= 0 && gens[i-1].Members[next].Incarnation == former.Incarnation
+		if _, isLive := tb.Map.ByIncarnation(former.Incarnation); !isLive && !isSameAsNext {
+			losses = append(losses, Loss{Version: gens[i-1].Version, Owner: former})
+		}
+	}
+	return losses
+}
+
+func naiveFormer(tb *Table, pt uint32) (Member, bool) {
+	owner, _ := tb.Owner(pt)
+	gens := tb.Map.Generations()[1:]
+	for _, ge := range gens[:min(len(gens), formerGenerations)] {
+		index := best(seedsOf(ge.Members), pt)
+		if index < 0 {
+			continue
+		}
+		if live, ok := tb.Map.Member(ge.Members[index].BackendServer); ok && live != owner {
+			return live, true
+		}
+	}
+	return Member{}, false
+}
+
+// TestLineage compares with the naive versions over random histories.
+func TestLineage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const partitions = 32
+		ma := NewMap("counter", partitions)
+		incarnation := uint64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "versions") {
+			ma = ma.Next(0)
+			for range rapid.IntRange(1, 3).Draw(t, "changes") {
+				name := fmt.Sprint("server-", rapid.IntRange(0, 6).Draw(t, "server"))
+				present, ok := ma.Member(name)
+				if ok && rapid.Bool().Draw(t, "isRemoved") {
+					ma = ma.WithoutMember(name, present.Incarnation)
+					ok = false
+				}
+				if !ok {
+					incarnation++
+					present = Member{BackendServer: name, Incarnation: incarnation}
+				}
+				present.Weight = uint32(rapid.IntRange(0, FullWeight).Draw(t, "weight"))
+				ma = ma.WithMember(present)
+			}
+		}
+		if rapid.Bool().Draw(t, "isSettled") {
+			ma = ma.WithSettled(ma.Version / 2)
+		}
+		tb := NewTable(ma)
+		for _, me := range ma.Members {
+			got, want := tb.PriorOwners(me.Incarnation), naivePrior(tb, me.Incarnation)
+			if fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("prior owners %v, want %v", got, want)
+			}
+		}
+		for pt := range uint32(partitions) {
+			if got, want := tb.Losses(pt), naiveLosses(tb, pt); !slices.Equal(got, want) {
+				t.Fatalf("losses of %d: %v, want %v", pt, got, want)
+			}
+			got, isGot := tb.Former(pt)
+			if want, isWant := naiveFormer(tb, pt); got != want || isGot != isWant {
+				t.Fatalf("former of %d: %v, want %v", pt, got, want)
+			}
+		}
+	})
+}
+
+// BenchmarkFollow is what an instance of a large deployment does with a map in
+// the middle of many starts.
+func BenchmarkFollow(b *testing.B) {
+	ma := mapOf(1024, 78).WithSettled(78)
+	for i := range 150 {
+		me := ma.Members[i%78]
+		ma = ma.Next(0).WithoutMember(me.BackendServer, me.Incarnation)
+		me.Incarnation += 1000
+		ma = ma.WithMember(me)
+	}
+	for b.Loop() {
+		tb := NewTable(ma)
+		self := ma.Members[5].Incarnation
+		tb.PriorOwners(self)
+		for _, pt := range tb.OwnedBy(self) {
+			tb.Losses(pt)
+		}
+	}
+}
--- a/core/placer/table.go
+++ b/core/placer/table.go
@@ -14,10 +14,9 @@
 	Map    Map
 	seeds  []memberSeeds
 	owners []int32
-	// former holds each partition's latest other live owner, worked out on
-	// first use.
-	former     []int32
-	formerOnce sync.Once
+	// earlier is worked out on first use.
+	earlier     *lineage
+	earlierOnce sync.Once
 }
 
 // memberSeeds holds one seed for each unit of a member's weight. The best of
@@ -38,7 +37,7 @@
 	for i, me := range members {
 		base := xxhash.Sum64String(me.BackendServer)
 		for unit := range me.Weight {
-			all[i].seeds = append(all[i].seeds, mix(base+uint64(unit)*0x9e3779b97f4a7c15))
+			all[i].seeds = append(all[i].seeds, seedOf(base, unit))
 		}
 	}
 	return all
@@ -66,11 +65,17 @@
 func (ms memberSeeds) score(pt uint32) (uint64, bool) {
 	top := uint64(0)
 	for _, seed := range ms.seeds {
-		top = max(top, mix(seed^(uint64(pt)*0xd6e8feb86659fd93)))
+		top = max(top, scoreOf(seed, pt))
 	}
 	return top, len(ms.seeds) > 0
 }
 
+// seedOf returns the seed of one unit of a member's weight.
+func seedOf(base uint64, unit uint32) uint64 { return mix(base + uint64(unit)*0x9e3779b97f4a7c15) }
+
+// scoreOf returns a seed's score for a partition.
+func scoreOf(seed uint64, pt uint32) uint64 { return mix(seed ^ (uint64(pt) * 0xd6e8feb86659fd93)) }
+
 // mix is the finaliser of splitmix64.
 func mix(va uint64) uint64 {
 	va ^= va >> 30
@@ -127,32 +132,27 @@
 // Former returns the live member that owned a partition latest before its
 // present owner, or false if there is none on record.
 func (tb *Table) Former(pt uint32) (Member, bool) {
-	tb.formerOnce.Do(tb.findFormer)
-	if int(pt) >= len(tb.former) || tb.former[pt] < 0 {
+	if int(pt) >= len(tb.owners) {
 		return Member{}, false
 	}
-	return tb.Map.Members[tb.former[pt]], true
-}
-
-func (tb *Table) findFormer() {
-	former := slices.Repeat([]int32{-1}, len(tb.owners))
-	gens := tb.Map.Generations()[1:]
-	for _, ge := range gens[:min(len(gens), formerGenerations)] {
-		seeds := seedsOf(ge.Members)
-		for pt := range tb.owners {
-			if former[pt] >= 0 {
-				continue
-			}
-			index := best(seeds, uint32(pt))
-			if index < 0 {
-				continue
-			}
-			if live, ok := tb.Map.index(ge.Members[index].BackendServer); ok && int32(live) != tb.owners[pt] {
-				former[pt] = int32(live)
-			}
+	li := tb.lineage()
+	count := min(len(li.gens), 1+formerGenerations)
+	for i, index := range li.work(pt, count) {
+		if i == 0 || index < 0 {
+			continue
+		}
+		live, ok := tb.Map.index(li.gens[i].Members[index].BackendServer)
+		if ok && int32(live) != tb.owners[pt] {
+			return tb.Map.Members[live], true
 		}
 	}
-	tb.former = former
+	return Member{}, false
+}
+
+// lineage returns the earlier owners, which few tables are asked for.
+func (tb *Table) lineage() *lineage {
+	tb.earlierOnce.Do(func() { tb.earlier = newLineage(tb.Map) })
+	return tb.earlier
 }
 
 // Order returns the first count members in the order in which they would own
@@ -203,15 +203,13 @@
 // answers for it: the server may still hold what its former instance gave it.
 func (tb *Table) PriorOwners(incarnation uint64) map[uint32][]Member {
 	prior := map[uint32][]Member{}
-	owned := tb.OwnedBy(incarnation)
-	for _, ge := range tb.Map.Generations()[1:] {
-		seeds := seedsOf(ge.Members)
-		for _, pt := range owned {
-			index := best(seeds, pt)
-			if index < 0 {
+	li := tb.lineage()
+	for _, pt := range tb.OwnedBy(incarnation) {
+		for i, index := range li.ownersOf(pt) {
+			if i == 0 || index < 0 {
 				continue
 			}
-			live, ok := tb.Map.Member(ge.Members[index].BackendServer)
+			live, ok := tb.Map.Member(li.gens[i].Members[index].BackendServer)
 			if !ok || live.Incarnation == incarnation || slices.Contains(prior[pt], live) {
 				continue
 			}
@@ -232,20 +230,20 @@
 // or later.
 func (tb *Table) Losses(pt uint32) []Loss {
 	var losses []Loss
-	gens := tb.Map.Generations()
-	for i := 1; i < len(gens); i++ {
-		index := best(seedsOf(gens[i].Members), pt)
-		if index < 0 {
+	li := tb.lineage()
+	owners := li.ownersOf(pt)
+	for i := 1; i < len(owners); i++ {
+		if owners[i] < 0 {
 			continue
 		}
-		former := gens[i].Members[index]
+		former := li.gens[i].Members[owners[i]]
 		_, isLive := tb.Map.ByIncarnation(former.Incarnation)
 		isSameAsNext := false
-		if next := best(seedsOf(gens[i-1].Members), pt); next >= 0 {
-			isSameAsNext = gens[i-1].Members[next].Incarnation == former.Incarnation
+		if next := owners[i-1]; next >= 0 {
+			isSameAsNext = li.gens[i-1].Members[next].Incarnation == former.Incarnation
 		}
 		if !isLive && !isSameAsNext {
-			losses = append(losses, Loss{Version: gens[i-1].Version, Owner: former})
+			losses = append(losses, Loss{Version: li.gens[i-1].Version, Owner: former})
 		}
 	}
 	return losses
