--- a/bench/soaker/checks_test.go
+++ b/bench/soaker/checks_test.go
@@ -12,8 +12,8 @@
 )
 
 var (
-	start  = time.Unix(1_700_000_000, 0)
-	broken = errors.New("reset")
+	start     = time.Unix(1_700_000_000, 0)
+	errBroken = errors.New("reset")
 )
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -102,8 +102,8 @@
 		{"refused in calm", "not served", func(at *attempt) {
 			at.answer, at.isCalm = platformer.Answer{Status: http.StatusServiceUnavailable}, true
 		}},
-		{"broken in calm", "not served", func(at *attempt) { at.answer, at.isCalm = platformer.Answer{Err: broken}, true }},
-		{"broken in trouble", "", func(at *attempt) { at.answer = platformer.Answer{Err: broken} }},
+		{"broken in calm", "not served", func(at *attempt) { at.answer, at.isCalm = platformer.Answer{Err: errBroken}, true }},
+		{"broken in trouble", "", func(at *attempt) { at.answer = platformer.Answer{Err: errBroken} }},
 	} {
 		t.Run(cas.name, func(t *testing.T) {
 			atm := attemptOf("r-1", http.StatusOK)
--- a/bench/soaker/fleet.go
+++ b/bench/soaker/fleet.go
@@ -76,7 +76,6 @@
 
 	mu     sync.Mutex
 	config platformer.Config
-	isOver bool
 	over   chan struct{}
 	wg     sync.WaitGroup
 }
