--- a/wire/encoder/packer.go
+++ b/wire/encoder/packer.go
@@ -10,7 +10,7 @@
 // maxUnpacked bounds a document, in bytes.
 const maxUnpacked = 64 << 20
 
-// Pack compresses a document for its way between instances.
+// Pack compresses a document or a value.
 func Pack(content []byte) []byte {
 	var bu bytes.Buffer
 	zw := gzip.NewWriter(&bu)
@@ -20,15 +20,18 @@
 	return bu.Bytes()
 }
 
-// Unpack reverses Pack.
-func Unpack(packed []byte) ([]byte, error) {
+// Unpack reverses Pack for a document.
+func Unpack(packed []byte) ([]byte, error) { return UnpackUpTo(packed, maxUnpacked) }
+
+// UnpackUpTo reverses Pack for what is at most limit bytes long.
+func UnpackUpTo(packed []byte, limit int64) ([]byte, error) {
 	zr, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, &DecodeError{Document: "packed document", Err: err}
 	}
-	content, err := io.ReadAll(io.LimitReader(zr, maxUnpacked+1))
-	if err == nil && len(content) > maxUnpacked {
-		err = fmt.Errorf("larger than %d bytes", maxUnpacked)
+	content, err := io.ReadAll(io.LimitReader(zr, limit+1))
+	if err == nil && int64(len(content)) > limit {
+		err = fmt.Errorf("larger than %d bytes", limit)
 	}
 	if err != nil {
 		return nil, &DecodeError{Document: "packed document", Err: err}
