--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -277,7 +277,7 @@
 	}
 	ca.body = body
 	ca.target = re.URL.RequestURI()
-	ca.headers = passedOn(re.Header)
+	ca.headers = PassedOn(re.Header, withheld)
 	if rf := ca.readKey(re); rf != nil {
 		return rf
 	}
@@ -331,8 +331,10 @@
 	"Workspace": true, "Request-Outcome": true, "Cornellanding-Tag": true, "X-Request-Timeout": true, "X-Request-Id": true,
 }
 
-func passedOn(header http.Header) []*peerproto.Header {
-	named := ConnectionHeaders(header)
+// PassedOn lists a caller's headers without those withheld and those that
+// Connection names.
+func PassedOn(header http.Header, withheld map[string]bool) []*peerproto.Header {
+	named := connectionHeaders(header)
 	var passed []*peerproto.Header
 	for name, values := range header {
 		if withheld[name] || named[name] {
@@ -345,9 +347,9 @@
 	return passed
 }
 
-// ConnectionHeaders lists the headers that Connection names, RFC 9110 section
+// connectionHeaders lists the headers that Connection names, RFC 9110 section
 // 7.6.1.
-func ConnectionHeaders(header http.Header) map[string]bool {
+func connectionHeaders(header http.Header) map[string]bool {
 	named := map[string]bool{}
 	for _, value := range header.Values("Connection") {
 		for _, name := range strings.Split(value, ",") {
