--- a/core/placer/explain.go
+++ b/core/placer/explain.go
@@ -44,11 +44,13 @@
 // since walks back through the generations to the one that made the member
 // owner.
 func (tb *Table) since(pt uint32, owner Member) (uint64, int64) {
-	gens := tb.Map.Generations()
-	for i := 1; i < len(gens); i++ {
-		index := best(seedsOf(gens[i].Members), pt)
-		if index < 0 || gens[i].Members[index].Incarnation != owner.Incarnation {
-			return gens[i-1].Version, tb.Map.committedAt(gens[i-1].Version)
+	li := tb.lineage()
+	owners := li.ownersOf(pt)
+	for i := 1; i < len(owners); i++ {
+		index := owners[i]
+		if index < 0 || li.gens[i].Members[index].Incarnation != owner.Incarnation {
+			version := li.gens[i-1].Version
+			return version, tb.Map.committedAt(version)
 		}
 	}
 	return 0, 0
