Give the search for orphans a time of its own

A failed search put off the instance's start, which heartbeats and the buckets of a former incarnation count from as well. A bucket whose former home ended here now fills since the true start after such a failure too; else behaviour is unchanged.

--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -103,6 +103,7 @@
 	writtenWeight    uint32
 	nextAnnounceAt   timer.Instant
 	startedAt        timer.Instant
+	nextOrphansAt    timer.Instant
 	isAwaiting       bool
 	hasSoughtOrphans bool
 	// echoes holds the clock of each watcher's latest acknowledgement.
@@ -181,6 +182,7 @@
 	}
 	co.self = co.pu.Self()
 	co.startedAt = co.pu.Now()
+	co.nextOrphansAt = co.startedAt.Add(co.leaseTerm + orphanDelay)
 	if co.configs != nil {
 		co.ledger.held = func() cataloguer.Config { return co.pu.View().Config }
 	}
--- a/instance/controller/takeover.go
+++ b/instance/controller/takeover.go
@@ -71,7 +71,7 @@
 // this VM. If a holder and most of its watchers were lost together, nobody else
 // remembers to take over.
 func (co *Controller) findOrphans(now timer.Instant) {
-	if co.hasSoughtOrphans || !co.isJoined || now.Before(co.startedAt.Add(co.leaseTerm+orphanDelay)) {
+	if co.hasSoughtOrphans || !co.isJoined || now.Before(co.nextOrphansAt) {
 		return
 	}
 	co.hasSoughtOrphans = true
@@ -85,7 +85,7 @@
 	if ev.err != nil {
 		co.lo.Warn("rows not read for orphans", "error", ev.err)
 		co.hasSoughtOrphans = false
-		co.startedAt = co.startedAt.Add(orphanDelay)
+		co.nextOrphansAt = co.nextOrphansAt.Add(orphanDelay)
 		return
 	}
 	for _, me := range ev.holders {
