Decode a map once on its way from the table to the control thread

A fold decoded each map for its version, again for its members, and the control thread decoded it a third time. Also, whether a row has ended is asked in one place. Behaviour unchanged.

--- a/instance/controller/documents.go
+++ b/instance/controller/documents.go
@@ -28,6 +28,16 @@
 	Content []byte
 	// packed is Content for peers, once one has asked for it.
 	packed []byte
+	// decoded is the map in Content, if it has been decoded already.
+	decoded *placer.Map
+}
+
+// toMap returns the map of a document that is one.
+func (do Document) toMap() (placer.Map, error) {
+	if do.decoded != nil {
+		return *do.decoded, nil
+	}
+	return encoder.DecodeMap(do.Content)
 }
 
 // Packed returns the content as it goes to peers.
@@ -77,7 +87,7 @@
 	if !ok {
 		return fmt.Errorf("controller: unknown document %q", do.Name)
 	}
-	ma, err := encoder.DecodeMap(do.Content)
+	ma, err := do.toMap()
 	if err != nil {
 		return err
 	}
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -104,7 +104,7 @@
 		return Document{Name: ro.Key, Version: ro.Version, Content: content}, err
 	}
 	ma, err := encoder.DecodeMap(ro.Value)
-	return Document{Name: ro.Key, Version: ma.Version, Content: ro.Value}, err
+	return Document{Name: ro.Key, Version: ma.Version, Content: ro.Value, decoded: &ma}, err
 }
 
 // readRow reads one instance's row. An absent row has lease version 0.
@@ -291,7 +291,7 @@
 		in.Config = co
 		return err
 	}
-	ma, err := encoder.DecodeMap(do.Content)
+	ma, err := do.toMap()
 	in.Maps[ma.Service] = ma
 	return err
 }
@@ -365,9 +365,8 @@
 	if err == nil {
 		return nil
 	}
-	isOver := found.Lease.Version != 0 &&
-		(found.Lease.Incarnation != row.Lease.Incarnation || found.State != folder.Active)
-	if isOver {
+	isReplaced := found.Lease.Version != 0 && found.Lease.Incarnation != row.Lease.Incarnation
+	if isReplaced || isOver(found) {
 		return nil
 	}
 	return err
