--- a/bench/soaker/checks.go
+++ b/bench/soaker/checks.go
@@ -57,7 +57,6 @@
 	request      platformer.Request
 	answer       platformer.Answer
 	tenant       string
-	service      string
 	isRepeatable bool
 	startedAt    time.Time
 	endedAt      time.Time
--- a/bench/soaker/checks_test.go
+++ b/bench/soaker/checks_test.go
@@ -19,7 +19,7 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 func attemptOf(id string, status int) attempt {
-	atm := attempt{tenant: openTenant, service: keyService, startedAt: at(0), endedAt: at(50)}
+	atm := attempt{tenant: openTenant, startedAt: at(0), endedAt: at(50)}
 	atm.request = platformer.Request{ID: id, Key: 5}
 	atm.answer = platformer.Answer{Status: status}
 	if status == http.StatusOK {
--- a/bench/soaker/load.go
+++ b/bench/soaker/load.go
@@ -99,7 +99,7 @@
 
 // plan decides on the i-th request and where it begins.
 func (ld *load) plan(i int) (attempt, string) {
-	at := attempt{tenant: openTenant, service: keyService}
+	at := attempt{tenant: openTenant}
 	at.request = platformer.Request{ID: fmt.Sprintf("r-%d", i), Host: host, Deadline: clientDeadline, Key: ld.random.Uint64N(keyCount)}
 	if ld.random.Float64() < hotShare {
 		at.request.Key = hotKey
@@ -110,7 +110,7 @@
 	at.request.Credential = "key-of-" + at.tenant
 	switch draw := ld.random.Float64(); {
 	case draw < plainShare:
-		at.request.Path, at.service, at.isRepeatable = plainPath, plainService, true
+		at.request.Path, at.isRepeatable = plainPath, true
 	case draw < plainShare+repeatableShare:
 		at.request.Path, at.isRepeatable = repeatablePath, true
 	default:
--- a/bench/soaker/plan.go
+++ b/bench/soaker/plan.go
@@ -71,14 +71,14 @@
 	{"connections are slow", func(_ *plan, on target) { on.harm(Mode{Delay: on.mode.Delay}) }},
 	{"connections are silent", func(_ *plan, on target) { on.harm(Mode{IsSilentIn: true, IsSilentOut: true}) }},
 	{"connections are cut one way", func(_ *plan, on target) {
-		on.harm(Mode{IsSilentIn: on.mode.IsSilentIn, IsSilentOut: !on.mode.IsSilentIn})
+		on.harm(on.oneWay())
 	}},
 	{"the store's connections are reset", func(pl *plan, _ target) { pl.fl.storeBy.reset() }},
 	{"the store's connections are cut one way", func(pl *plan, on target) {
 		pl.store.Lock()
 		defer pl.store.Unlock()
 		on.relay = pl.fl.storeBy
-		on.harm(Mode{IsSilentIn: on.mode.IsSilentIn, IsSilentOut: !on.mode.IsSilentIn})
+		on.harm(on.oneWay())
 	}},
 	{"a zone is taken out", (*plan).evacuate},
 	{"a key is withdrawn", func(pl *plan, _ target) { pl.withdraw() }},
@@ -137,6 +137,11 @@
 	}
 }
 
+// oneWay silences the direction that the plan drew.
+func (on target) oneWay() Mode {
+	return Mode{IsSilentIn: on.mode.IsSilentIn, IsSilentOut: !on.mode.IsSilentIn}
+}
+
 func (on target) harm(mo Mode) {
 	on.relay.set(mo)
 	time.Sleep(on.span)
--- a/core/admitter/estimate.go
+++ b/core/admitter/estimate.go
@@ -4,6 +4,20 @@
 	"cornellanding.example/core/timer"
 )
 
+const (
+	// latencyWeight smooths the time of a run.
+	latencyWeight = 0.1
+	// latestStartShare is the inverse share of its route's latency that a
+	// request needs to be worth starting.
+	latestStartShare = 2
+	// maxRoutes bounds the routes whose latency is kept.
+	maxRoutes = 4096
+	// minComeBack and maxComeBack bound when a refused caller is told to come
+	// back.
+	minComeBack = 100 * timer.Millisecond
+	maxComeBack = 2 * timer.Second
+)
+
 // queueFor returns the queue for a request that has to wait, or false if its
 // caller would give up before its turn. One that would miss its target waits
 // behind all others: it would only make them late too.
--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -212,23 +212,6 @@
 	}
 }
 
-// Start returns the waiting tickets that start at now.
-func (ga *Gate) Start(now timer.Instant) []Ticket { return ga.start(now) }
-
-const (
-	// latencyWeight smooths the time of a run.
-	latencyWeight = 0.1
-	// latestStartShare is the inverse share of its route's latency that a
-	// request needs to be worth starting.
-	latestStartShare = 2
-	// maxRoutes bounds the routes whose latency is kept.
-	maxRoutes = 4096
-	// minComeBack and maxComeBack bound when a refused caller is told to come
-	// back.
-	minComeBack = 100 * timer.Millisecond
-	maxComeBack = 2 * timer.Second
-)
-
 // SetDraining stops or resumes the admission of new work.
 func (ga *Gate) SetDraining(isDraining bool) { ga.isDraining = isDraining }
 
@@ -284,10 +267,11 @@
 		ga.observe(co)
 	}
 	ga.adapt(co, now)
-	return ga.start(now)
+	return ga.Start(now)
 }
 
-func (ga *Gate) start(now timer.Instant) []Ticket {
+// Start returns the waiting tickets that start at now.
+func (ga *Gate) Start(now timer.Instant) []Ticket {
 	var started []Ticket
 	for pr := range ga.queues {
 		for ga.running < ga.limit && !ga.isColdFull(now) {
