Grant nothing on a heartbeat whose caller has gone, and reply to its next copy

Cause: a heartbeat was held open for keys about to be obtained when its connection was reset. Its reply went to nobody, but the gate believed the keys held; the server's next copy of the heartbeat, under the same number, was taken for one out of order and renewed nothing.

Test: controller.TestLostHeartbeat, red before.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -206,6 +206,13 @@
 	}
 }
 
+// IsRepeat reports whether a heartbeat is another copy of the latest one, which the
+// server sends when it got no reply. What it says is older than the replies since,
+// so that it must not be taken again, but it may be replied to.
+func (re *Registrar) IsRepeat(hb Heartbeat) bool {
+	return re.isKnown && hb.ID == re.latest.ID && hb.BornAt == re.latest.BornAt && hb.Sequence == re.latest.Sequence
+}
+
 // Take takes a heartbeat received at now. It reports false for one that is
 // older than another already taken, which changes nothing.
 func (re *Registrar) Take(hb Heartbeat, now timer.Instant) bool {
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -140,6 +140,8 @@
 type heartbeatArrived struct {
 	heartbeat registrar.Heartbeat
 	reply     chan<- registrar.Reply
+	// gone is closed when nobody waits for the reply any more.
+	gone <-chan struct{}
 }
 
 // serverLeft is the backend server's word that it leaves.
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -31,14 +31,25 @@
 // openHeartbeat is a heartbeat that waits for its reply.
 type openHeartbeat struct {
 	reply   chan<- registrar.Reply
+	gone    <-chan struct{}
 	replyAt timer.Instant
 }
 
+// isGone reports whether nobody waits for the reply any more.
+func (oh *openHeartbeat) isGone() bool {
+	select {
+	case <-oh.gone:
+		return true
+	default:
+		return false
+	}
+}
+
 // Heartbeat takes a heartbeat of the backend server beside the instance and
 // returns what the server is to hold.
 func (co *Controller) Heartbeat(ctx context.Context, hb registrar.Heartbeat) (registrar.Reply, error) {
 	reply := make(chan registrar.Reply, 1)
-	return ask(ctx, co, reply, heartbeatArrived{heartbeat: hb, reply: reply})
+	return ask(ctx, co, reply, heartbeatArrived{heartbeat: hb, reply: reply, gone: ctx.Done()})
 }
 
 // ServerLeaves takes the word of a start of the backend server that it leaves.
@@ -85,7 +96,7 @@
 
 func (co *Controller) onHeartbeat(ev heartbeatArrived, now timer.Instant) {
 	hb := ev.heartbeat
-	if !co.re.Take(hb, now) {
+	if !co.re.IsRepeat(hb) && !co.re.Take(hb, now) {
 		co.lo.Warn("heartbeat out of order", "server", hb.ID, "sequence", hb.Sequence)
 		ev.reply <- registrar.Reply{}
 		return
@@ -96,7 +107,7 @@
 	}
 	wasDraining := co.server == registrar.Draining
 	co.reviewServer(now)
-	co.open = &openHeartbeat{reply: ev.reply, replyAt: now}
+	co.open = &openHeartbeat{reply: ev.reply, gone: ev.gone, replyAt: now}
 	switch {
 	case hb.IsDraining && !wasDraining:
 		co.open.replyAt = now.Add(drainPatience)
@@ -130,11 +141,16 @@
 }
 
 // replyIfDue answers the open heartbeat: with all that the server is to hold
-// from now on. What is leaving is left out, and gets no new work from here on.
+// from now on. What is leaving is left out, and gets no new work from here on. A
+// reply that nobody takes grants nothing.
 func (co *Controller) replyIfDue(now timer.Instant) {
 	if co.open == nil || now.Before(co.open.replyAt) {
 		return
 	}
+	if co.open.isGone() {
+		co.open = nil
+		return
+	}
 	reply := co.open.reply
 	co.open = nil
 	te := co.tenures[co.self.Service]
--- a/instance/controller/server_test.go
+++ b/instance/controller/server_test.go
@@ -137,6 +137,35 @@
 	is.True(latter.pu.Owns("counter", pt))
 }
 
+// TestLostHeartbeat holds a heartbeat open whose connection breaks: nothing is
+// served on a reply that nobody takes, and the server's next copy of the heartbeat
+// gets the reply.
+func TestLostHeartbeat(t *testing.T) {
+	is := is.New(t)
+	ma := mapWith(mapWith(numbered(32), 1), 2)
+	moved := placer.NewTable(ma).OwnedBy(2)
+	sc := newSidecar(t, 2)
+	sc.apply(t, ma)
+	send := func(gone <-chan struct{}) <-chan registrar.Reply {
+		reply := make(chan registrar.Reply, 1)
+		sc.handle(heartbeatArrived{reply: reply, gone: gone, heartbeat: registrar.Heartbeat{ID: "s1", BornAt: 1, Sequence: 1, Slots: 4}})
+		return reply
+	}
+	gone := make(chan struct{})
+	send(gone)
+	is.True(sc.open != nil) // it waits for the release
+	close(gone)
+	sc.onReleased(released{service: "counter", holder: 1, answer: &peerproto.ReleaseResponse{Released: moved}})
+	is.Equal(len(sc.tenures["counter"].pending), 0)
+	_, isServed := sc.pu.Enter("counter", moved[0])
+	is.True(!isServed) // the server was not told
+
+	reply := <-send(nil)
+	is.Equal(len(reply.Holds), len(moved))
+	_, isServed = sc.pu.Enter("counter", moved[0])
+	is.True(isServed)
+}
+
 // TestPredecessorsHoldIsNotReleased asks an instance that has just started for
 // what its predecessor may have granted.
 func TestPredecessorsHoldIsNotReleased(t *testing.T) {
