Name a refusal's cause after the deadline; take SIGHUP from the process's start; restart a planned stop's time-out at a repeated signal

Cause 1: refuseNotServed replaced the code of the last attempt's refusal by deadline whenever the context had ended, also if it ended in the delay after the attempt: timers fire late beside load. An attempt did precede the deadline. TestRefusalNamesItsCauseAfterTheDeadline failed with [503 deadline] != [503 notOwner] before the change.

Cause 2: SIGHUP was handled only after all packages were initialized. The package signaler is initialized before any library. What remains are the first moments before the Go runtime runs.

Cause 3: the phases of a planned stop counted from the first signal. They now begin again at each signal; requests that began between the two keep the first deadline.

--- a/cmd/cornellanding/main.go
+++ b/cmd/cornellanding/main.go
@@ -24,9 +24,13 @@
 	"io"
 	"os"
 
+	"cornellanding.example/cmd/signaler"
 	"github.com/jessevdk/go-flags"
 )
 
+// sidecarName is the name of the one command that reloads its settings on SIGHUP.
+const sidecarName = "sidecar"
+
 // Exit statuses.
 const (
 	exitFailed = 1
@@ -38,6 +42,9 @@
 var errFailed = errors.New("failed")
 
 func main() {
+	if len(os.Args) < 2 || os.Args[1] != sidecarName {
+		signaler.Release()
+	}
 	os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
 
@@ -92,7 +99,7 @@
 	}
 	op := operator{streams: st}
 	add(nil, "serve", "Run the instance beside a backend server.", &serveCommand{streams: st})
-	add(nil, "sidecar", "Run the instance beside a backend server on the users' platform.", &sidecarCommand{streams: st})
+	add(nil, sidecarName, "Run the instance beside a backend server on the users' platform.", &sidecarCommand{streams: st})
 	add(nil, "check", "Validate settings or catalogues.", &checkCommand{streams: st})
 	add(nil, "demo", "Run a deployment on loopback with load and failures.", &demoCommand{streams: st})
 	catalogue := add(nil, "catalogue", "Apply, show or compare the catalogue.", &struct{}{})
--- a/cmd/cornellanding/sidecar.go
+++ b/cmd/cornellanding/sidecar.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"syscall"
 
+	"cornellanding.example/cmd/signaler"
 	"cornellanding.example/platform/adapter"
 )
 
@@ -24,9 +25,7 @@
 	if path == "" {
 		return fmt.Errorf("--settings or %s is needed", adapter.SettingsVariable)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	return adapter.Run(ctx, path, reload, sc.out)
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM)
+	return adapter.Run(context.Background(), path, adapter.Signals{Reload: signaler.Hangups(), Stop: stops}, sc.out)
 }
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -305,9 +305,12 @@
 }
 
 // refuseNotServed refuses a request that has not run and ran out of time or retries.
+// The code is that of the last attempt's refusal if there was one, also if the
+// deadline passed in the delay after it.
 func refuseNotServed(ctx context.Context, last attempt) *Refusal {
 	rf := &Refusal{Status: http.StatusServiceUnavailable, Code: CodeNoOwner, Reason: "no owner served the key in time", RetryAfter: timer.Second}
-	if last.err == nil && last.answer.GetCode() != "" {
+	isRefused := last.err == nil && last.answer.GetCode() != ""
+	if isRefused {
 		rf.Code, rf.Reason = last.answer.GetCode(), last.answer.GetReason()
 	}
 	if ctx.Err() == nil {
@@ -315,7 +318,9 @@
 		return rf
 	}
 	rf.Reason += "; the deadline passed or the caller left"
-	rf.Code = CodeDeadline
+	if !isRefused {
+		rf.Code = CodeDeadline
+	}
 	return rf
 }
 
--- a/instance/forwarder/request_test.go
+++ b/instance/forwarder/request_test.go
@@ -265,6 +265,25 @@
 	}
 }
 
+// TestRefusalNamesItsCauseAfterTheDeadline checks that a refusal gives the reason of the
+// last attempt also if the deadline passes in the delay before the next one, as it
+// does where timers fire late.
+func TestRefusalNamesItsCauseAfterTheDeadline(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		cancel()
+		return refused(gatekeeper.CodeNotOwner)
+	}, "a", "b")
+	ca := newCall(fo.so.Now())
+	ca.setRoute(cataloguer.Route{Name: "order", Service: "keys"})
+	ca.key, ca.deadlineAt = "17", fo.so.Now().Add(timer.Second)
+	_, rf := fo.dispatch(ctx, ca)
+	is.Equal([]any{rf.Status, rf.Code}, []any{http.StatusServiceUnavailable, gatekeeper.CodeNotOwner})
+}
+
 // TestSplit checks that services are chosen by weight.
 func TestSplit(t *testing.T) {
 	is := is.New(t)
--- a/instance/router/options.go
+++ b/instance/router/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"time"
 
 	"cornellanding.example/core/timer"
@@ -60,6 +61,12 @@
 	return func(ro *Router) { ro.stopTimeout = timeout }
 }
 
+// WithRepeatedStops sets the channel of the stop signals that arrive during a planned
+// stop. Each makes the stop's time-out begin again.
+func WithRepeatedStops(signals <-chan os.Signal) Option {
+	return func(ro *Router) { ro.repeatedStops = signals }
+}
+
 // WithQuietPeriod sets for how long no caller's request must have arrived before a
 // planned stop refuses further ones. It should cover the time that callers take to
 // switch to other instances. The default is 1 s.
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -77,6 +77,7 @@
 	wrapCaller       func(fo *forwarder.Forwarder) http.Handler
 	forwarderOptions []forwarder.Option
 	stopTimeout      time.Duration
+	repeatedStops    <-chan os.Signal
 	quietPeriod      time.Duration
 	kill             context.CancelFunc
 	killed           context.Context
--- a/instance/router/stop.go
+++ b/instance/router/stop.go
@@ -3,39 +3,98 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"cornellanding.example/core/timer"
 )
 
+// stopSchedule gives the ends of the phases of a planned stop. It is safe for
+// concurrent use.
+type stopSchedule struct {
+	clock   timer.Clock
+	timeout timer.Span
+
+	mu        sync.Mutex
+	startedAt timer.Instant
+}
+
+func newStopSchedule(clock timer.Clock, timeout time.Duration) *stopSchedule {
+	return &stopSchedule{clock: clock, timeout: timer.FromDuration(timeout), startedAt: clock.Now()}
+}
+
+// restart makes the time-out begin again.
+func (ss *stopSchedule) restart() {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.startedAt = ss.clock.Now()
+}
+
+// end returns the instant at this percentage of the time-out.
+func (ss *stopSchedule) end(percent int) timer.Instant {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return ss.startedAt.Add(ss.timeout * timer.Span(percent) / 100)
+}
+
+// part returns a context that ends at this percentage of the time-out, and later if
+// the time-out begins again before.
+func (ss *stopSchedule) part(parent context.Context, percent int) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	go func() {
+		defer cancel()
+		for {
+			left := ss.end(percent).Sub(ss.clock.Now())
+			if left <= 0 || !timer.Sleep(ctx, left.Duration()) {
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
+// restartOnSignals makes the stop's time-out begin again at each repeated stop signal
+// until ctx ends.
+func (ro *Router) restartOnSignals(ctx context.Context, schedule *stopSchedule) {
+	for {
+		select {
+		case <-ro.repeatedStops:
+			schedule.restart()
+			ro.servers.stopKeepingAlive(schedule.end(answerUntil))
+			ro.lo.Info("planned stop: stop signal repeated; the time-out begins again")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // stop makes a planned stop: answers close callers' connections, so that they switch
 // to other instances, ownership is handed over and running work finishes. Requests
 // that arrive after that are refused as not run, since the process could end before
 // they are answered. done receives the result of the event loop.
 func (ro *Router) stop(in *incarnation, done <-chan error) error {
 	startedAt := ro.clock.Now()
-	// part returns a context that ends at this percentage of the stop's time-out.
-	part := func(percent time.Duration) (context.Context, context.CancelFunc) {
-		left := ro.stopTimeout*percent/100 - ro.clock.Now().Sub(startedAt).Duration()
-		return context.WithTimeout(ro.killed, left)
-	}
+	schedule := newStopSchedule(ro.clock, ro.stopTimeout)
 	in.pu.SetStopping()
-	ro.servers.stopKeepingAlive(startedAt.Add(timer.FromDuration(ro.stopTimeout * answerUntil / 100)))
-	ctx, cancel := part(handOverUntil)
+	ro.servers.stopKeepingAlive(schedule.end(answerUntil))
+	stopCtx, stopped := context.WithCancel(ro.killed)
+	defer stopped()
+	go ro.restartOnSignals(stopCtx, schedule)
+	ctx, cancel := schedule.part(stopCtx, handOverUntil)
 	defer cancel()
 	if err := in.co.HandOver(ctx); err != nil {
 		ro.lo.Warn("planned stop: hand-over failed", "error", err)
 	}
 	handedOverIn := ro.clock.Now().Sub(startedAt)
-	ctx, cancel = part(serveUntil)
+	ctx, cancel = schedule.part(stopCtx, serveUntil)
 	defer cancel()
 	ro.servers.awaitQuiet(ctx, ro.quietPeriod)
 	ro.fo.Stop()
 	in.ga.Drain()
-	ctx, cancel = part(leaveUntil)
+	ctx, cancel = schedule.part(stopCtx, leaveUntil)
 	defer cancel()
 	err := in.co.Leave(ctx)
-	ctx, cancel = part(finishUntil)
+	ctx, cancel = schedule.part(stopCtx, finishUntil)
 	defer cancel()
 	running := ro.servers.awaitIdle(ctx)
 	ro.lo.Info("planned stop complete", "handedOverIn", handedOverIn.Duration().String(),
