Grant keys by calls to the backend server; bound copies of rejected keys; strict revocation

Its settings say grants: call, which the adapter ignored, and a request that its server rejected with 421 was repeated every 42 ms outside the retry budget.

Change: the registrar issues orders (grants and releases) where the settings ask for calls, and the adapter makes them. A hold counts from the call's arrival; a grant without an answer counts until its time has run out, also after a release. 421 of the server itself counts against the route's attempts and the budget. strictRevoke: only successful reads of the configuration count for freshness.

TestRejectedKeysStayWithinTheRetryBudget failed before the change.

--- a/core/freshener/freshener.go
+++ b/core/freshener/freshener.go
@@ -16,6 +16,10 @@
 // An outage of the table therefore stops no requests, and an instance that is
 // partitioned from the majority refuses requests once the limit has passed.
 //
+// Where changes are not committed by an instance, a table that refuses all instances
+// may still accept a change. With the option Strict only the first case counts, and an
+// outage stops requests once the limit has passed.
+//
 // # Usage
 //
 //	fr := freshener.New(centres, limit)
@@ -52,6 +56,7 @@
 // Freshener tracks the latest reads of the table that an instance knows of.
 type Freshener struct {
 	limit      timer.Span
+	isStrict   bool
 	centres    []string
 	hasRead    bool
 	readAt     timer.Instant
@@ -59,10 +64,19 @@
 	hasAttempt []bool
 }
 
+// Option sets one option of New.
+type Option func(*Freshener)
+
+// Strict makes only successful reads count as fresh knowledge.
+func Strict(isStrict bool) Option { return func(fr *Freshener) { fr.isStrict = isStrict } }
+
 // New returns a freshener without any reads. Centres are the names of all data
 // centres, and limit is the maximum age of fresh knowledge.
-func New(centres []string, limit timer.Span) *Freshener {
+func New(centres []string, limit timer.Span, opts ...Option) *Freshener {
 	fr := &Freshener{limit: limit}
+	for _, opt := range opts {
+		opt(fr)
+	}
 	fr.SetDataCentres(centres)
 	return fr
 }
@@ -138,7 +152,7 @@
 	if fr.hasRead {
 		until = fr.readAt.Add(fr.limit)
 	}
-	if at, ok := fr.majorityAttemptAt(); ok {
+	if at, ok := fr.majorityAttemptAt(); ok && !fr.isStrict {
 		until = max(until, at.Add(fr.limit))
 	}
 	return until
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -163,6 +163,8 @@
 	// receivedHandover is the former holder's hand-over string, kept until the server
 	// holds the range.
 	receivedHandover string
+	// order is used only if holds are granted by orders.
+	order orderState
 }
 
 // Registrar is the state of one backend server as its instance knows it.
@@ -170,6 +172,9 @@
 	startedAt timer.Instant
 	term      timer.Span
 	maxHold   timer.Span
+	// orderTimeout bounds a call to the server. It is 0 if holds are granted by replies
+	// to heartbeats.
+	orderTimeout timer.Span
 
 	latest Heartbeat
 	// restarts is how often the server has restarted since this instance first
@@ -210,8 +215,10 @@
 	re.partitions = make([]partitionState, len(ranges))
 	for pt := range re.partitions {
 		re.partitions[pt].heldUntil = re.startedAt.Add(re.term)
+		// A grant of a former instance may still be applied after a release.
+		re.partitions[pt].order.unansweredUntil = re.startedAt.Add(re.term)
 	}
-	if re.isKnown {
+	if re.isKnown && !re.UsesOrders() {
 		re.recordHolds(re.latest)
 	}
 }
@@ -240,16 +247,21 @@
 		re.restarts = min(re.restarts+1, maxRestarts)
 	}
 	re.latest, re.isKnown, re.isDown, re.heartbeatAt = hb, true, false, now
-	re.recordHolds(hb)
+	if !re.UsesOrders() {
+		re.recordHolds(hb)
+	}
 	return true
 }
 
 // clearHolds marks all partitions as not held, since a restarted or ended server holds
 // nothing. Hand-over strings received for the server stay, and so do epochs, which
-// later tokens must not fall below.
+// later tokens must not fall below. Orders in flight may still reach the next start.
 func (re *Registrar) clearHolds() {
 	for pt := range re.partitions {
-		re.partitions[pt] = partitionState{receivedHandover: re.partitions[pt].receivedHandover, epoch: re.partitions[pt].epoch}
+		ps := re.partitions[pt]
+		cleared := partitionState{receivedHandover: ps.receivedHandover, epoch: ps.epoch}
+		cleared.order.inFlight, cleared.order.grantEndsBy = ps.order.inFlight, ps.order.grantEndsBy
+		re.partitions[pt] = cleared
 	}
 }
 
@@ -345,7 +357,10 @@
 	if int(pt) >= len(re.partitions) {
 		return re.isKnown || !now.Before(re.startedAt.Add(re.term))
 	}
-	ps := re.partitions[pt]
+	ps := &re.partitions[pt]
+	if re.UsesOrders() {
+		return ps.isOrderFree(now)
+	}
 	return !now.Before(ps.heldUntil) || re.isKnown && !ps.isListed && ps.heldUntil == 0
 }
 
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -97,13 +97,17 @@
 	lo             hclog.Logger
 	leaseTerm      timer.Span
 	freshness      timer.Span
-	self           publisher.Self
+	// isFreshnessStrict is set if only successful reads count for freshness.
+	isFreshnessStrict bool
+	self              publisher.Self
 
 	events chan event
 	ctx    context.Context
 
 	configs ConfigSource
 	re      *registrar.Registrar
+	// granter is nil if the backend server takes its holds from replies to heartbeats.
+	granter KeyGranter
 	// heldHeartbeat is the heartbeat whose reply is delayed until pending
 	// partitions are acquired or, for a draining server, assigned to others. It is
 	// nil if there is none.
@@ -213,7 +217,7 @@
 	}
 	co.pu.Publish(co.ds.view())
 	if co.fr == nil {
-		co.fr = freshener.New(nil, co.freshness)
+		co.fr = freshener.New(nil, co.freshness, freshener.Strict(co.isFreshnessStrict))
 	}
 	co.pu.SetFreshUntil(co.fr.FreshUntil())
 	var err error
@@ -348,6 +352,8 @@
 		ev.reply <- co.onServerDeregistered(ev, now)
 	case connectionRefused:
 		co.onConnectionRefused(now)
+	case ordersDone:
+		co.onOrdersDone(ev, now)
 	case documentsFetched:
 		co.onDocuments(ev, now)
 	case synced:
@@ -387,6 +393,7 @@
 	co.proposeWatchers(now)
 	co.reportSettled(now)
 	co.requestReleases(now)
+	co.issueOrders(now)
 	co.foldIfNeeded(now)
 	co.advanceStop()
 	co.logStateChanges(now)
--- a/instance/controller/options.go
+++ b/instance/controller/options.go
@@ -66,6 +66,16 @@
 // counts as ready always.
 func WithRegistrar(re *registrar.Registrar) Option { return func(co *Controller) { co.re = re } }
 
+// WithKeyGranter makes the instance call the backend server to grant and release key
+// ranges. The registrar must have been created with registrar.OrderTimeout.
+func WithKeyGranter(kg KeyGranter) Option { return func(co *Controller) { co.granter = kg } }
+
+// WithStrictFreshness counts only successful reads of the configuration, so that a
+// withdrawn key is refused everywhere once the span of WithFreshness has passed.
+func WithStrictFreshness(isStrict bool) Option {
+	return func(co *Controller) { co.isFreshnessStrict = isStrict }
+}
+
 // Option sets one option of New.
 type Option func(*Controller)
 
--- a/instance/controller/ownership.go
+++ b/instance/controller/ownership.go
@@ -59,7 +59,7 @@
 
 // follow applies the latest map of one service. A partition that has moved away but
 // that the backend server may still hold is served until the next heartbeat reply
-// excludes it.
+// excludes it, or no longer if the server is called to release it.
 func (co *Controller) follow(ow *ownership, tb *placer.Table) {
 	if ow.version != tb.Map.Version {
 		ow.version, ow.changedAt = tb.Map.Version, co.pu.Now()
@@ -72,7 +72,7 @@
 		switch {
 		case owned[pt]:
 			delete(ow.releasing, pt)
-		case co.tracksHolds(ow.service) && co.pu.Epoch(ow.service, pt) != 0 && co.re.MayHold(pt, co.pu.Now()):
+		case co.tracksHolds(ow.service) && !co.usesOrders() && co.pu.Epoch(ow.service, pt) != 0 && co.re.MayHold(pt, co.pu.Now()):
 			ow.releasing[pt] = true
 		default:
 			co.drop(ow, pt)
@@ -94,6 +94,7 @@
 		co.acquireIfReleased(ow, pt)
 	}
 	co.replyIfDraining(ow)
+	co.tickForOrders(ow)
 	co.lo.Info("partition map applied", "service", ow.service, "map", tb.Map.Version, "members", len(tb.Map.Members),
 		"owned", len(owned), "pending", len(ow.pending))
 }
@@ -120,6 +121,7 @@
 	}
 	co.pu.Acquire(ow.service, pt, tb.Map.Version)
 	co.replyIfAcquired(ow)
+	co.tickForOrders(ow)
 }
 
 // importBuckets imports the token buckets that were handed over for a partition, if
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -81,8 +81,8 @@
 	return co.re == nil || co.re.State(now) != registrar.Unknown || now.Sub(co.startedAt) > firstHeartbeatTimeout
 }
 
-// tracksHolds reports whether heartbeat replies list the partitions of the service
-// that the backend server may hold.
+// tracksHolds reports whether the backend server holds partitions of the service, by
+// replies to its heartbeats or by calls to it.
 func (co *Controller) tracksHolds(service string) bool {
 	return co.re != nil && service == co.self.Service
 }
@@ -100,11 +100,15 @@
 
 func (co *Controller) onHeartbeat(ev heartbeatReceived, now timer.Instant) {
 	hb := ev.heartbeat
+	former, _ := co.re.LatestHeartbeat()
 	if !co.re.IsDuplicate(hb) && !co.re.ApplyHeartbeat(hb, now) {
 		co.lo.Warn("heartbeat out of order, ignored", "server", hb.ID, "sequence", hb.Sequence)
 		ev.reply <- registrar.Reply{}
 		return
 	}
+	if former.ID != hb.ID || former.StartedAt != hb.StartedAt {
+		co.withdrawOrderedHolds()
+	}
 	if co.heldHeartbeat != nil {
 		co.heldHeartbeat.reply <- registrar.Reply{}
 		co.heldHeartbeat = nil
@@ -113,6 +117,7 @@
 	co.updateServerState(now)
 	co.heldHeartbeat = &delayedReply{reply: ev.reply, abandoned: ev.abandoned, replyAt: now}
 	switch {
+	case co.usesOrders():
 	case hb.IsDraining && !wasDraining:
 		co.heldHeartbeat.replyAt = now.Add(drainReplyTimeout)
 	case !hb.IsDraining && co.isAcquiring():
@@ -158,19 +163,14 @@
 	reply := co.heldHeartbeat.reply
 	co.heldHeartbeat = nil
 	ow := co.ownerships[co.self.Service]
-	if ow == nil {
+	if ow == nil || co.usesOrders() {
 		reply <- registrar.Reply{}
 		return
 	}
 	for pt := range ow.releasing {
 		co.drop(ow, pt)
 	}
-	var wanted []registrar.WantedPartition
-	for _, pt := range co.ds.tables[ow.service].OwnedBy(co.self.Incarnation) {
-		if epoch := co.pu.Epoch(ow.service, pt); epoch != 0 {
-			wanted = append(wanted, registrar.WantedPartition{Partition: pt, Epoch: epoch})
-		}
-	}
+	wanted := co.wantedPartitions(ow)
 	answer, granted := co.re.Grant(wanted, co.ho.Deadline(), now)
 	for _, pt := range granted {
 		co.pu.SetHeldUntil(ow.service, pt, now.Add(answer.HoldTerm-holdMargin))
@@ -193,6 +193,7 @@
 		return
 	}
 	co.re.MarkDown()
+	co.withdrawOrderedHolds()
 	ow := co.ownerships[co.self.Service]
 	if ow != nil {
 		for pt := range ow.releasing {
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -90,10 +90,8 @@
 		order := fo.order(ca)
 		if len(order) > 0 {
 			last = latest(last, fo.tryOwner(ctx, ca, order[failures%len(order)]))
-			if isNotOwner(last) {
-				if former, ok := fo.formerOwner(ca, last.to); ok {
-					last = latest(last, fo.tryOwner(ctx, ca, former))
-				}
+			if former, ok := fo.formerOwner(ca, last.to); ok && fo.mayTryFormer(ca, last) {
+				last = latest(last, fo.tryOwner(ctx, ca, former))
 			}
 			if isFinal(last, ca) {
 				return fo.conclude(last)
@@ -110,8 +108,27 @@
 	}
 }
 
-func isNotOwner(at attempt) bool {
-	return at.err == nil && at.answer.GetCode() == gatekeeper.CodeNotOwner
+// mayTryFormer reports whether to try the former owner after an attempt at the owner.
+// If the backend server itself rejected the key, the copy counts against the retry
+// budget.
+func (fo *Forwarder) mayTryFormer(ca *call, last attempt) bool {
+	if last.err != nil {
+		return false
+	}
+	switch last.answer.GetCode() {
+	case gatekeeper.CodeNotOwner:
+		return true
+	case gatekeeper.CodeKeyRejected:
+		return fo.mayRepeat(ca)
+	default:
+		return false
+	}
+}
+
+// isRejectedByServer reports whether the backend server received a request and refused
+// to run it.
+func isRejectedByServer(answer *peerproto.ForwardResponse) bool {
+	return answer.GetCode() == gatekeeper.CodeShed || answer.GetCode() == gatekeeper.CodeKeyRejected
 }
 
 // formerOwner returns the live member that owned the partition before the given
@@ -132,7 +149,7 @@
 	if ca.deadlineAt.Sub(fo.so.Now())-timer.FromDuration(delay) <= answerReserve {
 		return false
 	}
-	if last.err == nil && last.answer.GetCode() == gatekeeper.CodeShed {
+	if last.err == nil && isRejectedByServer(last.answer) {
 		return fo.mayRepeat(ca)
 	}
 	return ca.giveUpAt == 0 || fo.so.Now().Before(ca.giveUpAt)
@@ -345,7 +362,7 @@
 	if answer.GetCode() == gatekeeper.CodeCrashed {
 		ca.crashes.Add(1)
 	}
-	if wasSent && (err != nil || answer.GetOutcome() != gatekeeper.OutcomeNotRun || answer.GetCode() == gatekeeper.CodeShed) {
+	if wasSent && (err != nil || answer.GetOutcome() != gatekeeper.OutcomeNotRun || isRejectedByServer(answer)) {
 		ca.arrivals++
 	}
 	if err == nil && answer.GetRequestId() != ca.id {
--- a/instance/forwarder/request_test.go
+++ b/instance/forwarder/request_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -284,6 +285,41 @@
 	is.Equal([]any{rf.Status, rf.Code}, []any{http.StatusServiceUnavailable, gatekeeper.CodeNotOwner})
 }
 
+// TestRejectedKeysStayWithinTheRetryBudget sends 800 requests to backend servers that
+// reject every key. The copies beyond the first of each request must stay within the
+// budget and the route's attempts, whatever the servers answer.
+func TestRejectedKeysStayWithinTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	const (
+		requests = 800
+		ratio    = 0.2
+		reserve  = 60
+	)
+	fo, fl := newFleet(t, WithRetryBudget(ratio, reserve))
+	var arrivals atomic.Int64
+	fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		arrivals.Add(1)
+		return refused(gatekeeper.CodeKeyRejected)
+	}, "a", "b")
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ca := newCall(fo.so.Now())
+			ca.setRoute(cataloguer.Route{Name: "order", Service: "keys", MaxAttempts: 2})
+			ca.key, ca.deadlineAt = fmt.Sprint(i%64), fo.so.Now().Add(timer.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, rf := fo.dispatch(ctx, ca)
+			settled := ca.withOutcome(*rf)
+			is.Equal([]any{settled.Status, settled.MayHaveRun()}, []any{http.StatusServiceUnavailable, false})
+		}()
+	}
+	wg.Wait()
+	is.True(arrivals.Load() <= requests*(1+ratio)+reserve)
+}
+
 // TestSplit checks that services are chosen by weight.
 func TestSplit(t *testing.T) {
 	is := is.New(t)
--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -247,7 +247,7 @@
 	case len(body) > MaxAnswer:
 		return lost("the answer is too large"), resultAnswered
 	case verdict == VerdictNotOwner:
-		return refuse(CodeNotOwner, "the backend server doesn't hold the key"), resultAnswered
+		return refuse(CodeKeyRejected, "the backend server doesn't hold the key"), resultAnswered
 	case verdict == VerdictNotRun:
 		return refuse(CodeShed, "the backend server refused with status "+strconv.Itoa(answer.StatusCode)), resultShed
 	}
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -48,6 +48,9 @@
 	CodeIdempotencyKeyReused = "idempotencyKeyReused"
 	CodeCrashed              = "backendServerCrashed"
 	CodeServerUnknown        = "backendServerUnknown"
+	// CodeKeyRejected means that the backend server received the request and rejected
+	// it, because it does not hold the key or has been restarted.
+	CodeKeyRejected = "backendServerRejectedKey"
 )
 
 // queuePerSlot is the queue length per slot for a backend server that announces its
--- a/instance/router/options.go
+++ b/instance/router/options.go
@@ -41,6 +41,18 @@
 // means that the server sends none and counts as ready always.
 func WithHeartbeats(maxHold timer.Span) Option { return func(ro *Router) { ro.maxHold = maxHold } }
 
+// WithKeyGranter makes the instance call the backend server to grant and release
+// partitions, in place of the replies to heartbeats.
+func WithKeyGranter(kg controller.KeyGranter) Option {
+	return func(ro *Router) { ro.granter = kg }
+}
+
+// WithStrictFreshness makes the instance refuse workspace keys once no successful read
+// of the configuration is known within the freshness limit.
+func WithStrictFreshness(isStrict bool) Option {
+	return func(ro *Router) { ro.isFreshnessStrict = isStrict }
+}
+
 // WithServerCodec sets the codec for requests to the backend server.
 func WithServerCodec(cd gatekeeper.Codec) Option { return func(ro *Router) { ro.codec = cd } }
 
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -71,7 +71,10 @@
 	isReachable func(address string) bool
 	configs     controller.ConfigSource
 	maxHold     timer.Span
-	codec       gatekeeper.Codec
+	// granter is nil if replies to heartbeats grant the backend server its partitions.
+	granter           controller.KeyGranter
+	isFreshnessStrict bool
+	codec             gatekeeper.Codec
 	// caller handles callers' requests.
 	caller           http.Handler
 	wrapCaller       func(fo *forwarder.Forwarder) http.Handler
@@ -350,12 +353,19 @@
 
 // controlOptions returns the controller's options that depend on the router's.
 func (ro *Router) controlOptions() ([]controller.Option, error) {
-	var opts []controller.Option
+	opts := []controller.Option{controller.WithStrictFreshness(ro.isFreshnessStrict)}
 	if ro.configs != nil {
 		opts = append(opts, controller.WithConfigSource(ro.configs))
 	}
 	if ro.maxHold > 0 {
-		re, err := registrar.New(registrar.Start(ro.clock.Now()), registrar.Term(ro.se.LeaseTerm), registrar.MaxHold(ro.maxHold))
+		registrarOptions := []registrar.Option{
+			registrar.Start(ro.clock.Now()), registrar.Term(ro.se.LeaseTerm), registrar.MaxHold(ro.maxHold),
+		}
+		if ro.granter != nil {
+			registrarOptions = append(registrarOptions, registrar.OrderTimeout(controller.OrderTimeout))
+			opts = append(opts, controller.WithKeyGranter(ro.granter))
+		}
+		re, err := registrar.New(registrarOptions...)
 		if err != nil {
 			return nil, err
 		}
