--- a/standin/platformer/operator.go
+++ b/standin/platformer/operator.go
@@ -1,6 +1,7 @@
 package platformer
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -36,8 +37,17 @@
 	ColdStartS     float64 `json:"coldStartS"`
 	ColdPerS       float64 `json:"coldPerS"`
 	IsSharded      bool    `json:"sharded"`
+	// Grants is how servers get their keys: by ByHeartbeat, also if it is empty, or
+	// by ByCall.
+	Grants string `json:"grants,omitempty"`
 }
 
+// The values of Service.Grants and VMSpec.Grants.
+const (
+	ByHeartbeat = "heartbeat"
+	ByCall      = "call"
+)
+
 // Config is a configuration as operators write it, with a single virtual host.
 type Config struct {
 	Version  int
@@ -84,6 +94,8 @@
 	StoreAddress string
 	// AppAddress is the address of the backend server, as IP:port.
 	AppAddress string
+	// Grants is how the backend server gets its keys, see Service.Grants.
+	Grants string
 }
 
 // The ports of every VM. Those for traffic between instances are from firstPort to
@@ -116,7 +128,8 @@
 bounds: ["holdMaxS=10", "graceS=6", "revokeS=5", "retryBudgetRatio=0.2", "budgetSlack=62"]
 appAddr: "%s"
 service: %s
+grants: %s
 platform: {address: "%s"}
 `, pl.Name, pl.IP, pl.Zone, zones.String(), pl.Address(OutboundPort), pl.Address(InboundPort), pl.Address(ReadyPort), pl.Address(ControlPort),
-		firstPort, lastPort, pl.AppAddress, pl.Service, pl.StoreAddress)
+		firstPort, lastPort, pl.AppAddress, pl.Service, cmp.Or(pl.Grants, ByHeartbeat), pl.StoreAddress)
 }
--- a/standin/platformer/server.go
+++ b/standin/platformer/server.go
@@ -74,15 +74,17 @@
 // runs a request only while it holds the request's key. It implements http.Handler
 // for the requests.
 type Server struct {
-	id          string
-	bornAt      int64
-	service     string
-	address     string
-	control     string
-	zone        string
-	isSharded   bool
-	serviceTime time.Duration
-	client      *http.Client
+	id        string
+	bornAt    int64
+	service   string
+	address   string
+	control   string
+	zone      string
+	isSharded bool
+	// grantsByCall says that keys are granted by calls, see WithGrantsByCall.
+	grantsByCall bool
+	serviceTime  time.Duration
+	client       *http.Client
 
 	mu       sync.Mutex
 	sequence uint64
@@ -96,6 +98,10 @@
 	runs           []Run
 	maxToken       map[uint64]uint64
 	protocolErrors []string
+	// unansweredGrants is how many of the next grants are left unanswered and applied
+	// after grantDelay.
+	unansweredGrants int
+	grantDelay       time.Duration
 }
 
 // NewServer returns a server of a sharded service. Address is where it accepts
@@ -245,7 +251,7 @@
 		"info":   map[string]any{"service": bs.service, "version": "v1", "zone": bs.zone, "slots": 4},
 		"status": map[string]any{"state": "ready", "seq": bs.sequence, "coldRemainingS": 0},
 	}
-	if bs.isSharded {
+	if bs.isSharded && !bs.grantsByCall {
 		heartbeat["holds"], heartbeat["freed"] = holds, bs.released
 	}
 	body, err := json.Marshal(heartbeat)
@@ -313,6 +319,14 @@
 // ServeHTTP implements http.Handler. A request for another server or for a key that
 // the server does not hold is refused with status 421.
 func (bs *Server) ServeHTTP(wr http.ResponseWriter, re *http.Request) {
+	switch {
+	case bs.grantsByCall && re.URL.Path == grantPath:
+		bs.serveGrant(wr, re)
+		return
+	case bs.grantsByCall && re.URL.Path == releasePath:
+		bs.serveRelease(wr, re)
+		return
+	}
 	id := re.Header.Get("X-Request-Id")
 	wr.Header().Set("X-Request-Id", id)
 	if want := re.Header.Get("X-Expected-Instance"); want != "" && want != bs.id {
