--- a/instance/controller/orders.go
+++ b/instance/controller/orders.go
@@ -14,8 +14,11 @@
 	OrderTimeout = 500 * timer.Millisecond
 	// grantWorkers and releaseWorkers bound the concurrent calls to the backend
 	// server. A release is answered only when the work on its keys has ended.
-	grantWorkers   = 2
+	grantWorkers   = 4
 	releaseWorkers = 16
+	// grantTimeout bounds one call of a batch. It is well below OrderTimeout, so that a
+	// call without an answer does not stop the rest of its batch.
+	grantTimeout = 200 * timer.Millisecond
 	// releaseTimeout bounds a release. The hold itself ends sooner, since a released
 	// range is not renewed.
 	releaseTimeout = 5 * time.Second
@@ -109,7 +112,7 @@
 func (co *Controller) grant(ctx context.Context, batch []registrar.Order) event {
 	var done ordersDone
 	for _, or := range batch {
-		left := or.SentAt.Add(OrderTimeout).Sub(co.pu.Now())
+		left := min(grantTimeout, or.SentAt.Add(OrderTimeout).Sub(co.pu.Now()))
 		result := registrar.OrderNotApplied
 		if left > 0 {
 			callCtx, cancel := context.WithTimeout(ctx, left.Duration())
@@ -134,17 +137,25 @@
 
 func (co *Controller) onOrdersDone(ev ordersDone, now timer.Instant) {
 	ow := co.ownerships[co.self.Service]
+	failed := map[registrar.OrderResult]int{}
+	var first orderDone
 	for _, od := range ev.results {
 		co.re.ApplyResult(od.order, od.result, od.handover, now)
-		if od.result != registrar.OrderApplied {
-			co.lo.Warn("order to backend server not applied", "result", od.result.String(), "isRelease", od.order.IsRelease,
-				"from", od.order.Hold.Range.From, "to", od.order.Hold.Range.To, "token", od.order.Hold.FencingToken)
-			continue
-		}
-		if !od.order.IsRelease {
+		switch {
+		case od.result != registrar.OrderApplied:
+			if len(failed) == 0 {
+				first = od
+			}
+			failed[od.result]++
+		case !od.order.IsRelease:
 			co.publishHolds(ow, od.order, now)
 		}
 	}
+	if len(failed) > 0 {
+		co.lo.Warn("orders to backend server not applied", "orders", len(ev.results), "isRelease", first.order.IsRelease,
+			"unanswered", failed[registrar.OrderUnanswered], "rejected", failed[registrar.OrderRejected], "notApplied", failed[registrar.OrderNotApplied],
+			"firstResult", first.result.String(), "from", first.order.Hold.Range.From, "to", first.order.Hold.Range.To, "token", first.order.Hold.FencingToken)
+	}
 	co.tickForOrders(ow)
 }
 
--- a/standin/platformer/grants.go
+++ b/standin/platformer/grants.go
@@ -32,6 +32,13 @@
 	bs.unansweredGrants, bs.grantDelay = count, delay
 }
 
+// UnansweredGrants returns how many of the next grants will be left unanswered.
+func (bs *Server) UnansweredGrants() int {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	return bs.unansweredGrants
+}
+
 // grantCall is the JSON body of a grant or a release.
 type grantCall struct {
 	From         uint64  `json:"from"`
