admitter: queue by expected time on the server, one flow a workspace and route

Change: self-clocked fair queueing by the expected time of a route, and estimates by the time of the requests ahead.

--- a/core/admitter/estimate.go
+++ b/core/admitter/estimate.go
@@ -26,10 +26,10 @@
 		return queue, true
 	}
 	own := ga.latencyOf(rq.Route)
-	if ga.estimateStart(queue, now).Add(own) <= rq.finishBy() {
+	if ga.estimateStart(rq, queue, now).Add(own) <= rq.finishBy() {
 		return queue, true
 	}
-	return lateQueue, ga.estimateStart(lateQueue, now).Add(own) <= rq.DeadlineAt
+	return lateQueue, ga.estimateStart(rq, lateQueue, now).Add(own) <= rq.DeadlineAt
 }
 
 // latencyOf returns the smoothed latency of a route, or that of all routes if none
@@ -41,17 +41,28 @@
 	return timer.Span(ga.latency)
 }
 
-// estimateStart estimates when a request that joins a queue now would start.
-func (ga *Gate) estimateStart(queue int, now timer.Instant) timer.Instant {
-	ahead := 0
-	for i := range queue + 1 {
-		ahead += ga.queues[i].length
+// costOf returns the expected time of a request on the server in nanoseconds, above 0.
+func (ga *Gate) costOf(rq Request) float64 { return max(1, float64(ga.latencyOf(rq.Route))) }
+
+// estimateStart estimates when a request that joins a queue now would start: after the
+// requests of more urgent queues and those ahead of it in its own.
+func (ga *Gate) estimateStart(rq Request, queue int, now timer.Instant) timer.Instant {
+	cost, ahead := ga.queues[queue].costAhead(ga.queues[queue].tagOf(rq, ga.costOf(rq)))
+	for i := range queue {
+		queueCost, count := ga.queues[i].total()
+		cost, ahead = cost+queueCost, ahead+count
 	}
-	perStart := ga.latency / float64(max(1, ga.limit))
+	return now.Add(ga.spanOf(cost, ahead, now))
+}
+
+// spanOf returns the time until the next start after queued requests with the given
+// cost and number have started.
+func (ga *Gate) spanOf(cost float64, count int, now timer.Instant) timer.Span {
+	span := (cost + ga.latency) / float64(max(1, ga.limit))
 	if ga.coldRate > 0 && now.Before(ga.coldUntil) {
-		perStart = max(perStart, float64(timer.Second)/ga.coldRate)
+		span = max(span, float64(count+1)*float64(timer.Second)/ga.coldRate)
 	}
-	return now.Add(timer.Span(float64(ahead+1) * perStart))
+	return timer.Span(span)
 }
 
 // LatestStart returns the latest time at which a queued request is worth starting.
@@ -71,7 +82,12 @@
 // retryAfter returns the retry delay to advise on a refusal: the time until all
 // requests queued now are expected to have started.
 func (ga *Gate) retryAfter(now timer.Instant) timer.Span {
-	return min(max(ga.estimateStart(lateQueue, now).Sub(now), minRetryAfter), maxRetryAfter)
+	cost, ahead := 0.0, 0
+	for i := range ga.queues {
+		queueCost, count := ga.queues[i].total()
+		cost, ahead = cost+queueCost, ahead+count
+	}
+	return min(max(ga.spanOf(cost, ahead, now), minRetryAfter), maxRetryAfter)
 }
 
 // isLate reports whether a request that starts now is expected to miss its target.
--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -2,7 +2,7 @@
 // server: it decides which requests run at once, wait in a queue or are refused.
 //
 // It limits concurrency, raises the limit step by step after a cold start, queues
-// fairly by workspace, sheds the lowest priority first, and refuses duplicates of
+// fairly by workspace and route, sheds the lowest priority first, and refuses duplicates of
 // a request as well as requests that repeatedly crash backend servers.
 //
 // A Gate is the admission state of one backend server. It is a state machine
@@ -142,6 +142,10 @@
 type queued struct {
 	ticket  Ticket
 	request Request
+	// cost is the expected time on the server in nanoseconds, and tag the place in the
+	// order of the queue.
+	cost float64
+	tag  float64
 }
 
 // Gate is the admission state of one backend server.
@@ -247,7 +251,7 @@
 	if !ok {
 		return Refuse{Code: CodeOverloaded, Reason: "the queue is full", RetryAfter: ga.retryAfter(now)}
 	}
-	ga.queues[queue].push(queued{ticket: ga.lastTicket, request: rq})
+	ga.queues[queue].push(queued{ticket: ga.lastTicket, request: rq, cost: ga.costOf(rq)})
 	return Wait{Ticket: ga.lastTicket, Shed: shed}
 }
 
@@ -266,7 +270,7 @@
 		}
 	}
 	qu := &ga.queues[queue]
-	if qu.longest() > qu.lengthOf(rq.Workspace)+1 {
+	if _, longest := qu.longestWorkspace(); longest > qu.lengthOf(rq.Workspace)+1 {
 		dropped, ok := qu.dropLongest()
 		return []Ticket{dropped.ticket}, ok
 	}
