admitter: late requests of the highest priority go before less urgent ones

Cause: calls of requests that already run, and urgent requests that missed their target, waited behind all requests in time, until their deadline. Both tests fail on the former code.

--- a/core/admitter/estimate.go
+++ b/core/admitter/estimate.go
@@ -19,9 +19,10 @@
 
 // queueFor returns the queue for a request that cannot start now, or false if it
 // would not finish before its deadline. A request that is expected to miss its
-// target goes behind all others, as it would only make them late too.
+// target goes behind all others, as it would only make them late too, unless it is of
+// the highest priority.
 func (ga *Gate) queueFor(rq Request, now timer.Instant) (int, bool) {
-	queue := int(rq.Priority)
+	queue := queueOf(rq.Priority)
 	if ga.latency == 0 {
 		return queue, true
 	}
@@ -29,7 +30,8 @@
 	if ga.estimateStart(rq, queue, now).Add(own) <= rq.finishBy() {
 		return queue, true
 	}
-	return lateQueue, ga.estimateStart(rq, lateQueue, now).Add(own) <= rq.DeadlineAt
+	late := lateQueueOf(rq.Priority)
+	return late, ga.estimateStart(rq, late, now).Add(own) <= rq.DeadlineAt
 }
 
 // latencyOf returns the smoothed latency of a route, or that of all routes if none
--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -36,13 +36,33 @@
 )
 
 // There is one queue for each priority, and behind them one for requests that are
-// expected to miss their target latency.
+// expected to miss their target latency. Such requests of the highest priority, which
+// are mostly calls of requests that already run, have a queue behind their own.
 const (
-	priorityCount = cataloguer.PriorityCount
-	lateQueue     = priorityCount
-	queueCount    = priorityCount + 1
+	urgentQueue     = 0
+	urgentLateQueue = 1
+	lateQueue       = cataloguer.PriorityCount + 1
+	queueCount      = lateQueue + 1
 )
 
+// queueOf returns the queue of a priority.
+func queueOf(priority cataloguer.Priority) int {
+	if priority == 0 {
+		return urgentQueue
+	}
+	return int(priority) + 1
+}
+
+// lateQueueOf returns the queue of late requests of a priority.
+func lateQueueOf(priority cataloguer.Priority) int {
+	if priority == 0 {
+		return urgentLateQueue
+	}
+	return lateQueue
+}
+
+func isLateQueue(queue int) bool { return queue == urgentLateQueue || queue == lateQueue }
+
 // Ticket identifies a request at one Gate, from its arrival until it ends.
 type Ticket uint64
 
@@ -302,8 +322,8 @@
 				ga.expired = append(ga.expired, next.ticket)
 				continue
 			}
-			if pr != lateQueue && ga.isLate(next.request, now) && ga.Waiting() > 0 {
-				ga.queues[lateQueue].push(next)
+			if !isLateQueue(pr) && ga.isLate(next.request, now) && ga.Waiting() > 0 {
+				ga.queues[lateQueueOf(next.request.Priority)].push(next)
 				continue
 			}
 			ga.startRun()
--- a/core/admitter/late_test.go
+++ b/core/admitter/late_test.go
@@ -133,3 +133,30 @@
 	ga.SetColdUntil(0)
 	is.Equal(len(ga.StartQueued(end)), 9-running) // the server reports that it is warm
 }
+
+// TestShortRequestPassesLongOnes checks that a queue of long requests, which can wait,
+// neither refuses nor delays a short one that can't. Its queue is a second of work on
+// the one slot.
+func TestShortRequestPassesLongOnes(t *testing.T) {
+	is := is.New(t)
+	ga := busyGate(t, QueueLength(40))
+	for range 10 {
+		is.Equal(len(arriveAll(ga, 0, Request{Workspace: "a", Route: "page", TargetAt: 5000 * ms, DeadlineAt: 9000 * ms})), 1)
+	}
+	short := Request{Workspace: "b", Route: "call", TargetAt: 300 * ms, DeadlineAt: 500 * ms}
+	tickets := arriveAll(ga, 0, short)
+	is.Equal(len(tickets), 1)
+	is.Equal(ga.Finish(Completion{Route: "page", Latency: 100 * timer.Millisecond}, 100*ms), tickets)
+}
+
+// TestLateUrgentRequest checks that a late request of the highest priority goes before
+// less urgent ones that are in time.
+func TestLateUrgentRequest(t *testing.T) {
+	is := is.New(t)
+	ga := busyGate(t)
+	tickets := arriveAll(ga, 0,
+		Request{Route: "page", Priority: 2, TargetAt: 5000 * ms, DeadlineAt: 9000 * ms},
+		Request{Route: "page", Priority: 0, TargetAt: 50 * ms, DeadlineAt: 2000 * ms})
+	is.Equal(len(tickets), 2)
+	is.Equal(ga.Finish(Completion{Route: "page", Latency: 100 * timer.Millisecond}, 100*ms), tickets[1:])
+}
