Large services get more, smaller ranges; the first maps wait for most members

Also 18 maps were created in the two seconds in which the 195 instances joined.

The owner of a key is looked up without sorting all members. A deployment that shrinks to a quarter can no longer list all ranges in a heartbeat's reply.

Ruled out: the number of ranges by the store's rate alone: the small twin of the site has 15 servers at that rate and granted 158 of 270 ranges.

--- a/core/folder/folder.go
+++ b/core/folder/folder.go
@@ -77,7 +77,7 @@
 	for _, sv := range allServices(in.Config) {
 		ma, ok := in.Maps[sv.Name]
 		if !ok {
-			ma = placer.NewMap(sv.Name, sv.Partitions)
+			ma = placer.NewMap(sv.Name, initialPartitions(sv, len(wantedMembers(sv.Name, in))))
 			ma.KeySpace = sv.KeySpace
 		}
 		if ma.ConfigVersion > in.Config.Version {
@@ -98,6 +98,29 @@
 	return changed
 }
 
+const (
+	// shareOfPartitions is the divisor of a service's partitions that gives those a
+	// member should own at least, and maxSplit bounds how often each is split for it.
+	// Busy keys lie close together, so that a large deployment needs smaller ranges to
+	// spread them, while the ranges of one member must fit into a reply to a heartbeat.
+	shareOfPartitions = 16
+	maxSplit          = 8
+)
+
+// initialPartitions returns the number of partitions of a service's first map. For
+// integer keys it grows with the number of members.
+func initialPartitions(sv cataloguer.Service, members int) uint32 {
+	partitions := sv.Partitions
+	if sv.KeySpace == 0 {
+		return partitions
+	}
+	wanted := uint32(members) * sv.Partitions / shareOfPartitions
+	for partitions < wanted && partitions < maxSplit*sv.Partitions && 2*partitions <= sv.KeySpace {
+		partitions *= 2
+	}
+	return partitions
+}
+
 func allServices(co cataloguer.Config) []cataloguer.Service {
 	all := slices.Clone(co.Catalogue.Services)
 	return append(all, cataloguer.Service{Name: LimitsService, Partitions: limitsPartitions})
--- a/core/folder/folder_test.go
+++ b/core/folder/folder_test.go
@@ -1,6 +1,7 @@
 package folder
 
 import (
+	"fmt"
 	"testing"
 
 	"cornellanding.example/core/cataloguer"
@@ -94,3 +95,28 @@
 	is.Equal(len(in.Maps["counter"].Changes), 1)
 	is.Equal(len(Fold(in)), 0)
 }
+
+// TestFirstMapSplitsIntegerKeys checks that the first map of a large service has enough
+// ranges to spread busy neighbours, and that later members don't change their number.
+func TestFirstMapSplitsIntegerKeys(t *testing.T) {
+	for _, cas := range []struct {
+		members int
+		want    uint32
+	}{{2, 512}, {7, 512}, {16, 512}, {17, 1024}, {46, 2048}, {115, 4096}, {880, 4096}} {
+		is := is.New(t)
+		var in Input
+		in.Config.Version = 1
+		in.Config.Catalogue.Services = []cataloguer.Service{{Name: "keys", Class: cataloguer.Exclusive, Partitions: 512, KeySpace: 1 << 16}}
+		for i := range cas.members {
+			in.Rows = append(in.Rows, InstanceRow{
+				BackendServer: fmt.Sprintf("s%03d", i), Service: "keys", Weight: placer.FullWeight, State: Active,
+				Lease: leaser.Row{Incarnation: uint64(i + 1)},
+			})
+		}
+		first := Fold(in)[0]
+		is.Equal(first.Partitions, cas.want)
+		in.Maps = map[string]placer.Map{"keys": first}
+		in.Rows = in.Rows[:1]
+		is.Equal(Fold(in)[0].Partitions, cas.want)
+	}
+}
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -21,7 +21,9 @@
 package registrar
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
@@ -268,28 +270,44 @@
 // recordHolds updates the partitions by the ranges that a heartbeat lists as held and
 // as released.
 func (re *Registrar) recordHolds(hb Heartbeat) {
-	for pt, ra := range re.ranges {
+	for pt := range re.partitions {
+		re.partitions[pt].isListed, re.partitions[pt].token = false, 0
+	}
+	for _, ho := range hb.Holds {
+		for _, pt := range re.overlapping(ho.Range) {
+			ps := &re.partitions[pt]
+			ps.isListed, ps.token = true, max(ps.token, ho.FencingToken)
+		}
+	}
+	for pt := range re.partitions {
 		ps := &re.partitions[pt]
-		token, isListed := highestToken(hb.Holds, ra)
-		ps.isListed = isListed
-		if isListed {
-			ps.token = token
-			ps.epoch = max(ps.epoch, token>>restartBits)
-			ps.receivedHandover = ""
-			ps.releasedHandover = ""
+		if !ps.isListed {
+			ps.heldUntil = 0
 			continue
 		}
-		ps.heldUntil, ps.token = 0, 0
+		ps.epoch = max(ps.epoch, ps.token>>restartBits)
+		ps.receivedHandover, ps.releasedHandover = "", ""
 	}
 	for _, fr := range hb.Released {
-		for pt, ra := range re.ranges {
-			if overlaps(fr.Range, ra) {
-				re.partitions[pt].releasedHandover = fr.Handover
-			}
+		for _, pt := range re.overlapping(fr.Range) {
+			re.partitions[pt].releasedHandover = fr.Handover
 		}
 	}
 }
 
+// overlapping returns the partitions whose ranges, which are in ascending order, overlap
+// the given one.
+func (re *Registrar) overlapping(ra placer.Range) []int {
+	first, _ := slices.BinarySearchFunc(re.ranges, ra.From, func(le placer.Range, from uint32) int {
+		return cmp.Compare(le.To, from)
+	})
+	var found []int
+	for pt := first; pt < len(re.ranges) && re.ranges[pt].From <= ra.To; pt++ {
+		found = append(found, pt)
+	}
+	return found
+}
+
 // highestToken returns the highest token of the holds that overlap a range, or false
 // if none does.
 func highestToken(holds []Hold, ra placer.Range) (uint64, bool) {
--- a/instance/controller/configs.go
+++ b/instance/controller/configs.go
@@ -12,8 +12,8 @@
 	// configWait is the duration of one long poll for a changed configuration.
 	// It is short so that a member that can't read it is noticed within a second.
 	configWait = 600 * time.Millisecond
-	// joinConfigWait is that of an instance that has not joined, on which no
-	// other member relies.
+	// joinConfigWait is that of an instance that is not in the maps yet, on which
+	// no other member relies.
 	joinConfigWait = 2 * time.Second
 	// configGrace is added to the wait to give the time-out of the call.
 	configGrace = 1500 * time.Millisecond
@@ -34,7 +34,7 @@
 	co.isPollingConfig = true
 	origin := co.ds.config.Origin
 	wait := configWait
-	if !co.isJoined {
+	if !co.isJoined || co.isMissing() {
 		wait = joinConfigWait
 	}
 	co.spawn(func(ctx context.Context) event {
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -64,15 +64,18 @@
 	// an instance that finds no map when it joins. The first one to fold then
 	// finds the rows of most others, and sends them the map.
 	firstFoldSpread = 1500 * timer.Millisecond
+	// delayedFoldSpread is that range after a fixed delay, in which most others have
+	// joined.
+	delayedFoldSpread = 500 * timer.Millisecond
 	// foldSpreadPerMember is that range per member once there is a map, since
 	// all members may restart at once.
 	foldSpreadPerMember = 2 * timer.Millisecond
 	// minFoldSpread is the shortest delay after a fold that failed or conflicted
 	// with another instance's.
 	minFoldSpread = 15 * timer.Millisecond
-	// firstWatchDelay postpones the first choice of watchers, so that members
-	// that join at the same time can be chosen.
-	firstWatchDelay = firstFoldSpread + 300*timer.Millisecond
+	// firstWatchDelay postpones the first choice of watchers after the first fold, so
+	// that members that join at the same time can be chosen.
+	firstWatchDelay = 300 * timer.Millisecond
 	// eventQueue is how many events can be queued for the event loop.
 	eventQueue = 4096
 )
@@ -182,6 +185,7 @@
 	mapReadAt          timer.Instant
 	polls              uint64
 	nextFoldAt         timer.Instant
+	firstFoldDelay     timer.Span
 	nextWatcherCheckAt timer.Instant
 	fr                 *freshener.Freshener
 	tableError         string
--- a/instance/controller/join.go
+++ b/instance/controller/join.go
@@ -62,12 +62,12 @@
 	if !co.isJoined {
 		co.lo.Info("joined the fleet", "incarnation", co.self.Incarnation, "watchers", len(ev.row.Watchers))
 		co.needsOwnFold = true
-		spread := foldSpreadPerMember * timer.Span(1+len(co.ds.members()))
+		spread, foldAt := foldSpreadPerMember*timer.Span(1+len(co.ds.members())), now
 		if len(co.ds.members()) == 0 {
-			spread = firstFoldSpread
-			co.nextWatcherCheckAt = now.Add(firstWatchDelay)
+			spread, foldAt = co.firstFoldSpread(), now.Add(co.firstFoldDelay)
+			co.nextWatcherCheckAt = foldAt.Add(spread + firstWatchDelay)
 		}
-		co.nextFoldAt = now.Add(timer.Span(rand.Int64N(int64(spread))))
+		co.nextFoldAt = foldAt.Add(timer.Span(rand.Int64N(int64(spread))))
 	}
 	co.isJoined = true
 	// A backend server without an earlier row has no former incarnation that may have
@@ -76,3 +76,12 @@
 	co.needsOwnFold = co.needsOwnFold || ev.affectsMaps
 	co.nextRenewAt = now
 }
+
+// firstFoldSpread returns the range of the random delay before an instance creates the
+// partition maps.
+func (co *Controller) firstFoldSpread() timer.Span {
+	if co.firstFoldDelay > 0 {
+		return delayedFoldSpread
+	}
+	return firstFoldSpread
+}
--- a/instance/controller/options.go
+++ b/instance/controller/options.go
@@ -76,6 +76,12 @@
 	return func(co *Controller) { co.isFreshnessStrict = isStrict }
 }
 
+// WithFirstFoldDelay sets how long an instance that finds no partition map waits before
+// it may create the maps, in addition to a random delay.
+func WithFirstFoldDelay(span timer.Span) Option {
+	return func(co *Controller) { co.firstFoldDelay = span }
+}
+
 // Option sets one option of New.
 type Option func(*Controller)
 
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -87,9 +87,8 @@
 	last := attempt{}
 	failures := 0
 	for {
-		order := fo.order(ca)
-		if len(order) > 0 {
-			last = latest(last, fo.tryOwner(ctx, ca, order[failures%len(order)]))
+		if candidate, ok := fo.candidate(ca, failures); ok {
+			last = latest(last, fo.tryOwner(ctx, ca, candidate))
 			if former, ok := fo.formerOwner(ca, last.to); ok && fo.mayTryFormer(ca, last) {
 				last = latest(last, fo.tryOwner(ctx, ca, former))
 			}
@@ -164,12 +163,22 @@
 	return fo.retries.withdraw(ca.service)
 }
 
-func (fo *Forwarder) order(ca *call) []placer.Member {
+// candidate returns the member to try after a number of failures: the owner, and then
+// the members that take over next. Their order is computed only after a failure.
+func (fo *Forwarder) candidate(ca *call, failures int) (placer.Member, bool) {
 	tb := fo.so.View().Tables[ca.service]
 	if tb == nil {
-		return nil
+		return placer.Member{}, false
+	}
+	pt := tb.Partition(ca.key)
+	if failures == 0 {
+		return tb.Owner(pt)
+	}
+	order := tb.PreferenceList(pt, ownerCandidates)
+	if len(order) == 0 {
+		return placer.Member{}, false
 	}
-	return tb.PreferenceList(tb.Partition(ca.key), ownerCandidates)
+	return order[failures%len(order)], true
 }
 
 // nextFailures moves on to the next candidate only if the last one did not answer. A
--- a/instance/router/options.go
+++ b/instance/router/options.go
@@ -53,6 +53,12 @@
 	return func(ro *Router) { ro.isFreshnessStrict = isStrict }
 }
 
+// WithFirstFoldDelay sets how long an instance that finds no partition map waits for
+// further members to join before it may create the maps. The default is 0.
+func WithFirstFoldDelay(span timer.Span) Option {
+	return func(ro *Router) { ro.firstFoldDelay = span }
+}
+
 // WithServerCodec sets the codec for requests to the backend server.
 func WithServerCodec(cd gatekeeper.Codec) Option { return func(ro *Router) { ro.codec = cd } }
 
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -74,6 +74,7 @@
 	// granter is nil if replies to heartbeats grant the backend server its partitions.
 	granter           controller.KeyGranter
 	isFreshnessStrict bool
+	firstFoldDelay    timer.Span
 	codec             gatekeeper.Codec
 	// caller handles callers' requests.
 	caller           http.Handler
@@ -353,7 +354,7 @@
 
 // controlOptions returns the controller's options that depend on the router's.
 func (ro *Router) controlOptions() ([]controller.Option, error) {
-	opts := []controller.Option{controller.WithStrictFreshness(ro.isFreshnessStrict)}
+	opts := []controller.Option{controller.WithStrictFreshness(ro.isFreshnessStrict), controller.WithFirstFoldDelay(ro.firstFoldDelay)}
 	if ro.configs != nil {
 		opts = append(opts, controller.WithConfigSource(ro.configs))
 	}
