--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -20,6 +20,9 @@
 // MaxAnswer is the largest accepted answer body, in bytes.
 const MaxAnswer = 8 << 20
 
+// maxAnswerHeader bounds the status line and the headers of an answer, in bytes.
+const maxAnswerHeader = 64 << 10
+
 // Headers between this package and the backend server.
 const (
 	headerEpoch     = "Fencing-Epoch"
@@ -131,7 +134,7 @@
 		address: address, codec: defaultCodec{},
 		transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
-			IdleConnTimeout: idleTimeout,
+			IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxAnswerHeader,
 		},
 	}
 }
@@ -238,14 +241,15 @@
 		// The body is not read, so that the connection is not reused.
 		return lost("the answer belongs to another request"), resultAnswered
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, MaxAnswer+1))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, answer.Body, MaxAnswer))
+	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.As(err, &tooLarge):
+		return lost("the answer is too large"), resultShed
 	case err != nil && ctx.Err() != nil:
 		return lost("the deadline or the lease ended before the whole answer"), resultCancelled
 	case err != nil:
 		return broken("the answer was cut short", err)
-	case len(body) > MaxAnswer:
-		return lost("the answer is too large"), resultAnswered
 	case verdict == VerdictNotOwner:
 		return refuse(CodeKeyRejected, "the backend server doesn't hold the key"), resultAnswered
 	case verdict == VerdictNotRun:
--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -54,7 +54,8 @@
 func newPeers(si *signer.Signer, isReachable func(address string) bool) *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: peerIdle,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext:            dialer.DialContext, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: peerIdle,
 		DisableCompression: true,
 	}
 	return &peers{
--- a/port/storer/storer.go
+++ b/port/storer/storer.go
@@ -24,6 +24,9 @@
 
 const maxObjectBytes = 64 << 20
 
+// maxHeaderBytes bounds the status line and the headers of a response.
+const maxHeaderBytes = 64 << 10
+
 // Objects is the port to the object store. Get fails for an object that does not
 // exist; the Client returns a *StatusError with status 404.
 type Objects interface {
@@ -54,7 +57,7 @@
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return nil, fmt.Errorf("storer: address %q: %w", address, err)
 	}
-	return &Client{base: "http://" + address, client: &http.Client{Transport: &http.Transport{}}}, nil
+	return &Client{base: "http://" + address, client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}}}, nil
 }
 
 // Put implements Objects.
@@ -78,7 +81,7 @@
 		return nil, fmt.Errorf("storer: call: %w", err)
 	}
 	defer answer.Body.Close()
-	got, err := io.ReadAll(io.LimitReader(answer.Body, maxObjectBytes))
+	got, err := io.ReadAll(http.MaxBytesReader(nil, answer.Body, maxObjectBytes))
 	if err != nil {
 		return nil, fmt.Errorf("storer: read response: %w", err)
 	}
--- a/port/tabler/client.go
+++ b/port/tabler/client.go
@@ -18,6 +18,9 @@
 
 const maxResponseBytes = 64 << 20
 
+// maxHeaderBytes bounds the status line and the headers of a response.
+const maxHeaderBytes = 64 << 10
+
 // WireRow is the JSON of a row.
 type WireRow struct {
 	Key     string `json:"key"`
@@ -70,7 +73,7 @@
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return nil, fmt.Errorf("tabler: address %q: %w", address, err)
 	}
-	return &Client{base: "http://" + address, client: &http.Client{Transport: &http.Transport{}}}, nil
+	return &Client{base: "http://" + address, client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}}}, nil
 }
 
 // Read implements Table.
@@ -114,7 +117,7 @@
 		return fmt.Errorf("tabler: call: %w", err)
 	}
 	defer answer.Body.Close()
-	content, err = io.ReadAll(io.LimitReader(answer.Body, maxResponseBytes))
+	content, err = io.ReadAll(http.MaxBytesReader(nil, answer.Body, maxResponseBytes))
 	if err != nil {
 		return fmt.Errorf("tabler: read response: %w", err)
 	}
