--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -123,10 +123,13 @@
 }
 
 // stopStepDone ends a write of the row, and the fold after it, during a planned stop.
-// The row has version 0 if the write failed.
+// The row has version 0 if it is not known after a failed write.
 type stopStepDone struct {
 	row leaser.Row
-	err error
+	// isEnded is set if the row was found to name another incarnation, or to be left or
+	// revoked.
+	isEnded bool
+	err     error
 }
 
 // suspectReported carries the fingerprint of a request that was running when the
--- a/instance/controller/leave.go
+++ b/instance/controller/leave.go
@@ -28,6 +28,9 @@
 	handedOver chan struct{}
 	// done is closed at the end of the stop. It is nil until Leave is called.
 	done chan struct{}
+	// hasEnded is set if the incarnation was revoked or replaced meanwhile. Then it
+	// serves nothing and has no row left to write.
+	hasEnded bool
 }
 
 // HandOver hands all owned partitions over to other instances and returns once
@@ -93,7 +96,11 @@
 			close(co.stopping.handedOver)
 		}
 	case phaseServe:
-		if co.stopping.done != nil {
+		switch {
+		case co.stopping.done == nil:
+		case co.stopping.hasEnded:
+			co.finishStop()
+		default:
 			co.stopping.phase = phaseLeave
 		}
 	case phaseLeave:
@@ -112,7 +119,11 @@
 	co.spawn(func(ctx context.Context) event {
 		committed, err := co.tableStore.writeRow(ctx, ir)
 		if err != nil {
-			return stopStepDone{err: err}
+			isOther := committed.Lease.Version != 0 && committed.Lease.Incarnation != ir.Lease.Incarnation
+			if isOther || hasEnded(committed) {
+				return stopStepDone{isEnded: true, err: err}
+			}
+			return stopStepDone{row: committed.Lease, err: err}
 		}
 		docs, err := co.tableStore.fold(ctx)
 		co.post(ctx, documentsFetched{documents: docs})
@@ -122,6 +133,10 @@
 
 func (co *Controller) onStopStepDone(ev stopStepDone) {
 	co.stopping.isBusy = false
+	if ev.isEnded {
+		co.endStopEarly(ev.err)
+		return
+	}
 	if ev.row.Version != 0 {
 		co.ho.Commit(ev.row)
 	}
@@ -136,6 +151,18 @@
 	co.stopping.phase = phaseHandOver
 }
 
+// endStopEarly skips the remaining writes of a planned stop, since the row belongs to
+// this incarnation no longer: its watchers revoked it, for instance after its lease
+// lapsed on a busy machine.
+func (co *Controller) endStopEarly(cause error) {
+	co.lo.Warn("planned stop: incarnation has ended already", "incarnation", co.self.Incarnation, "error", cause)
+	co.stopping.hasEnded = true
+	if co.stopping.phase < phaseServe {
+		close(co.stopping.handedOver)
+	}
+	co.stopping.phase = phaseServe
+}
+
 func (co *Controller) finishStop() {
 	close(co.stopping.done)
 	co.err = ErrLeft
