--- a/instance/controller/configs.go
+++ b/instance/controller/configs.go
@@ -31,6 +31,10 @@
 	if co.configs == nil || co.isPollingConfig || now.Before(co.nextConfigAt) || !co.isPoller() {
 		return
 	}
+	if len(co.ds.tables) == 0 && co.ds.config.Version != 0 {
+		// Nothing is served before there are maps, so a change need not be known.
+		return
+	}
 	co.isPollingConfig = true
 	origin := co.ds.config.Origin
 	wait := configWait
