--- a/core/placer/table.go
+++ b/core/placer/table.go
@@ -194,6 +194,11 @@
 	return order
 }
 
+// HasOwners reports whether any member has a weight above 0.
+func (tb *Table) HasOwners() bool {
+	return slices.ContainsFunc(tb.Map.Members, func(me Member) bool { return me.Weight > 0 })
+}
+
 // OwnedBy lists the partitions that one incarnation owns, in ascending order.
 func (tb *Table) OwnedBy(incarnation uint64) []uint32 {
 	var owned []uint32
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -27,6 +27,9 @@
 	// moment, or the instance starts or stops. A hand-over between owners takes
 	// about as long.
 	defaultRetryAfter = 200 * timer.Millisecond
+	// noServerRetryAfter is the retry delay advised when a service has no backend
+	// server. Starting one takes seconds.
+	noServerRetryAfter = timer.Second
 	// ownerCheckInterval is how often a waiting idempotent request checks that the
 	// owner is still a member.
 	ownerCheckInterval = 20 * time.Millisecond
@@ -73,6 +76,9 @@
 	if !ok {
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Code: CodeNoOwner, Reason: "the service is not known"}
 	}
+	if tb := fo.so.View().Tables[ca.service]; tb != nil && !tb.HasOwners() {
+		return nil, &Refusal{Status: http.StatusServiceUnavailable, Code: CodeNoOwner, Reason: "the service has no backend server", RetryAfter: noServerRetryAfter}
+	}
 	if sv.Class == cataloguer.Shared {
 		return fo.dispatchShared(ctx, ca)
 	}
--- a/instance/forwarder/request_test.go
+++ b/instance/forwarder/request_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -320,6 +321,33 @@
 	is.True(arrivals.Load() <= requests*(1+ratio)+reserve)
 }
 
+// TestNoServer checks that a request to a service without a backend server is refused at
+// once: holding it until it is given up helps no caller.
+func TestNoServer(t *testing.T) {
+	for _, path := range []string{"/page/x", "/key/x", "/order/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			fo, fl := newFleet(t)
+			vi := fl.pu.View()
+			tables := maps.Clone(vi.Tables)
+			for _, service := range []string{"pages", "keys"} {
+				ma := tables[service].Map.NextVersion(0)
+				for _, me := range ma.Members {
+					me.Weight = 0
+					ma = ma.WithMember(me)
+				}
+				tables[service] = placer.NewTable(ma)
+			}
+			fl.pu.Publish(publisher.NewView(vi.Config, tables))
+			startedAt := time.Now()
+			_, rf := fo.Do(context.Background(), toPath(path))
+			is.True(time.Since(startedAt) < 100*time.Millisecond)
+			is.Equal([]any{rf.Status, rf.Code, rf.MayHaveRun()}, []any{http.StatusServiceUnavailable, CodeNoOwner, false})
+			is.True(rf.RetryAfter > 0)
+		})
+	}
+}
+
 // TestSplit checks that services are chosen by weight.
 func TestSplit(t *testing.T) {
 	is := is.New(t)
