--- a/core/freshener/freshener_test.go
+++ b/core/freshener/freshener_test.go
@@ -73,3 +73,17 @@
 		}
 	})
 }
+
+// TestStrict checks that failed attempts never count as fresh with the option Strict: the
+// store may accept a withdrawal while it refuses all instances.
+func TestStrict(t *testing.T) {
+	is := is.New(t)
+	fr := New(three, limit, Strict(true))
+	fr.RecordAttempt("a", seconds(0), true)
+	for _, centre := range three {
+		fr.RecordAttempt(centre, seconds(3), false)
+	}
+	is.Equal(fr.FreshUntil(), seconds(4))
+	fr.RecordAttempt("b", seconds(5), true)
+	is.Equal(fr.FreshUntil(), seconds(9))
+}
