--- a/core/registrar/orders.go
+++ b/core/registrar/orders.go
@@ -6,15 +6,6 @@
 	"cornellanding.example/core/timer"
 )
 
-// Holds of a service may be granted and released by calls to the backend server
-// instead of replies to its heartbeats. The registrar then issues orders, of which the
-// caller reports the results.
-//
-// A hold counts from the arrival of its call. A call without an answer may be applied
-// seconds later, also after the hold was released, but its time still counts from its
-// arrival. The registrar therefore adds the time-out of a call to the hold, and does
-// not consider a partition free before every unanswered grant of it would have ended.
-
 const (
 	// rejectionBackoff separates grants of a partition after the server rejected one.
 	rejectionBackoff = 200 * timer.Millisecond
@@ -26,6 +17,12 @@
 
 // OrderTimeout sets how long a call to the server may take, and makes the registrar
 // issue orders. Without it, holds are granted by replies to heartbeats.
+//
+// A hold granted by an order counts from the arrival of its call. A call without an
+// answer may be applied seconds later, also after the hold was released, but its time
+// still counts from its arrival. The registrar therefore adds the time-out to the hold,
+// and does not consider a partition free before every unanswered grant of it would have
+// ended.
 func OrderTimeout(timeout timer.Span) Option {
 	return func(re *Registrar) { re.orderTimeout = timeout }
 }
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -2,10 +2,11 @@
 // and decides which key ranges the server may hold.
 //
 // A hold is a short lease on a range of integer keys, under a fencing token. Each
-// reply to a heartbeat renews it for a limited time. Only the instance beside the
-// server answers its heartbeats, so the instance knows an upper bound for the end of
-// every hold: that of its own latest grant or, for grants of a former instance, one
-// lease term after its own start.
+// reply to a heartbeat renews it for a limited time. With the option OrderTimeout,
+// calls to the server do so instead, which the registrar issues as orders. Only the
+// instance beside the server grants holds, so the instance knows an upper bound for
+// the end of every hold: that of its own latest grant or, for grants of a former
+// instance, one lease term after its own start.
 //
 // Registrar is a pure state machine: it reads no clock, opens no socket and starts
 // no goroutine.
@@ -18,6 +19,12 @@
 //		reply, granted := re.Grant(wanted, leaseDeadline, now)
 //	}
 //	isFree := re.IsFree(partition, now)
+//
+// With orders:
+//
+//	for _, or := range re.DueOrders(wanted, leaseDeadline, now) {
+//		re.ApplyResult(or, result, handover, now)
+//	}
 package registrar
 
 import (
