--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -95,7 +95,7 @@
 	for {
 		if candidate, ok := fo.candidate(ca, failures); ok {
 			last = latest(last, fo.tryOwner(ctx, ca, candidate))
-			if former, ok := fo.formerOwner(ca, last.to); ok && fo.mayTryFormer(ca, last) {
+			if former, ok := fo.nextFormer(ca, last); ok {
 				last = latest(last, fo.tryOwner(ctx, ca, former))
 			}
 			if isFinal(last, ca) {
@@ -113,21 +113,19 @@
 	}
 }
 
-// mayTryFormer reports whether to try the former owner after an attempt at the owner.
-// If the backend server itself rejected the key, the copy counts against the retry
-// budget.
-func (fo *Forwarder) mayTryFormer(ca *call, last attempt) bool {
-	if last.err != nil {
-		return false
+// nextFormer returns the former owner of the key if it is to be tried after an attempt at
+// the owner. If the backend server itself rejected the key, the copy counts against the
+// retry budget.
+func (fo *Forwarder) nextFormer(ca *call, last attempt) (placer.Member, bool) {
+	isRejected := last.answer.GetCode() == gatekeeper.CodeKeyRejected
+	if last.err != nil || !isRejected && last.answer.GetCode() != gatekeeper.CodeNotOwner {
+		return placer.Member{}, false
 	}
-	switch last.answer.GetCode() {
-	case gatekeeper.CodeNotOwner:
-		return true
-	case gatekeeper.CodeKeyRejected:
-		return fo.mayRepeat(ca)
-	default:
-		return false
+	former, ok := fo.formerOwner(ca, last.to)
+	if !ok || isRejected && !fo.mayRepeat(ca) {
+		return placer.Member{}, false
 	}
+	return former, true
 }
 
 // isRejectedByServer reports whether the backend server received a request and refused
