Derive what the change kept twice

- admitter: the fair queue kept its length and the newest tag of each flow; both follow from its items.
One sum over the queues serves the estimate and Retry-After.
- registrar: the end of a grant in flight was used as a flag only.
- controller: a stop and the end of an incarnation ask the same question of a row found.
- folder: the wanted members of a service are computed once in a fold.
- platformer: a field that nothing read.

No behaviour changes.

--- a/core/admitter/estimate.go
+++ b/core/admitter/estimate.go
@@ -49,12 +49,20 @@
 // estimateStart estimates when a request that joins a queue now would start: after the
 // requests of more urgent queues and those ahead of it in its own.
 func (ga *Gate) estimateStart(rq Request, queue int, now timer.Instant) timer.Instant {
-	cost, ahead := ga.queues[queue].costAhead(ga.queues[queue].tagOf(rq, ga.costOf(rq)))
-	for i := range queue {
-		queueCost, count := ga.queues[i].total()
-		cost, ahead = cost+queueCost, ahead+count
+	qu := &ga.queues[queue]
+	own := qu.position(qu.tagOf(rq, ga.costOf(rq)))
+	cost, count := ga.queuedBefore(queue)
+	return now.Add(ga.spanOf(cost+qu.costOf(own), count+own, now))
+}
+
+// queuedBefore returns the cost and the number of the requests in the queues before the
+// given one.
+func (ga *Gate) queuedBefore(queue int) (cost float64, count int) {
+	for i := range ga.queues[:queue] {
+		qu := &ga.queues[i]
+		cost, count = cost+qu.costOf(len(qu.items)), count+len(qu.items)
 	}
-	return now.Add(ga.spanOf(cost, ahead, now))
+	return cost, count
 }
 
 // spanOf returns the time until the next start after queued requests with the given
@@ -84,12 +92,8 @@
 // retryAfter returns the retry delay to advise on a refusal: the time until all
 // requests queued now are expected to have started.
 func (ga *Gate) retryAfter(now timer.Instant) timer.Span {
-	cost, ahead := 0.0, 0
-	for i := range ga.queues {
-		queueCost, count := ga.queues[i].total()
-		cost, ahead = cost+queueCost, ahead+count
-	}
-	return min(max(ga.spanOf(cost, ahead, now), minRetryAfter), maxRetryAfter)
+	cost, count := ga.queuedBefore(queueCount)
+	return min(max(ga.spanOf(cost, count, now), minRetryAfter), maxRetryAfter)
 }
 
 // isLate reports whether a request that starts now is expected to miss its target.
--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -230,7 +230,7 @@
 func (ga *Gate) Waiting() int {
 	sum := 0
 	for i := range ga.queues {
-		sum += ga.queues[i].length
+		sum += len(ga.queues[i].items)
 	}
 	return sum
 }
--- a/core/admitter/queue.go
+++ b/core/admitter/queue.go
@@ -11,11 +11,9 @@
 type fairQueue struct {
 	// items are in order of their tags.
 	items []queued
-	// virtual is the tag of the latest request that left the queue.
+	// virtual is the tag of the latest request that left the queue for its turn, 0 if
+	// the queue is empty.
 	virtual float64
-	// lastTags holds the tag of each flow's newest request.
-	lastTags map[flow]float64
-	length   int
 }
 
 // flow identifies the requests that share a place in the order.
@@ -26,20 +24,22 @@
 
 func flowOf(rq Request) flow { return flow{workspace: rq.Workspace, route: rq.Route} }
 
-// tagOf returns the tag that a request of the given cost would get. Cost is the
-// expected time on the server, in any unit.
+// tagOf returns the tag that a request of the given cost would get, behind the queued
+// requests of its flow. Cost is the expected time on the server, in any unit.
 func (qu *fairQueue) tagOf(rq Request, cost float64) float64 {
-	return max(qu.virtual, qu.lastTags[flowOf(rq)]) + cost
+	before, of := qu.virtual, flowOf(rq)
+	for i := len(qu.items) - 1; i >= 0; i-- {
+		if flowOf(qu.items[i].request) == of {
+			before = qu.items[i].tag // not below virtual, which left before it
+			break
+		}
+	}
+	return before + cost
 }
 
 func (qu *fairQueue) push(wa queued) {
-	if qu.lastTags == nil {
-		qu.lastTags = map[flow]float64{}
-	}
 	wa.tag = qu.tagOf(wa.request, wa.cost)
-	qu.lastTags[flowOf(wa.request)] = wa.tag
 	qu.items = slices.Insert(qu.items, qu.position(wa.tag), wa)
-	qu.length++
 }
 
 // position returns the index at which a request with the tag is inserted, behind those
@@ -54,28 +54,17 @@
 	return i
 }
 
-// costAhead returns the cost and the number of the requests with a tag up to the given
-// one.
-func (qu *fairQueue) costAhead(tag float64) (float64, int) {
-	count := qu.position(tag)
+// costOf returns the cost of the first requests, as many as count says.
+func (qu *fairQueue) costOf(count int) float64 {
 	sum := 0.0
 	for _, wa := range qu.items[:count] {
 		sum += wa.cost
 	}
-	return sum, count
-}
-
-// total returns the cost and the number of all requests.
-func (qu *fairQueue) total() (float64, int) {
-	sum := 0.0
-	for _, wa := range qu.items {
-		sum += wa.cost
-	}
-	return sum, qu.length
+	return sum
 }
 
 func (qu *fairQueue) pop() (queued, bool) {
-	if qu.length == 0 {
+	if len(qu.items) == 0 {
 		return queued{}, false
 	}
 	next := qu.items[0]
@@ -85,23 +74,9 @@
 }
 
 func (qu *fairQueue) removeAt(i int) {
-	removed := qu.items[i]
 	qu.items = slices.Delete(qu.items, i, i+1)
-	qu.length--
-	if qu.length == 0 {
+	if len(qu.items) == 0 {
 		qu.virtual = 0
-		clear(qu.lastTags)
-		return
-	}
-	// A request that never ran must not hold back the next one of its flow.
-	if of := flowOf(removed.request); qu.lastTags[of] == removed.tag {
-		delete(qu.lastTags, of)
-		for _, wa := range qu.items {
-			if flowOf(wa.request) == of {
-				qu.lastTags[of] = wa.tag
-			}
-		}
-		qu.lastTags[of] = max(qu.lastTags[of], min(removed.tag, qu.virtual))
 	}
 }
 
--- a/core/folder/folder.go
+++ b/core/folder/folder.go
@@ -76,8 +76,9 @@
 	var changed []placer.Map
 	for _, sv := range allServices(in.Config) {
 		ma, ok := in.Maps[sv.Name]
+		members := wantedMembers(sv.Name, in)
 		if !ok {
-			ma = placer.NewMap(sv.Name, initialPartitions(sv, len(wantedMembers(sv.Name, in))))
+			ma = placer.NewMap(sv.Name, initialPartitions(sv, len(members)))
 			ma.KeySpace = sv.KeySpace
 		}
 		if ma.ConfigVersion > in.Config.Version {
@@ -85,7 +86,7 @@
 			// one.
 			continue
 		}
-		ne, isChanged := updateMembers(ma.NextVersion(in.At), ma, wantedMembers(sv.Name, in))
+		ne, isChanged := updateMembers(ma.NextVersion(in.At), ma, members)
 		ne.ConfigVersion = in.Config.Version
 		settled := settledVersion(ma, ne.Version, in.Rows)
 		// A shared service has no hand-overs, so its history is dropped only along
--- a/core/registrar/orders.go
+++ b/core/registrar/orders.go
@@ -87,10 +87,10 @@
 	// unansweredUntil is an upper bound for the end of the holds of grants without an
 	// answer. A release does not void these.
 	unansweredUntil timer.Instant
-	// inFlight is set while an order awaits its result. grantEndsBy is the upper bound
-	// of that order's hold, 0 for a release.
-	inFlight    bool
-	grantEndsBy timer.Instant
+	// inFlight is set while an order awaits its result, and isGranting if that order is
+	// a grant.
+	inFlight   bool
+	isGranting bool
 	// retryAt is the earliest time of the next order.
 	retryAt timer.Instant
 	// rejections counts the grants rejected under the present token's map version.
@@ -127,7 +127,7 @@
 
 func (re *Registrar) release(pt uint32, now timer.Instant) Order {
 	ps := &re.partitions[pt]
-	ps.order.inFlight, ps.order.grantEndsBy = true, 0
+	ps.order.inFlight, ps.order.isGranting = true, false
 	ps.order.grantedUntil, ps.order.renewAt = 0, 0
 	return Order{
 		Hold: Hold{Range: re.ranges[pt], FencingToken: ps.token}, IsRelease: true,
@@ -148,7 +148,7 @@
 			continue
 		}
 		ho := re.orderedHold(wa, now)
-		ps.order.inFlight, ps.order.grantEndsBy = true, endsBy
+		ps.order.inFlight, ps.order.isGranting = true, true
 		ps.epoch = max(ps.epoch, ho.FencingToken>>restartBits)
 		if last := len(orders) - 1; last >= first && joins(orders[last].Hold, ho) {
 			orders[last].Hold.Range.To = ho.Range.To
@@ -221,6 +221,6 @@
 
 // isOrderFree reports whether no order can make the server hold the partition at now.
 func (ps *partitionState) isOrderFree(now timer.Instant) bool {
-	isGranting := ps.order.inFlight && ps.order.grantEndsBy != 0
+	isGranting := ps.order.inFlight && ps.order.isGranting
 	return !isGranting && !now.Before(ps.order.unansweredUntil) && !now.Before(ps.heldUntil)
 }
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -269,7 +269,7 @@
 	for pt := range re.partitions {
 		ps := re.partitions[pt]
 		cleared := partitionState{receivedHandover: ps.receivedHandover, epoch: ps.epoch}
-		cleared.order.inFlight, cleared.order.grantEndsBy = ps.order.inFlight, ps.order.grantEndsBy
+		cleared.order.inFlight, cleared.order.isGranting = ps.order.inFlight, ps.order.isGranting
 		re.partitions[pt] = cleared
 	}
 }
--- a/instance/controller/leave.go
+++ b/instance/controller/leave.go
@@ -119,11 +119,7 @@
 	co.spawn(func(ctx context.Context) event {
 		committed, err := co.tableStore.writeRow(ctx, ir)
 		if err != nil {
-			isOther := committed.Lease.Version != 0 && committed.Lease.Incarnation != ir.Lease.Incarnation
-			if isOther || hasEnded(committed) {
-				return stopStepDone{isEnded: true, err: err}
-			}
-			return stopStepDone{row: committed.Lease, err: err}
+			return stopStepDone{row: committed.Lease, isEnded: isReplacedOrEnded(committed, ir.Lease.Incarnation), err: err}
 		}
 		docs, err := co.tableStore.fold(ctx)
 		co.post(ctx, documentsFetched{documents: docs})
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -366,6 +366,13 @@
 	return found.Lease.Version != 0 && found.State != folder.Active
 }
 
+// isReplacedOrEnded reports whether a row was found and either names another incarnation
+// or is no longer active.
+func isReplacedOrEnded(found folder.InstanceRow, incarnation uint64) bool {
+	isReplaced := found.Lease.Version != 0 && found.Lease.Incarnation != incarnation
+	return isReplaced || hasEnded(found)
+}
+
 // endIncarnation writes the final state of an incarnation's row. It also succeeds
 // if the row names another incarnation or has ended already.
 func (ts *tableStore) endIncarnation(ctx context.Context, row folder.InstanceRow, state folder.State) error {
@@ -374,8 +381,7 @@
 	if err == nil {
 		return nil
 	}
-	isReplaced := found.Lease.Version != 0 && found.Lease.Incarnation != row.Lease.Incarnation
-	if isReplaced || hasEnded(found) {
+	if isReplacedOrEnded(found, row.Lease.Incarnation) {
 		return nil
 	}
 	return err
--- a/standin/platformer/grants.go
+++ b/standin/platformer/grants.go
@@ -45,7 +45,6 @@
 	To           uint64  `json:"to"`
 	FencingToken uint64  `json:"fence"`
 	HoldS        float64 `json:"holdS"`
-	Handover     string  `json:"handover"`
 }
 
 // readGrantCall reads the body of a call, and answers a malformed one.
