forwarder: log each repeated copy with its reason, arrivals and budget

A caller's request that reached three servers of two allowed left lines with attempt numbers, but none said whether a copy was a hedge or a retry, how many copies were counted at that moment, or what the budget had left, so the hypotheses of docs/incidents/budget.md could not be told apart.

One line for each repeat that is granted; the retry budget bounds them.

--- a/core/retrier/budget.go
+++ b/core/retrier/budget.go
@@ -67,6 +67,9 @@
 	return true
 }
 
+// Left returns the number of retries in the budget.
+func (bu *Budget) Left() float64 { return bu.tokens }
+
 const (
 	hedgeQuantile  = 0.95
 	hedgeStepShare = 0.05
--- a/instance/forwarder/budgets.go
+++ b/instance/forwarder/budgets.go
@@ -50,12 +50,16 @@
 	return retrier.NewBudget(retrier.Ratio(bs.ratio), retrier.Reserve(1))
 }
 
-// withdraw takes one retry from the service's budget, or returns false.
-func (bs *budgets) withdraw(service string) bool {
+// withdraw takes one retry from the service's budget and returns how many are left, or
+// false if there is none.
+func (bs *budgets) withdraw(service string) (left float64, ok bool) {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
 	bu := bs.byService[service]
-	return bu != nil && bu.Withdraw()
+	if bu == nil || !bu.Withdraw() {
+		return 0, false
+	}
+	return bu.Left(), true
 }
 
 // entries returns the number of entry instances, the members of the limits service.
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -122,7 +122,7 @@
 		return placer.Member{}, false
 	}
 	former, ok := fo.formerOwner(ca, last.to)
-	if !ok || isRejected && !fo.mayRepeat(ca) {
+	if !ok || isRejected && !fo.mayRepeat(ca, repeatRejected) {
 		return placer.Member{}, false
 	}
 	return former, true
@@ -153,18 +153,30 @@
 		return false
 	}
 	if last.err == nil && isRejectedByServer(last.answer) {
-		return fo.mayRepeat(ca)
+		return fo.mayRepeat(ca, repeatRejected)
 	}
 	return ca.giveUpAt == 0 || fo.so.Now().Before(ca.giveUpAt)
 }
 
+// Reasons for another copy of a request, as named in the log.
+const (
+	repeatHedge    = "hedge"
+	repeatRejected = "rejectedByServer"
+	repeatUnknown  = "unknownOutcome"
+)
+
 // mayRepeat reports whether the route's maximum attempts and the retry budget allow
 // another copy that may reach a backend server, and takes it from the budget.
-func (fo *Forwarder) mayRepeat(ca *call) bool {
+func (fo *Forwarder) mayRepeat(ca *call, reason string) bool {
 	if ca.route.MaxAttempts > 0 && ca.arrivals >= ca.route.MaxAttempts {
 		return false
 	}
-	return fo.retries.withdraw(ca.service)
+	left, ok := fo.retries.withdraw(ca.service)
+	if ok {
+		fo.lo.Info("request repeated", "requestId", ca.id, "route", ca.route.Name, "service", ca.service, "reason", reason,
+			"attempts", ca.attempts, "arrivals", ca.arrivals, "maxAttempts", ca.route.MaxAttempts, "budgetLeft", left)
+	}
+	return ok
 }
 
 // candidate returns the member to try after a number of failures: the owner, and then
@@ -288,7 +300,7 @@
 func (fo *Forwarder) resolve(ctx context.Context, ca *call, last attempt) (*peerproto.ForwardResponse, *Refusal) {
 	ca.mayHaveRun = true
 	for last.outcome() == gatekeeper.OutcomeUnknown {
-		isRetried := timer.Sleep(ctx, minRetryDelay) && fo.mayRepeat(ca)
+		isRetried := timer.Sleep(ctx, minRetryDelay) && fo.mayRepeat(ca, repeatUnknown)
 		if !isRetried {
 			return nil, refuseUnknown(ctx, last)
 		}
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -167,7 +167,7 @@
 				tried = nil
 			case isFinal(last, ca):
 				return fo.conclude(last)
-			case last.outcome() == gatekeeper.OutcomeUnknown && !(ca.idempotent && fo.mayRepeat(ca)):
+			case last.outcome() == gatekeeper.OutcomeUnknown && !(ca.idempotent && fo.mayRepeat(ca, repeatUnknown)):
 				return fo.resolve(ctx, ca, last)
 			default:
 				ca.mayHaveRun = ca.mayHaveRun || last.outcome() == gatekeeper.OutcomeUnknown
@@ -213,7 +213,7 @@
 			if !fo.isHedging {
 				continue
 			}
-			if fo.mayRepeat(ca) && fo.launch(ctx, ca, tb, sb, tried, results) {
+			if fo.mayRepeat(ca, repeatHedge) && fo.launch(ctx, ca, tb, sb, tried, results) {
 				underWay++
 			}
 		}
