forwarder: count copies under way against the route's maximum attempts

Cause: the copies that may have arrived were counted when a copy had ended, but checked when the next one began. After an unusable answer the retry was under way and not counted, so its hedge passed the check. A check-then-act on a counter that lags behind what it counts.

A copy is now counted before it is sent, and taken back if it provably reached no server. The counter is shared by all copies of a request, and a retry of a request that has not run respects the maximum too.

--- /dev/null
+++ b/instance/forwarder/attempts_test.go
@@ -0,0 +1,73 @@
+package forwarder
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cornellanding.example/core/placer"
+	"cornellanding.example/instance/gatekeeper"
+	"cornellanding.example/instance/publisher"
+	"cornellanding.example/wire/peerproto"
+	"github.com/matryer/is"
+)
+
+// addMembers adds members to the fleet's shared service.
+func (fl *fleet) addMembers(addresses ...string) {
+	vi := fl.pu.View()
+	ma := vi.Tables["pages"].Map.NextVersion(0)
+	for i, address := range addresses {
+		ma = ma.WithMember(placer.Member{BackendServer: address, Incarnation: uint64(10 + i), Address: address, Weight: placer.FullWeight})
+	}
+	tables := map[string]*placer.Table{}
+	for name, tb := range vi.Tables {
+		tables[name] = tb
+	}
+	tables["pages"] = placer.NewTable(ma)
+	fl.pu.Publish(publisher.NewView(vi.Config, tables))
+}
+
+// TestHedgedRetryStaysWithinMaxAttempts: the first copy's answer is unusable and the
+// retry is slow enough to be hedged.
+func TestHedgedRetryStaysWithinMaxAttempts(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t, WithRetryBudget(1, 100))
+	fl.addMembers("c", "d")
+	var copies atomic.Int64
+	fl.set(func(ctx context.Context, _ *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		if copies.Add(1) == 1 {
+			return &peerproto.ForwardResponse{Outcome: gatekeeper.OutcomeUnknown, Code: gatekeeper.CodeLost}, true, nil
+		}
+		select {
+		case <-time.After(300 * time.Millisecond):
+			return answered("late")
+		case <-ctx.Done():
+			return nil, true, ctx.Err()
+		}
+	}, "a", "b", "c", "d")
+	answer, rf := fo.Do(context.Background(), toPath("/page/x"))
+	is.Equal(rf, nil)
+	is.Equal(string(answer.Body), "late")
+	is.Equal(copies.Load(), int64(2)) // the route's maximum attempts
+}
+
+// TestSingleAttemptIsNotHedged: the only copy that the route allows is slow.
+func TestSingleAttemptIsNotHedged(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t, WithRetryBudget(1, 100))
+	vi := fl.pu.View()
+	for i := range vi.Config.Catalogue.Routes {
+		vi.Config.Catalogue.Routes[i].MaxAttempts = 1
+	}
+	fl.pu.Publish(publisher.NewView(vi.Config, vi.Tables))
+	var copies atomic.Int64
+	fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		copies.Add(1)
+		time.Sleep(300 * time.Millisecond)
+		return answered("late")
+	}, "a", "b")
+	_, rf := fo.Do(context.Background(), toPath("/page/x"))
+	is.Equal(rf, nil)
+	is.Equal(copies.Load(), int64(1))
+}
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -40,9 +40,7 @@
 	to      placer.Member
 	answer  *peerproto.ForwardResponse
 	wasSent bool
-	// arrivals is the number of backend servers that may have received the copy.
-	arrivals int
-	err      error
+	err     error
 	// isTooLate means that no time was left and nothing was forwarded.
 	isTooLate bool
 }
@@ -57,6 +55,11 @@
 	return at
 }
 
+// mayHaveArrived reports whether a backend server may have received the copy.
+func (at attempt) mayHaveArrived() bool {
+	return at.wasSent && (at.err != nil || at.answer.GetOutcome() != gatekeeper.OutcomeNotRun || isRejectedByServer(at.answer))
+}
+
 // outcome returns the outcome of the request as known after the attempt.
 func (at attempt) outcome() uint32 {
 	switch {
@@ -149,7 +152,7 @@
 // more time must be left than the answerReserve. A request that the backend server
 // refused counts against the retry budget, and any other is retried until giveUpAt.
 func (fo *Forwarder) mayTryAgain(ca *call, last attempt, delay time.Duration) bool {
-	if ca.deadlineAt.Sub(fo.so.Now())-timer.FromDuration(delay) <= answerReserve {
+	if ca.deadlineAt.Sub(fo.so.Now())-timer.FromDuration(delay) <= answerReserve || ca.isExhausted() {
 		return false
 	}
 	if last.err == nil && isRejectedByServer(last.answer) {
@@ -168,13 +171,13 @@
 // mayRepeat reports whether the route's maximum attempts and the retry budget allow
 // another copy that may reach a backend server, and takes it from the budget.
 func (fo *Forwarder) mayRepeat(ca *call, reason string) bool {
-	if ca.route.MaxAttempts > 0 && ca.arrivals >= ca.route.MaxAttempts {
+	if ca.isExhausted() {
 		return false
 	}
 	left, ok := fo.retries.withdraw(ca.service)
 	if ok {
 		fo.lo.Info("request repeated", "requestId", ca.id, "route", ca.route.Name, "service", ca.service, "reason", reason,
-			"attempts", ca.attempts, "arrivals", ca.arrivals, "maxAttempts", ca.route.MaxAttempts, "budgetLeft", left)
+			"attempts", ca.attempts, "arrivals", ca.arrivals.Load(), "maxAttempts", ca.route.MaxAttempts, "budgetLeft", left)
 	}
 	return ok
 }
@@ -210,25 +213,21 @@
 // member that has left the map, which may never answer.
 func (fo *Forwarder) tryOwner(ctx context.Context, ca *call, to placer.Member) attempt {
 	if !ca.idempotent {
-		return fo.try(ctx, ca, to)
+		return fo.prepare(ca, to)(ctx)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	copied := ca.copy()
-	ca.attempts++
-	ca.servedBy = to.BackendServer
+	send := fo.prepare(ca, to)
 	result := make(chan attempt, 1)
-	go func() { result <- fo.try(ctx, copied, to) }()
+	go func() { result <- send(ctx) }()
 	ticker := time.NewTicker(ownerCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case at := <-result:
-			ca.arrivals = copied.arrivals
 			return at
 		case <-ticker.C:
 			if fo.hasLeft(ca.service, to) {
-				ca.arrivals++
 				return attempt{to: to, wasSent: true, err: errOwnerLeft}
 			}
 		}
@@ -307,7 +306,7 @@
 		if ca.idempotent {
 			return fo.redispatch(ctx, ca)
 		}
-		next := fo.try(ctx, ca, last.to)
+		next := fo.prepare(ca, last.to)(ctx)
 		if next.err != nil {
 			return nil, refuseUnknown(ctx, last)
 		}
@@ -366,10 +365,24 @@
 	return rf
 }
 
-// try forwards a request once.
-func (fo *Forwarder) try(ctx context.Context, ca *call, to placer.Member) attempt {
+// prepare counts a copy of the request for the member as arrived, and returns a function
+// that sends it once. The count is taken back if no backend server received the copy.
+func (fo *Forwarder) prepare(ca *call, to placer.Member) func(ctx context.Context) attempt {
 	ca.attempts++
 	ca.servedBy = to.BackendServer
+	ca.arrivals.Add(1)
+	copied := ca.copy()
+	return func(ctx context.Context) attempt {
+		at := fo.send(ctx, copied, to)
+		if !at.mayHaveArrived() {
+			copied.arrivals.Add(-1)
+		}
+		return at
+	}
+}
+
+// send forwards a copy of a request.
+func (fo *Forwarder) send(ctx context.Context, ca *call, to placer.Member) attempt {
 	remaining := ca.deadlineAt.Sub(fo.so.Now()) - answerReserve
 	if remaining <= 0 {
 		return attempt{to: to, isTooLate: true, answer: &peerproto.ForwardResponse{
@@ -387,9 +400,6 @@
 	if answer.GetCode() == gatekeeper.CodeCrashed {
 		ca.crashes.Add(1)
 	}
-	if wasSent && (err != nil || answer.GetOutcome() != gatekeeper.OutcomeNotRun || isRejectedByServer(answer)) {
-		ca.arrivals++
-	}
 	if err == nil && answer.GetRequestId() != ca.id {
 		return attempt{to: to, wasSent: true, err: errMismatchedAnswer}
 	}
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -229,8 +229,9 @@
 	idemKey    string
 	// attempts counts the copies that were forwarded or were too late to be.
 	attempts int
-	// arrivals counts the copies that a backend server may have received.
-	arrivals int
+	// arrivals counts the copies that a backend server received or may still receive,
+	// over all copies of the call.
+	arrivals *atomic.Int32
 	servedBy string
 	// mayHaveRun means that a copy with an unknown outcome was sent.
 	mayHaveRun bool
@@ -239,17 +240,24 @@
 	crashes *atomic.Uint32
 }
 
-// copy returns a copy of the call for a concurrent attempt. Crashes stay shared.
+// copy returns a copy of the call for a concurrent attempt. Crashes and arrivals stay
+// shared.
 func (ca *call) copy() *call {
 	copied := *ca
 	return &copied
 }
 
+// isExhausted reports whether as many copies as the route allows have arrived at backend
+// servers or are under way.
+func (ca *call) isExhausted() bool {
+	return ca.route.MaxAttempts > 0 && int(ca.arrivals.Load()) >= ca.route.MaxAttempts
+}
+
 func newCall(now timer.Instant) *call {
 	var id [requestIDBytes]byte
 	// Read of crypto/rand never fails.
 	_, _ = rand.Read(id[:])
-	return &call{id: hex.EncodeToString(id[:]), startedAt: now, crashes: &atomic.Uint32{}}
+	return &call{id: hex.EncodeToString(id[:]), startedAt: now, crashes: &atomic.Uint32{}, arrivals: &atomic.Int32{}}
 }
 
 // serve handles a request on a route by method and path.
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -190,9 +190,7 @@
 		return attempt{}, false
 	}
 	if !ca.idempotent {
-		at := <-results
-		ca.arrivals += at.arrivals
-		return at, true
+		return <-results, true
 	}
 	hedge := time.NewTimer(sb.delay(ca.route.Name))
 	defer hedge.Stop()
@@ -201,7 +199,6 @@
 		select {
 		case at := <-results:
 			underWay--
-			ca.arrivals += at.arrivals
 			isUnknown := at.outcome() == gatekeeper.OutcomeUnknown
 			ca.mayHaveRun = ca.mayHaveRun || isUnknown
 			// The refusal of one copy does not affect the other.
@@ -233,19 +230,15 @@
 		sb.cancel(incarnation, ca.route.Name, 0)
 		return false
 	}
-	copied := ca.copy()
-	ca.attempts++
-	ca.servedBy = to.BackendServer
-	before := copied.arrivals
+	send, route := fo.prepare(ca, to), ca.route.Name
 	go func() {
 		startedAt := fo.so.Now()
-		at := fo.try(ctx, copied, to)
-		at.arrivals = copied.arrivals - before
+		at := send(ctx)
 		latency := fo.so.Now().Sub(startedAt)
 		if at.err != nil && ctx.Err() != nil {
-			sb.cancel(incarnation, copied.route.Name, latency)
+			sb.cancel(incarnation, route, latency)
 		} else {
-			sb.finish(incarnation, copied.route.Name, latency, at.outcome() != gatekeeper.OutcomeAnswered)
+			sb.finish(incarnation, route, latency, at.outcome() != gatekeeper.OutcomeAnswered)
 		}
 		results <- at
 	}()
