Charge calls made by repeats to the retry budget of the called service

Cause: a repeat makes its calls again, and those count as repeats at the service that is called.

Each forwarded request now says how likely it is a repeat. The gate knows the share of repeats among the idempotent requests that its server runs, and the instance beside it charges that share of each call to the called service's budget, and passes it on.

TestCallsOfRepeatsStayWithinTheRetryBudget fails without the charge.

--- a/core/retrier/budget.go
+++ b/core/retrier/budget.go
@@ -67,6 +67,12 @@
 	return true
 }
 
+// Charge takes repeats that have been sent already, also a part of one, from the budget.
+// Debt beyond the reserve is dropped.
+func (bu *Budget) Charge(repeats float64) {
+	bu.tokens = max(-bu.reserve, bu.tokens-repeats)
+}
+
 // Left returns the number of retries in the budget.
 func (bu *Budget) Left() float64 { return bu.tokens }
 
--- a/instance/forwarder/attempts_test.go
+++ b/instance/forwarder/attempts_test.go
@@ -71,3 +71,35 @@
 	is.Equal(rf, nil)
 	is.Equal(copies.Load(), int64(1))
 }
+
+// TestCallsOfRepeatsStayWithinTheRetryBudget: a part of the calls are made by repeats at
+// the calling service, and every call is worth a retry.
+func TestCallsOfRepeatsStayWithinTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	const (
+		calls       = 400
+		ratio       = 0.2
+		reserve     = 20
+		repeatShare = 0.15
+	)
+	fo, fl := newFleet(t, WithRetryBudget(ratio, reserve), WithoutHedging(), WithCallerRepeats(func() float64 { return repeatShare }))
+	fl.addMembers("c", "d")
+	var arrivals, inherited atomic.Int64
+	fl.set(func(_ context.Context, rq *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		arrivals.Add(1)
+		if rq.GetRepeatShare() == repeatShare {
+			inherited.Add(1)
+		}
+		return &peerproto.ForwardResponse{Outcome: gatekeeper.OutcomeUnknown, Code: gatekeeper.CodeLost}, true, nil
+	}, "a", "b", "c", "d")
+	rq := toPath("/page/sub/x")
+	rq.Authorization = ""
+	for range calls {
+		_, rf := fo.Do(context.Background(), rq)
+		is.True(rf.MayHaveRun())
+	}
+	is.Equal(inherited.Load(), int64(calls)) // first copies pass the caller's share on
+	repeats := float64(arrivals.Load()-calls) + calls*repeatShare
+	is.True(repeats <= calls*ratio+reserve)
+	is.True(arrivals.Load() > calls) // the rest of the budget is used
+}
--- a/instance/forwarder/budgets.go
+++ b/instance/forwarder/budgets.go
@@ -27,9 +27,16 @@
 	return func(fo *Forwarder) { fo.retries.ratio, fo.retries.reserve = ratio, reserve }
 }
 
-// deposit records a first attempt, and updates this instance's part of the reserve
-// for the number of entry instances.
-func (bs *budgets) deposit(service string, entries int) {
+// WithCallerRepeats sets the function that returns the share of repeats, from 0 to 1, among
+// the requests that the backend server of this VM runs. That share of the calls which
+// the server makes are repeats too.
+func WithCallerRepeats(share func() float64) Option {
+	return func(fo *Forwarder) { fo.callerRepeats = share }
+}
+
+// deposit records a first attempt that is a repeat with the given likelihood, and updates
+// this instance's part of the reserve for the number of entry instances.
+func (bs *budgets) deposit(service string, entries int, repeatShare float64) {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
 	bu := bs.byService[service]
@@ -41,6 +48,7 @@
 		bu.SetReserve(max(1, bs.reserve/float64(max(1, entries))))
 	}
 	bu.Deposit()
+	bu.Charge(repeatShare)
 }
 
 func (bs *budgets) newBudget() *retrier.Budget {
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -74,7 +74,11 @@
 
 // dispatch forwards a request until it is answered or finally refused.
 func (fo *Forwarder) dispatch(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *Refusal) {
-	fo.retries.deposit(ca.service, fo.entries())
+	if ca.workspace == "" {
+		// Backend servers' calls carry no workspace key.
+		ca.repeatShare = fo.callerRepeats()
+	}
+	fo.retries.deposit(ca.service, fo.entries(), ca.repeatShare)
 	sv, ok := fo.so.View().Services[ca.service]
 	if !ok {
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Code: CodeNoOwner, Reason: "the service is not known"}
@@ -370,8 +374,10 @@
 func (fo *Forwarder) prepare(ca *call, to placer.Member) func(ctx context.Context) attempt {
 	ca.attempts++
 	ca.servedBy = to.BackendServer
-	ca.arrivals.Add(1)
 	copied := ca.copy()
+	if ca.arrivals.Add(1) > 1 {
+		copied.repeatShare = 1
+	}
 	return func(ctx context.Context) attempt {
 		at := fo.send(ctx, copied, to)
 		if !at.mayHaveArrived() {
@@ -395,6 +401,7 @@
 		Remaining: int64(remaining), IdempotencyKey: ca.idemKey, Attempt: uint32(ca.attempts), To: to.Incarnation,
 		Idempotent: ca.idempotent, Priority: uint32(ca.priority), Crashes: ca.crashes.Load(),
 		Host: ca.host, CallerService: ca.callerService, TargetRemaining: int64(ca.targetLeft(fo.so.Now())),
+		RepeatShare: ca.repeatShare,
 	}
 	answer, wasSent, err := fo.gates.Forward(ctx, to.Address, rq)
 	if answer.GetCode() == gatekeeper.CodeCrashed {
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -138,6 +138,8 @@
 	// decided counts the answers, for log sampling.
 	decided atomic.Uint64
 	retries *budgets
+	// callerRepeats is as in WithCallerRepeats.
+	callerRepeats func() float64
 
 	muxMu      sync.Mutex
 	mux        atomic.Pointer[http.ServeMux]
@@ -149,7 +151,7 @@
 	if so == nil || gates == nil || homes == nil {
 		return nil, errors.New("forwarder: source, gates and homes are needed")
 	}
-	fo := &Forwarder{so: so, gates: gates, shares: newShares(so, homes), balancers: newBalancers(), isHedging: true, retries: newBudgets(), lo: hclog.NewNullLogger()}
+	fo := &Forwarder{so: so, gates: gates, shares: newShares(so, homes), balancers: newBalancers(), isHedging: true, retries: newBudgets(), callerRepeats: func() float64 { return 0 }, lo: hclog.NewNullLogger()}
 	for _, opt := range opts {
 		opt(fo)
 	}
@@ -232,7 +234,9 @@
 	// arrivals counts the copies that a backend server received or may still receive,
 	// over all copies of the call.
 	arrivals *atomic.Int32
-	servedBy string
+	// repeatShare is how likely the request is a call by a repeat, from 0 to 1.
+	repeatShare float64
+	servedBy    string
 	// mayHaveRun means that a copy with an unknown outcome was sent.
 	mayHaveRun bool
 	// crashes counts the backend servers that crashed while running it, over all
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -114,6 +114,10 @@
 	limits  cataloguer.ServiceLimits
 	// decided counts the requests that have ended, for log sampling.
 	decided uint64
+	// idempotents counts the idempotent requests that run, and repeats adds up their
+	// shares of repeats. No others are repeated.
+	idempotents int
+	repeats     float64
 	// reportedAt is the time of the latest heartbeat of the backend server whose
 	// state was applied, and overloadedAt is when the server was last overloaded,
 	// crashed or unreachable.
@@ -163,6 +167,27 @@
 	return ga.gate.Running(), ga.gate.Waiting(), ga.gate.Limit()
 }
 
+// RepeatShare returns the share of repeats, from 0 to 1, among the idempotent requests that
+// the backend server runs.
+func (ga *Gatekeeper) RepeatShare() float64 {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.idempotents == 0 {
+		return 0
+	}
+	return min(1, max(0, ga.repeats/float64(ga.idempotents)))
+}
+
+// countRepeats adds a request that starts to the share of repeats, or takes away one that
+// ended. The lock must be held.
+func (ga *Gatekeeper) countRepeats(rq *peerproto.ForwardRequest, by int) {
+	if !rq.GetIdempotent() {
+		return
+	}
+	ga.idempotents += by
+	ga.repeats += float64(by) * min(1, max(0, rq.GetRepeatShare()))
+}
+
 // Forward runs a request on the backend server or refuses it. The answer always
 // gives the outcome, also for failures.
 func (ga *Gatekeeper) Forward(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
@@ -188,7 +213,7 @@
 	}
 	ga.lo.Info("request handled by gatekeeper", "requestId", rq.GetRequestId(), "route", rq.GetRoute(), "workspace", rq.GetWorkspace(),
 		"outcome", OutcomeName(answer.GetOutcome()), "code", answer.GetCode(), "reason", answer.GetReason(),
-		"status", answer.GetStatus(), "attempt", rq.GetAttempt(), "key", rq.GetKey(),
+		"status", answer.GetStatus(), "attempt", rq.GetAttempt(), "repeatShare", rq.GetRepeatShare(), "key", rq.GetKey(),
 		"running", answer.GetRunning(), "waiting", answer.GetWaiting(),
 		"leaseLeft", ga.pu.LeaseUntil().Sub(ga.pu.Now()).Duration().String(), "took", took.Duration().String())
 }
@@ -425,6 +450,7 @@
 func (ga *Gatekeeper) run(ctx context.Context, jo *job, epoch uint64) (*peerproto.ForwardResponse, bool) {
 	ga.mu.Lock()
 	ga.qu.Start(jo.fingerprint)
+	ga.countRepeats(jo.rq, 1)
 	ga.mu.Unlock()
 	serverID := ""
 	if bs := ga.pu.BackendServer(); bs != nil {
@@ -433,6 +459,7 @@
 	answer, result := ga.bs.run(ctx, jo, epoch, serverID)
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	ga.countRepeats(jo.rq, -1)
 	switch result {
 	case resultAnswered:
 		ga.qu.Succeed(jo.fingerprint)
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -130,6 +130,7 @@
 	local := &localPeers{ro: ro}
 	forwarderOptions := append([]forwarder.Option{
 		forwarder.WithLogger(ro.lo), forwarder.WithLogSampling(se.Log.SampleEvery), forwarder.WithObserver(ro.meter),
+		forwarder.WithCallerRepeats(func() float64 { return ro.current.Load().ga.RepeatShare() }),
 	}, ro.forwarderOptions...)
 	ro.fo, err = forwarder.New(&source{ro: ro}, local, local, forwarderOptions...)
 	if err != nil {
