gatekeeper: read and log a server's request limit and its leaving

The users' servers name Server-Limit and Server-Leaving in their answers.

A limit ends only with an answer to a request sent after it was last named, since answers that overlap may be read in another order than written.

--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"cornellanding.example/core/timer"
 	"cornellanding.example/wire/peerproto"
 )
 
@@ -79,6 +80,8 @@
 	Encode(header http.Header, ex Exchange)
 	// Decode determines the verdict from the status and headers of an answer.
 	Decode(answer *http.Response, ex Exchange) Verdict
+	// Condition returns what the server says of itself in an answer to the request.
+	Condition(answer *http.Response) Condition
 }
 
 // defaultCodec is the default protocol, see WithCodec.
@@ -103,6 +106,9 @@
 	return VerdictAnswered
 }
 
+// Condition implements Codec. The default protocol has no headers for it.
+func (defaultCodec) Condition(*http.Response) Condition { return Condition{} }
+
 // result classifies the end of a run for admission control.
 type result int
 
@@ -126,12 +132,17 @@
 	address   string
 	codec     Codec
 	transport *http.Transport
+	// observe is called with the condition of each answer, the server it was meant
+	// for and when the request was sent.
+	observe func(cn Condition, serverID string, sentAt timer.Instant)
+	now     func() timer.Instant
 }
 
-func newBackend(address string) *backend {
+func newBackend(address string, now func() timer.Instant) *backend {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &backend{
-		address: address, codec: defaultCodec{},
+		address: address, codec: defaultCodec{}, now: now,
+		observe: func(Condition, string, timer.Instant) {},
 		transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
 			IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxAnswerHeader,
@@ -194,11 +205,12 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wasConnected.Store(true) }}
 	ex := Exchange{Request: jo.rq, ServerID: serverID, Epoch: epoch, Remaining: remaining(ctx)}
 	re := bs.request(httptrace.WithClientTrace(ctx, trace), ex)
+	sentAt := bs.now()
 	answer, err := bs.transport.RoundTrip(re)
 	if err != nil {
 		return classifyError(ctx, err, wasConnected.Load())
 	}
-	return bs.read(ctx, answer, ex)
+	return bs.read(ctx, answer, ex, sentAt)
 }
 
 // classifyError classifies a failed request. It is certain not to have run only if
@@ -234,13 +246,16 @@
 }
 
 // read reads and classifies an answer.
-func (bs *backend) read(ctx context.Context, answer *http.Response, ex Exchange) (*peerproto.ForwardResponse, result) {
+func (bs *backend) read(ctx context.Context, answer *http.Response, ex Exchange, sentAt timer.Instant) (*peerproto.ForwardResponse, result) {
 	defer answer.Body.Close()
 	verdict := bs.codec.Decode(answer, ex)
 	if verdict == VerdictMismatch {
 		// The body is not read, so that the connection is not reused.
 		return lost("the answer belongs to another request"), resultAnswered
 	}
+	if verdict != VerdictNotOwner { // such an answer may come from the server's successor
+		bs.observe(bs.codec.Condition(answer), ex.ServerID, sentAt)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, answer.Body, MaxAnswer))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -124,6 +124,7 @@
 	reportedAt   timer.Instant
 	overloadedAt timer.Instant
 	isDraining   bool
+	condition  observedCondition
 	// isStartScheduled means that a timer will start queued requests on a cold
 	// server.
 	isStartScheduled bool
@@ -136,13 +137,14 @@
 		return nil, fmt.Errorf("gatekeeper: address %q: %w", address, err)
 	}
 	ga := &Gatekeeper{
-		pu: pu, bs: newBackend(address), lo: hclog.NewNullLogger(),
+		pu: pu, bs: newBackend(address, pu.Now), lo: hclog.NewNullLogger(),
 		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan turn{},
 		notifyCrash: func(uint64) {}, connectionRefused: func() {}, observe: func(string, string, timer.Span) {},
 	}
 	for _, opt := range opts {
 		opt(ga)
 	}
+	ga.bs.observe = ga.observeCondition
 	return ga, nil
 }
 
