Treat a server that says it is leaving in an answer as draining

A backend server that leaves says so in all its answers (Server-Leaving).

The gate refuses requests from DrainServeSpan after the first such answer, in any incarnation and without the control loop, and reports it to the loop, which moves the keys away as for a draining server. TestLeavingServerGetsNothing, TestLeavingInAnAnswerMovesTheKeys.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -36,6 +36,10 @@
 	"cornellanding.example/core/timer"
 )
 
+// DrainServeSpan is how long a leaving server still gets work after its announcement, so
+// that its keys can move first.
+const DrainServeSpan = 1200 * timer.Millisecond
+
 const (
 	// driftShare is the divisor of the clock drift margin: the server's clock may
 	// run slow by 1/driftShare of a hold.
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -20,9 +20,6 @@
 	// firstHeartbeatTimeout is how long joining waits for the server's first
 	// heartbeat: three of the usual intervals of 1 s.
 	firstHeartbeatTimeout = 3 * timer.Second
-	// drainServeSpan is how long a draining server still gets work after its
-	// announcement was acknowledged, so that its keys can move first.
-	drainServeSpan = 1200 * timer.Millisecond
 	// holdMargin is subtracted from a hold to allow for the time since the server
 	// sent the heartbeat.
 	holdMargin = 20 * timer.Millisecond
@@ -75,6 +72,19 @@
 	}
 }
 
+// ReportServerLeaving reports that the start of the backend server with this id announced
+// its end in an answer. The report is dropped if the event queue is full, and ignored if
+// the server sends no heartbeats.
+func (co *Controller) ReportServerLeaving(id string) {
+	if co.re == nil {
+		return
+	}
+	select {
+	case co.events <- serverDeregistered{id: id, reply: make(chan bool, 1)}:
+	default:
+	}
+}
+
 // isServerKnown reports whether the backend server's state is known, or no heartbeat
 // arrived within firstHeartbeatTimeout, so that it is considered absent.
 func (co *Controller) isServerKnown(now timer.Instant) bool {
@@ -230,7 +240,7 @@
 		bs.ColdUntil = heardAt.Add(hb.ColdRemaining)
 	}
 	if state == registrar.Draining {
-		bs.RefuseAt = co.drainAckAt.Add(drainServeSpan)
+		bs.RefuseAt = co.drainAckAt.Add(registrar.DrainServeSpan)
 	}
 	return bs
 }
--- a/instance/controller/server_test.go
+++ b/instance/controller/server_test.go
@@ -224,3 +224,22 @@
 	is.Equal(len(sc.re.sent["127.0.0.1:3"]), 1) // a poller that fails delegates to the next one
 	is.True(sc.re.sent["127.0.0.1:3"][0].GetPoll())
 }
+
+// TestLeavingInAnAnswerMovesTheKeys: the server announces its end in an answer before any
+// heartbeat says so.
+func TestLeavingInAnAnswerMovesTheKeys(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 1)
+	sc.beat(nil, nil)
+	sc.ReportServerLeaving("another")
+	sc.handle(<-sc.events)
+	is.Equal(sc.weight(), uint32(placer.FullWeight))
+	sc.ReportServerLeaving("s1")
+	sc.handle(<-sc.events)
+	is.Equal(sc.weight(), uint32(0))
+	is.Equal(sc.pu.BackendServer().RefuseAt, sc.clk.Now().Add(registrar.DrainServeSpan))
+	sc.clk.Advance(timer.Second)
+	sc.beat(nil, nil) // a heartbeat that was sent before says "ready"
+	is.Equal(sc.weight(), uint32(0))
+	is.Equal(sc.pu.BackendServer().RefuseAt, sc.clk.Now().Add(registrar.DrainServeSpan-timer.Second))
+}
--- a/instance/gatekeeper/condition.go
+++ b/instance/gatekeeper/condition.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
 )
@@ -21,6 +22,8 @@
 	serverID string
 	// limitedAt is when an answer last named a limit.
 	limitedAt timer.Instant
+	// refuseAt is from when a leaving server gets no new requests.
+	refuseAt timer.Instant
 }
 
 // observeCondition records the condition in an answer of the backend server to a request
@@ -46,6 +49,9 @@
 	}
 	cn.IsLeaving = cn.IsLeaving || former.IsLeaving
 	ga.condition.Condition = cn
+	if cn.IsLeaving {
+		ga.leave(now)
+	}
 	if cn == former {
 		return
 	}
@@ -54,6 +60,24 @@
 		"isLeaving", cn.IsLeaving, "formerLimit", former.RequestLimit)
 }
 
+// leave notes when a leaving server gets no new requests any more, and notifies the control
+// loop until that knows it. The lock must be held.
+func (ga *Gatekeeper) leave(now timer.Instant) {
+	if ga.condition.refuseAt == 0 {
+		ga.condition.refuseAt = now.Add(registrar.DrainServeSpan)
+	}
+	if bs := ga.pu.BackendServer(); bs != nil && bs.RefuseAt == 0 {
+		ga.serverLeaving(ga.condition.serverID)
+	}
+}
+
+// isServerLeft reports whether a server that said that it is leaving gets no new requests
+// any more. The lock must be held.
+func (ga *Gatekeeper) isServerLeft(bs *publisher.BackendServer) bool {
+	at := ga.condition.refuseAt
+	return at != 0 && ga.condition.serverID == bs.ID && !ga.pu.Now().Before(at)
+}
+
 // applyServerLimit applies the limit that the server names, and refuses the queued requests
 // that can't be served under it. The lock must be held.
 func (ga *Gatekeeper) applyServerLimit() {
--- a/instance/gatekeeper/condition_test.go
+++ b/instance/gatekeeper/condition_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
 	"github.com/matryer/is"
@@ -30,11 +31,12 @@
 
 // limitedServer is a shared backend server of 9 slots that names a limit, "" for none.
 type limitedServer struct {
-	pu    *publisher.Publisher
-	url   string
-	limit atomic.Value
-	mu    sync.Mutex
-	at    []time.Time
+	pu        *publisher.Publisher
+	url       string
+	limit     atomic.Value
+	isLeaving atomic.Bool
+	mu        sync.Mutex
+	at        []time.Time
 }
 
 func newLimitedServer(t *testing.T) *limitedServer {
@@ -49,6 +51,9 @@
 		if limit := ls.limit.Load().(string); limit != "" {
 			wr.Header().Set("Limit", limit)
 		}
+		if ls.isLeaving.Load() {
+			wr.Header().Set("Leaving", "1")
+		}
 	}))
 	t.Cleanup(server.Close)
 	ls.url = strings.TrimPrefix(server.URL, "http://")
@@ -133,3 +138,30 @@
 	ga.observeCondition(Condition{}, "s1", ls.pu.Now()+1)
 	is.Equal(ga.Condition().observed.Condition, Condition{})
 }
+
+// TestLeavingServerGetsNothing: the server says that it leaves in its answers only. Neither
+// the gate nor that of a next incarnation sends it requests after the time that is left
+// for moving its keys.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	is := is.New(t)
+	ls := newLimitedServer(t)
+	var reported atomic.Int32
+	ga := ls.gate(t, WithLeavingServer(func(id string) {
+		if id == "s1" {
+			reported.Add(1)
+		}
+	}))
+	ls.isLeaving.Store(true)
+	ls.load(ga, 100*time.Millisecond)
+	is.True(reported.Load() > 1)
+	ls.pu.SetBackendServer(publisher.BackendServer{ID: "s1", Slots: 9, RefuseAt: ls.pu.Now().Add(timer.Second)})
+	before := reported.Load()
+	ls.load(ga, 100*time.Millisecond)
+	is.Equal(reported.Load(), before) // the control loop knows it
+	ls.pu.SetBackendServer(publisher.BackendServer{ID: "s1", Slots: 9})
+	time.Sleep(registrar.DrainServeSpan.Duration() + 300*time.Millisecond)
+	is.Equal(ls.load(ga, 100*time.Millisecond), 0)
+	is.Equal(ls.load(ls.gate(t, WithFormerCondition(ga.Condition())), 100*time.Millisecond), 0)
+	ls.pu.SetBackendServer(publisher.BackendServer{ID: "s2", Slots: 9})
+	is.Equal(ls.load(ga, 100*time.Millisecond), 10)
+}
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -90,6 +90,14 @@
 	return func(ga *Gatekeeper) { ga.connectionRefused = connectionRefused }
 }
 
+// WithLeavingServer sets the function called when an answer says that the backend server
+// with the ID is leaving, again with each further answer until the published state of the
+// server tells from when to refuse requests. It is called with the Gatekeeper's lock held,
+// so it must not call the Gatekeeper.
+func WithLeavingServer(serverLeaving func(id string)) Option {
+	return func(ga *Gatekeeper) { ga.serverLeaving = serverLeaving }
+}
+
 // WithObserver sets the function called after each request, for metrics.
 func WithObserver(observe func(outcome, code string, latency timer.Span)) Option {
 	return func(ga *Gatekeeper) { ga.observe = observe }
@@ -104,6 +112,7 @@
 	sampleEvery       uint64
 	notifyCrash       func(fingerprint uint64)
 	connectionRefused func()
+	serverLeaving     func(id string)
 	observe           func(outcome, code string, latency timer.Span)
 
 	mu      sync.Mutex
@@ -139,7 +148,7 @@
 	ga := &Gatekeeper{
 		pu: pu, bs: newBackend(address, pu.Now), lo: hclog.NewNullLogger(),
 		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan turn{},
-		notifyCrash: func(uint64) {}, connectionRefused: func() {}, observe: func(string, string, timer.Span) {},
+		notifyCrash: func(uint64) {}, connectionRefused: func() {}, serverLeaving: func(string) {}, observe: func(string, string, timer.Span) {},
 	}
 	for _, opt := range opts {
 		opt(ga)
@@ -444,7 +453,10 @@
 	if ctx.Err() != nil {
 		return refuse(admitter.CodeDeadline, "the deadline passed before the start"), false
 	}
-	if refusal := ga.refuseIfServerUnavailable(); refusal != nil {
+	ga.mu.Lock()
+	refusal := ga.refuseIfServerUnavailable()
+	ga.mu.Unlock()
+	if refusal != nil {
 		return refusal, false
 	}
 	if jo.sv.Class == cataloguer.Shared {
--- a/instance/gatekeeper/server.go
+++ b/instance/gatekeeper/server.go
@@ -10,7 +10,8 @@
 )
 
 // refuseIfServerUnavailable returns a refusal if the backend server is expected to
-// announce itself and has not done so yet, or is shutting down, or else nil.
+// announce itself and has not done so yet, or is shutting down, or else nil. The lock must
+// be held.
 func (ga *Gatekeeper) refuseIfServerUnavailable() *peerproto.ForwardResponse {
 	bs := ga.pu.BackendServer()
 	switch {
@@ -18,7 +19,7 @@
 		return nil
 	case bs.ID == "":
 		return refuse(CodeServerUnknown, "the backend server has not been heard of")
-	case bs.RefuseAt != 0 && !ga.pu.Now().Before(bs.RefuseAt):
+	case bs.RefuseAt != 0 && !ga.pu.Now().Before(bs.RefuseAt), ga.isServerLeft(bs):
 		return refuse(admitter.CodeDraining, "the backend server is leaving")
 	default:
 		return nil
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -326,6 +326,7 @@
 		gatekeeper.WithCrashNotifier(func(fingerprint uint64) { in.co.ReportSuspect(fingerprint) }),
 		gatekeeper.WithObserver(ro.meter.ObserveAdmission),
 		gatekeeper.WithRefusedConnection(func() { in.co.ReportConnectionRefused() }),
+		gatekeeper.WithLeavingServer(func(id string) { in.co.ReportServerLeaving(id) }),
 	}
 	if last := ro.current.Load(); last != nil {
 		gateOptions = append(gateOptions, gatekeeper.WithFormerCondition(last.ga.Condition()))
