controller: give a server that drains already at the instance's start no more requests

It refuses at once now. The keys have another owner by then, or get one. TestRestartedInstanceRefusesForADrainingServer failed before.

--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -117,9 +117,8 @@
 	heldHeartbeat *delayedReply
 	// server is the last logged state of the backend server.
 	server registrar.State
-	// drainAckAt is when the server's announcement that it drains was
-	// acknowledged.
-	drainAckAt timer.Instant
+	// refuseAt is from when a draining server gets no new requests.
+	refuseAt timer.Instant
 	// writtenWeight is the weight in the latest write of this instance's row.
 	writtenWeight      uint32
 	nextWeightUpdateAt timer.Instant
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -225,7 +225,11 @@
 		co.lo.Info("backend server state", "server", hb.ID, "from", co.server.String(), "to", state.String(),
 			"sequence", hb.Sequence, "heardAgo", now.Sub(heardAt).Duration().String(), "coldFor", hb.ColdRemaining.Duration().String())
 		if state == registrar.Draining {
-			co.drainAckAt = now
+			co.refuseAt = now.Add(registrar.DrainServeSpan)
+		}
+		if state == registrar.Draining && co.server == registrar.Unknown {
+			// A former instance may have acknowledged it long ago.
+			co.refuseAt = now
 		}
 		co.server = state
 		co.nextWeightUpdateAt = now
@@ -240,7 +244,7 @@
 		bs.ColdUntil = heardAt.Add(hb.ColdRemaining)
 	}
 	if state == registrar.Draining {
-		bs.RefuseAt = co.drainAckAt.Add(registrar.DrainServeSpan)
+		bs.RefuseAt = co.refuseAt
 	}
 	return bs
 }
--- a/instance/controller/server_test.go
+++ b/instance/controller/server_test.go
@@ -243,3 +243,16 @@
 	is.Equal(sc.weight(), uint32(0))
 	is.Equal(sc.pu.BackendServer().RefuseAt, sc.clk.Now().Add(registrar.DrainServeSpan-timer.Second))
 }
+
+// TestRestartedInstanceRefusesForADrainingServer: an instance that starts beside a server
+// that drains already can't tell how long ago its predecessor acknowledged that.
+func TestRestartedInstanceRefusesForADrainingServer(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 1)
+	sc.handle(heartbeatReceived{reply: make(chan registrar.Reply, 1), heartbeat: registrar.Heartbeat{
+		ID: "s1", StartedAt: 1, Sequence: 7, Slots: 4, IsDraining: true,
+	}})
+	bs := sc.pu.BackendServer()
+	is.True(bs.RefuseAt != 0)
+	is.True(bs.RefuseAt <= sc.clk.Now())
+}
