controller: one unreadable row no longer stops joins, takeovers and folds

Reported by operators of systems like ours: another writer left an odd entry, and whoever read the list stopped following it. Here an odd row among the members or the maps failed every fold, and so every join, takeover and drain (LOST); a row with a port out of range became a member and got keys.

Rows that can't be read, that name another server than their key or whose address is no IP:port are skipped and logged. A member whose own row became unreadable keeps its place, since nothing proves that it stopped, and an unreadable map isn't replaced.

No process ends by it, before or after: the JSON decoder bounds the depth.

--- a/core/folder/folder.go
+++ b/core/folder/folder.go
@@ -61,8 +61,11 @@
 
 // Input holds the arguments of Fold.
 type Input struct {
-	Rows   []InstanceRow
-	Config cataloguer.Config
+	Rows []InstanceRow
+	// Unreadable names the backend servers whose rows can't be read. Their members stay
+	// as they are: nothing proves that they stopped.
+	Unreadable []string
+	Config     cataloguer.Config
 	// Maps holds the current maps by service.
 	Maps map[string]placer.Map
 	// At is the current time in milliseconds since 1970. It is recorded with the
@@ -86,7 +89,7 @@
 			// one.
 			continue
 		}
-		ne, isChanged := updateMembers(ma.NextVersion(in.At), ma, members)
+		ne, isChanged := updateMembers(ma.NextVersion(in.At), ma, members, in.Unreadable)
 		ne.ConfigVersion = in.Config.Version
 		settled := settledVersion(ma, ne.Version, in.Rows)
 		// A shared service has no hand-overs, so its history is dropped only along
@@ -159,12 +162,15 @@
 }
 
 // updateMembers changes the members of ne, which is ma at its next version, to the
-// wanted ones and reports whether any differed. It removes members before it adds
-// any, since a new incarnation may have the backend server of a removed one.
-func updateMembers(ne, ma placer.Map, members []placer.Member) (placer.Map, bool) {
+// wanted ones and reports whether any differed, except for those of the backend servers
+// named by kept. It removes members before it adds any, since a new incarnation may have
+// the backend server of a removed one.
+func updateMembers(ne, ma placer.Map, members []placer.Member, kept []string) (placer.Map, bool) {
 	isChanged := false
 	for _, me := range ma.Members {
-		if !slices.ContainsFunc(members, func(wa placer.Member) bool { return wa.Incarnation == me.Incarnation }) {
+		isWanted := slices.Contains(kept, me.BackendServer) ||
+			slices.ContainsFunc(members, func(wa placer.Member) bool { return wa.Incarnation == me.Incarnation })
+		if !isWanted {
 			ne = ne.WithoutMember(me.BackendServer, me.Incarnation)
 			isChanged = true
 		}
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -209,6 +209,7 @@
 	if co.tableStore.table == nil || !hasConfigs || co.peers == nil || co.sender == nil || co.pu == nil || co.buckets == nil {
 		return nil, errors.New("controller: table, objects, peers, buckets, sender and publisher are needed")
 	}
+	co.tableStore.lo = co.lo
 	co.self = co.pu.Self()
 	co.startedAt = co.pu.Now()
 	co.nextOrphansAt = co.startedAt.Add(co.leaseTerm + orphanDelay)
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -18,6 +19,7 @@
 	"cornellanding.example/port/storer"
 	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/encoder"
+	"github.com/hashicorp/go-hclog"
 )
 
 const (
@@ -40,6 +42,7 @@
 	// externalConfig returns the configuration in force if operators keep it
 	// outside the table, else it is nil.
 	externalConfig func() cataloguer.Config
+	lo             hclog.Logger
 }
 
 // readDocuments reads the documents that are newer than the given versions. The
@@ -89,6 +92,11 @@
 	var docs []Document
 	for _, ro := range rows {
 		do, err := ts.toDocument(ctx, ro)
+		var de *encoder.DecodeError
+		if errors.As(err, &de) && ro.Key != ConfigKey {
+			ts.logUnreadable(ro, err)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -97,6 +105,38 @@
 	return docs, nil
 }
 
+// logUnreadable logs a row that another writer may have left. The other rows hold.
+func (ts *tableStore) logUnreadable(ro tabler.Row, err error) {
+	ts.lo.Warn("row of the table is unreadable, ignored", "key", ro.Key, "version", ro.Version, "error", err)
+}
+
+// decodeMember decodes a member row. The error is an *encoder.DecodeError or a *MemberError.
+func decodeMember(ro tabler.Row) (folder.InstanceRow, error) {
+	ir, err := encoder.DecodeInstanceRow(ro.Value, ro.Version)
+	if err != nil {
+		return folder.InstanceRow{}, err
+	}
+	if ir.BackendServer != strings.TrimPrefix(ro.Key, MemberPrefix) {
+		return folder.InstanceRow{}, &MemberError{Key: ro.Key, Field: "backendServer", Value: ir.BackendServer}
+	}
+	if _, err := netip.ParseAddrPort(ir.Address); err != nil {
+		return folder.InstanceRow{}, &MemberError{Key: ro.Key, Field: "address", Value: ir.Address}
+	}
+	return ir, nil
+}
+
+// MemberError reports a member row that no instance can have written.
+type MemberError struct {
+	Key   string
+	Field string
+	Value string
+}
+
+// Error implements error.
+func (er *MemberError) Error() string {
+	return fmt.Sprintf("controller: row %s: %s: bad value %q", er.Key, er.Field, er.Value)
+}
+
 // toDocument returns the document of a row. A map's version is part of its content
 // and may differ from that of its row.
 func (ts *tableStore) toDocument(ctx context.Context, ro tabler.Row) (Document, error) {
@@ -136,9 +176,10 @@
 	}
 	var holders []placer.Member
 	for _, ro := range rows {
-		ir, err := encoder.DecodeInstanceRow(ro.Value, ro.Version)
+		ir, err := decodeMember(ro)
 		if err != nil {
-			return nil, err
+			ts.logUnreadable(ro, err)
+			continue
 		}
 		isFormer := func(wt leaser.WatcherID) bool {
 			return wt.BackendServer == self.BackendServer && wt.Incarnation != self.Incarnation
@@ -273,9 +314,11 @@
 			agreed = append(agreed, ro)
 			continue
 		}
-		ir, err := encoder.DecodeInstanceRow(ro.Value, ro.Version)
+		ir, err := decodeMember(ro)
 		if err != nil {
-			return in, nil, err
+			ts.logUnreadable(ro, err)
+			in.Unreadable = append(in.Unreadable, strings.TrimPrefix(ro.Key, MemberPrefix))
+			continue
 		}
 		in.Rows = append(in.Rows, ir)
 	}
@@ -319,7 +362,12 @@
 			return nil, false, fmt.Errorf("controller: encode map: %w", err)
 		}
 		key := MapPrefix + ma.Service
-		tx.Conditions = append(tx.Conditions, tabler.Condition{Key: key, Version: tabler.Find(rows, key).Version})
+		former := tabler.Find(rows, key)
+		if _, err := encoder.DecodeMap(former.Value); former.Version != 0 && err != nil {
+			// The owners under the unreadable map are not known.
+			return nil, false, err
+		}
+		tx.Conditions = append(tx.Conditions, tabler.Condition{Key: key, Version: former.Version})
 		tx.Writes = append(tx.Writes, tabler.Write{Key: key, Value: content})
 		docs = append(docs, Document{Name: key, Version: ma.Version, Content: content})
 	}
