Send a copy of a refused request on a connection of its own

Reported by operators of systems like ours: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run which the server had run (REFUSED), or they ran at a second server (TWICE).

Here another request on that connection was safe on the users' platform, since answers repeat the request's id. A further copy of the refused request was not: it has the same id, so the repeated refusal passed for its answer while it ran. In the project's own protocol even another request was misjudged.

Forwarded copies say that a server refused the request before, and the gate sends them on a connection of their own, which has carried no refusal. In the own protocol a Request-Id in an answer must match.

--- a/instance/forwarder/attempts_test.go
+++ b/instance/forwarder/attempts_test.go
@@ -129,3 +129,21 @@
 	is.True(time.Since(startedAt) < 100*time.Millisecond) // refused at once
 	is.Equal([]any{rf.Status, rf.Code, rf.MayHaveRun(), rf.RetryAfter}, []any{http.StatusServiceUnavailable, admitter.CodeServerLimit, false, timer.Second})
 }
+
+// TestCopiesTellThatTheyWereRefused: the gate needs to know that the answer to a copy could
+// be the refusal of an earlier one.
+func TestCopiesTellThatTheyWereRefused(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t, WithRetryBudget(1, 100))
+	fl.set(func(_ context.Context, rq *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		if rq.GetRefused() {
+			return answered("ok")
+		}
+		return refused(gatekeeper.CodeShed)
+	}, "a", "b")
+	for _, path := range []string{"/key/x", "/order/x", "/page/x"} {
+		_, rf := fo.Do(context.Background(), toPath(path))
+		is.Equal(rf, nil)
+	}
+	is.Equal(len(fl.seen), 6)
+}
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -401,12 +401,15 @@
 		Remaining: int64(remaining), IdempotencyKey: ca.idemKey, Attempt: uint32(ca.attempts), To: to.Incarnation,
 		Idempotent: ca.idempotent, Priority: uint32(ca.priority), Crashes: ca.crashes.Load(),
 		Host: ca.host, CallerService: ca.callerService, TargetRemaining: int64(ca.targetLeft(fo.so.Now())),
-		RepeatShare: ca.repeatShare,
+		RepeatShare: ca.repeatShare, Refused: ca.wasRefused.Load(),
 	}
 	answer, wasSent, err := fo.gates.Forward(ctx, to.Address, rq)
 	if answer.GetCode() == gatekeeper.CodeCrashed {
 		ca.crashes.Add(1)
 	}
+	if isRejectedByServer(answer) {
+		ca.wasRefused.Store(true)
+	}
 	if err == nil && answer.GetRequestId() != ca.id {
 		return attempt{to: to, wasSent: true, err: errMismatchedAnswer}
 	}
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -234,6 +234,8 @@
 	// arrivals counts the copies that a backend server received or may still receive,
 	// over all copies of the call.
 	arrivals *atomic.Int32
+	// wasRefused means that a backend server refused a copy.
+	wasRefused *atomic.Bool
 	// repeatShare is how likely the request is a call by a repeat, from 0 to 1.
 	repeatShare float64
 	servedBy    string
@@ -244,8 +246,8 @@
 	crashes *atomic.Uint32
 }
 
-// copy returns a copy of the call for a concurrent attempt. Crashes and arrivals stay
-// shared.
+// copy returns a copy of the call for a concurrent attempt. Crashes, arrivals and
+// wasRefused stay shared.
 func (ca *call) copy() *call {
 	copied := *ca
 	return &copied
@@ -261,7 +263,7 @@
 	var id [requestIDBytes]byte
 	// Read of crypto/rand never fails.
 	_, _ = rand.Read(id[:])
-	return &call{id: hex.EncodeToString(id[:]), startedAt: now, crashes: &atomic.Uint32{}, arrivals: &atomic.Int32{}}
+	return &call{id: hex.EncodeToString(id[:]), startedAt: now, crashes: &atomic.Uint32{}, arrivals: &atomic.Int32{}, wasRefused: &atomic.Bool{}}
 }
 
 // serve handles a request on a route by method and path.
--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -98,12 +98,18 @@
 	}
 }
 
-// Decode implements Codec.
-func (defaultCodec) Decode(answer *http.Response, _ Exchange) Verdict {
-	if answer.Header.Get(headerOutcome) == outcomeNotRun {
+// Decode implements Codec. A server that repeats the Request-Id is checked to answer that
+// request.
+func (defaultCodec) Decode(answer *http.Response, ex Exchange) Verdict {
+	id := answer.Header.Get(headerRequestID)
+	switch {
+	case id != "" && id != ex.Request.GetRequestId():
+		return VerdictMismatch
+	case answer.Header.Get(headerOutcome) == outcomeNotRun:
 		return VerdictNotRun
+	default:
+		return VerdictAnswered
 	}
-	return VerdictAnswered
 }
 
 // Condition implements Codec. The default protocol has no headers for it.
@@ -132,6 +138,10 @@
 	address   string
 	codec     Codec
 	transport *http.Transport
+	// single is for copies of requests that a server refused: each gets a connection of
+	// its own. On a kept one, the refusal might come once more, in place of the answer to
+	// the copy, which has the same request ID.
+	single *http.Transport
 	// observe is called with the condition of each answer, the server it was meant
 	// for and when the request was sent.
 	observe func(cn Condition, serverID string, sentAt timer.Instant)
@@ -139,14 +149,18 @@
 }
 
 func newBackend(address string, now func() timer.Instant) *backend {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &backend{
 		address: address, codec: defaultCodec{}, now: now,
-		observe: func(Condition, string, timer.Instant) {},
-		transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
-			IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxAnswerHeader,
-		},
+		observe:   func(Condition, string, timer.Instant) {},
+		transport: newTransport(false), single: newTransport(true),
+	}
+}
+
+func newTransport(isSingleUse bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true, DisableKeepAlives: isSingleUse,
+		IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxAnswerHeader,
 	}
 }
 
@@ -155,6 +169,7 @@
 func (bs *backend) setConnections(connections int) {
 	bs.transport.MaxConnsPerHost = connections
 	bs.transport.MaxIdleConnsPerHost = connections
+	bs.single.MaxConnsPerHost = connections
 }
 
 func (bs *backend) close() { bs.transport.CloseIdleConnections() }
@@ -206,7 +221,11 @@
 	ex := Exchange{Request: jo.rq, ServerID: serverID, Epoch: epoch, Remaining: remaining(ctx)}
 	re := bs.request(httptrace.WithClientTrace(ctx, trace), ex)
 	sentAt := bs.now()
-	answer, err := bs.transport.RoundTrip(re)
+	transport := bs.transport
+	if jo.rq.GetRefused() {
+		transport = bs.single
+	}
+	answer, err := transport.RoundTrip(re)
 	if err != nil {
 		return classifyError(ctx, err, wasConnected.Load())
 	}
