--- a/instance/gatekeeper/condition_test.go
+++ b/instance/gatekeeper/condition_test.go
@@ -165,3 +165,31 @@
 	ls.pu.SetBackendServer(publisher.BackendServer{ID: "s2", Slots: 9})
 	is.Equal(ls.load(ga, 100*time.Millisecond), 10)
 }
+
+// TestRestartedGateKeepsToTheLimit: the process of the gate starts again while requests
+// arrive together, so that the gate learns the limit anew from the first answer. Entry
+// instances elsewhere have passed the limit on.
+func TestRestartedGateKeepsToTheLimit(t *testing.T) {
+	is := is.New(t)
+	const window = 4 * time.Second
+	ls := newLimitedServer(t)
+	ls.limit.Store("1")
+	ga := ls.gate(t)
+	ls.load(ga, 200*time.Millisecond)
+	ls.load(ga, window-500*time.Millisecond)
+	next := ls.gate(t)
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rq := request("together "+strconv.Itoa(i), "")
+			rq.Service, rq.Idempotent, rq.Remaining = "pages", true, int64(400*time.Millisecond)
+			next.Forward(context.Background(), rq)
+		}()
+	}
+	wg.Wait()
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	is.True(len(ls.at) <= 11) // 1.5 x 1 x 4 + 5
+}
