--- a/instance/gatekeeper/cuthead_test.go
+++ b/instance/gatekeeper/cuthead_test.go
@@ -43,11 +43,11 @@
 func TestCutHeadIsNoAnswer(t *testing.T) {
 	ga := newGate(t)
 	for name, head := range map[string]string{
-		"length":    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nX-Server-Signature: s\r\nContent-Length: 5\r\n\r\n",
-		"no length": "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nX-Server-Signature: s\r\nConnection: close\r\n\r\n",
-		"chunked":   "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nX-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
-		"HTTP/1.0":  "HTTP/1.0 200 OK\r\nRequest-Id: 1\r\nX-Server-Signature: s\r\n\r\n",
-		"bare LF":   "HTTP/1.1 200 OK\nRequest-Id: 1\nX-Server-Signature: s\nContent-Length: 5\n\n",
+		"length":    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer: s\r\nContent-Length: 5\r\n\r\n",
+		"no length": "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer: s\r\nConnection: close\r\n\r\n",
+		"chunked":   "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.0":  "HTTP/1.0 200 OK\r\nRequest-Id: 1\r\nServer: s\r\n\r\n",
+		"bare LF":   "HTTP/1.1 200 OK\nRequest-Id: 1\nServer: s\nContent-Length: 5\n\n",
 	} {
 		for _, isReset := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
