--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -81,17 +81,3 @@
 	}
 	return most
 }
-
-func slashes(wo *world, isTroubled bool) (verdict, error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	if err := wo.startFleet(ctx, plainService, fleetSize); err != nil {
-		return verdict{}, err
-	}
-	path := "/browse//x?ms=1"
-	if isTroubled {
-		path = "//browse/x?ms=1"
-	}
-	rs := wo.send(wo.machines[0], "GET", path, -1, 2*time.Second)
-	return verdict{isBroken: false, text: fmt.Sprint(rs, wo.rec.runs(rs.id))}, nil
-}
--- a/review/standin/writer.go
+++ b/review/standin/writer.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"time"
 )
 
@@ -61,13 +60,9 @@
 	time.Sleep(2 * time.Second)
 	mc := wo.machines[1]
 	if isTroubled {
-		state := "draining"
-		if st := os.Getenv("STATE"); st != "" {
-			state = st
-		}
 		body, err := json.Marshal(map[string]any{
 			"born": time.Now().UnixMilli(), "info": map[string]any{"service": shardedService, "version": "v1", "zone": mc.zone, "slots": slots},
-			"status": map[string]any{"state": state, "seq": 1, "coldRemainingS": 0}, "holds": []any{}, "freed": []any{},
+			"status": map[string]any{"state": "draining", "seq": 1, "coldRemainingS": 0}, "holds": []any{}, "freed": []any{},
 		})
 		if err != nil {
 			return verdict{}, err
