--- a/review/standin/writer.go
+++ b/review/standin/writer.go
@@ -62,7 +62,7 @@
 	if isTroubled {
 		body, err := json.Marshal(map[string]any{
 			"born": time.Now().UnixMilli(), "info": map[string]any{"service": shardedService, "version": "v1", "zone": mc.zone, "slots": slots},
-			"status": map[string]any{"state": "draining", "seq": 1, "coldRemainingS": 0}, "holds": []any{}, "freed": []any{},
+			"status": map[string]any{"state": "draining", "seq": 1, names["coldField"]: 0}, "holds": []any{}, "freed": []any{},
 		})
 		if err != nil {
 			return verdict{}, err
