--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -114,6 +114,9 @@
 	IsDraining bool
 	// ColdRemaining is how much longer the server takes to warm up, 0 if it is warm.
 	ColdRemaining timer.Span
+	// OmitsHolds means that the heartbeat does not say which ranges the server holds.
+	// Then Holds and Released are empty.
+	OmitsHolds bool
 	// Holds lists the ranges that the server holds or still serves requests for.
 	Holds []Hold
 	// Released lists the ranges given up since the last acknowledged heartbeat.
@@ -231,7 +234,7 @@
 		// A grant of a former instance may still be applied after a release.
 		re.partitions[pt].order.unansweredUntil = re.startedAt.Add(re.term)
 	}
-	if re.isKnown && !re.UsesOrders() {
+	if re.isKnown && !re.latest.OmitsHolds && !re.UsesOrders() {
 		re.recordHolds(re.latest)
 	}
 }
@@ -244,11 +247,13 @@
 }
 
 // ApplyHeartbeat updates the state by a heartbeat received at now. It ignores a
-// heartbeat that is not newer than the latest one, and reports whether it was
-// applied.
+// heartbeat that is not newer than the latest one, or that must list the server's
+// holds and does not. It reports whether the heartbeat was applied.
 func (re *Registrar) ApplyHeartbeat(hb Heartbeat, now timer.Instant) bool {
 	isSame := re.isKnown && hb.ID == re.latest.ID && hb.StartedAt == re.latest.StartedAt
 	switch {
+	case hb.OmitsHolds && len(re.ranges) > 0 && !re.UsesOrders():
+		return false
 	case isSame && hb.Sequence <= re.latest.Sequence:
 		return false
 	case re.isKnown && hb.StartedAt < re.latest.StartedAt:
@@ -260,7 +265,7 @@
 		re.restarts = min(re.restarts+1, maxRestarts)
 	}
 	re.latest, re.isKnown, re.isDown, re.heartbeatAt = hb, true, false, now
-	if !re.UsesOrders() {
+	if !hb.OmitsHolds && !re.UsesOrders() {
 		re.recordHolds(hb)
 	}
 	return true
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -246,3 +246,15 @@
 	is.Equal(re.State(16*second), Draining)
 	is.Equal(re.State(16*second).String(), "draining")
 }
+
+// TestHeartbeatWithoutHoldsFreesNothing guards against freeing partitions because of a
+// heartbeat that does not say what the server holds.
+func TestHeartbeatWithoutHoldsFreesNothing(t *testing.T) {
+	is := is.New(t)
+	re := newRegistrar(t)
+	grant(re)
+	other := Heartbeat{ID: "w1", StartedAt: 2, Sequence: 1, Slots: 4, OmitsHolds: true}
+	is.True(!re.ApplyHeartbeat(other, 12*second))
+	is.True(!re.IsFree(0, 12*second))
+	is.True(re.ApplyHeartbeat(beat(2), 13*second)) // the server itself is still heard
+}
