A planned stop before the instance has joined ends in order

Cause: onStopRequested ended the hand-over of an instance that had not joined, and advanceStop, unaware of that, wrote the row, found that of the former process and ended the hand-over again. A join under way was not awaited, so its row could outlive the process.

The request to stop is only recorded now, and advanceStop decides alone: it awaits a join under way, and without one there is nothing to hand over and no row to write. Calls to a controller whose event loop has ended return its error; a stop waited for it up to three quarters of the grace period.

--- a/instance/controller/calls.go
+++ b/instance/controller/calls.go
@@ -27,17 +27,21 @@
 }
 
 // call posts an event and waits for its reply. It returns the context's error if
-// ctx ends first.
+// ctx ends first, and that of Run if Run returns first.
 func call[R any](ctx context.Context, co *Controller, reply <-chan R, ev event) (R, error) {
 	var zero R
 	select {
 	case co.events <- ev:
+	case <-co.ended:
+		return zero, co.err
 	case <-ctx.Done():
 		return zero, ctx.Err()
 	}
 	select {
 	case re := <-reply:
 		return re, nil
+	case <-co.ended:
+		return zero, co.err
 	case <-ctx.Done():
 		return zero, ctx.Err()
 	}
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -189,13 +189,15 @@
 	fr                 *freshener.Freshener
 	tableError         string
 	stopping           *stopState
-	err                error
+	// err is the error of Run, and ended is closed once it is final.
+	err   error
+	ended chan struct{}
 }
 
 // New returns a controller that has not joined yet.
 func New(opts ...Option) (*Controller, error) {
 	co := &Controller{
-		leaseTerm: leaser.DefaultTerm, events: make(chan event, eventQueue), ds: newDocuments(),
+		leaseTerm: leaser.DefaultTerm, events: make(chan event, eventQueue), ended: make(chan struct{}), ds: newDocuments(),
 		warner: warner.New(), ownerships: map[string]*ownership{},
 		ackClocks: map[uint64]uint32{}, reported: map[string]uint64{}, settleChanges: settleChanges, settleSpread: settleSpread,
 		isSyncing: map[uint64]bool{}, avoidUntil: map[uint64]timer.Instant{},
@@ -255,6 +257,7 @@
 		co.step(now)
 		wake.Reset(co.nextTickAt.Sub(now).Duration())
 	}
+	close(co.ended)
 	co.pu.SetLeaseUntil(0)
 	co.pu.CancelIfLapsed()
 	return co.err
--- a/instance/controller/leave.go
+++ b/instance/controller/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"cornellanding.example/core/folder"
 )
@@ -28,36 +29,44 @@
 	handedOver chan struct{}
 	// done is closed at the end of the stop. It is nil until Leave is called.
 	done chan struct{}
-	// hasEnded is set if the incarnation was revoked or replaced meanwhile. Then it
-	// serves nothing and has no row left to write.
+	// hasEnded is set if the incarnation was revoked or replaced meanwhile, or has never
+	// joined. Then it serves nothing and has no row left to write.
 	hasEnded bool
 }
 
 // HandOver hands all owned partitions over to other instances and returns once
-// that is done, or with the context's error. The event loop keeps running, so that
-// the instance can forward callers' requests until Leave.
+// that is done, or with the error of the context or of Run. The event loop keeps
+// running, so that the instance can forward callers' requests until Leave.
 func (co *Controller) HandOver(ctx context.Context) error {
 	done := make(chan struct{})
 	return co.await(ctx, stopRequested{handedOver: done}, done)
 }
 
 // Leave completes a planned stop after HandOver: it marks the incarnation as left
-// and makes Run return ErrLeft.
+// and makes Run return ErrLeft. The error is that of the context or of Run, ErrRevoked
+// if the incarnation's lease was revoked meanwhile.
 func (co *Controller) Leave(ctx context.Context) error {
 	done := make(chan struct{})
 	return co.await(ctx, stopRequested{done: done}, done)
 }
 
-// await posts an event and waits until done is closed or ctx ends.
+// await posts an event and waits until done is closed, ctx ends or Run returns.
 func (co *Controller) await(ctx context.Context, ev event, done <-chan struct{}) error {
 	select {
 	case co.events <- ev:
+	case <-co.ended:
+		return co.err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	select {
 	case <-done:
 		return nil
+	case <-co.ended:
+		if errors.Is(co.err, ErrLeft) {
+			return nil
+		}
+		return co.err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -73,27 +82,25 @@
 	if ev.done != nil {
 		co.stopping.done = ev.done
 	}
-	switch {
-	case !co.isJoined && co.stopping.done != nil:
-		co.finishStop()
-	case !co.isJoined:
-		close(co.stopping.handedOver)
-	}
 }
 
 // advanceStop starts the next step of a planned stop once the current one is
-// complete.
+// complete. An instance that has not joined has nothing to hand over and no row to
+// write; a join under way is awaited, since its row may be committed.
 func (co *Controller) advanceStop() {
 	if co.stopping == nil || co.stopping.isBusy || co.isWritingRow || co.isJoining {
 		return
 	}
+	if !co.isJoined {
+		co.stopping.hasEnded = true
+	}
 	switch co.stopping.phase {
-	case phaseDropWeight:
-		co.writeStopRow(folder.Active)
-	case phaseHandOver:
-		if co.hasHandedOver() {
-			co.stopping.phase = phaseServe
-			close(co.stopping.handedOver)
+	case phaseDropWeight, phaseHandOver:
+		switch {
+		case co.stopping.hasEnded, co.stopping.phase == phaseHandOver && co.hasHandedOver():
+			co.endHandOver()
+		case co.stopping.phase == phaseDropWeight:
+			co.writeStopRow(folder.Active)
 		}
 	case phaseServe:
 		switch {
@@ -108,6 +115,12 @@
 	}
 }
 
+// endHandOver ends the hand-over of a planned stop. It is called once.
+func (co *Controller) endHandOver() {
+	co.stopping.phase = phaseServe
+	close(co.stopping.handedOver)
+}
+
 // writeStopRow writes this instance's row with weight 0 and folds it into the maps.
 // Each tick retries until that succeeds.
 func (co *Controller) writeStopRow(state folder.State) {
@@ -154,7 +167,7 @@
 	co.lo.Warn("planned stop: incarnation has ended already", "incarnation", co.self.Incarnation, "error", cause)
 	co.stopping.hasEnded = true
 	if co.stopping.phase < phaseServe {
-		close(co.stopping.handedOver)
+		co.endHandOver()
 	}
 	co.stopping.phase = phaseServe
 }
--- a/instance/controller/leave_test.go
+++ b/instance/controller/leave_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
@@ -63,3 +65,89 @@
 	sc.handle(<-sc.events)
 	is.Equal(sc.ho.Committed().Version, second.Lease.Version)
 }
+
+// TestStopBeforeJoin guards against a process that panics, and loses the requests in its
+// hands, when it is stopped before it has joined beside the row of its predecessor.
+func TestStopBeforeJoin(t *testing.T) {
+	isClosed := func(done chan struct{}) bool {
+		select {
+		case <-done:
+			return true
+		default:
+			return false
+		}
+	}
+	for name, cas := range map[string]struct {
+		isJoining bool
+		// join is the outcome of a join that is under way when the stop begins.
+		join  func(sc *sidecar, former leaser.Row) rowCommitted
+		state folder.State
+	}{
+		"not joined": {state: folder.Active},
+		"join fails": {isJoining: true, state: folder.Active, join: func(_ *sidecar, former leaser.Row) rowCommitted {
+			return rowCommitted{row: former, err: errNoAnswer}
+		}},
+		"join succeeds": {isJoining: true, state: folder.Left, join: func(sc *sidecar, former leaser.Row) rowCommitted {
+			ir := sc.instanceRow(100)
+			ir.Lease = leaser.Row{Incarnation: sc.self.Incarnation, Version: former.Version}
+			written, err := sc.tableStore.writeRow(sc.ctx, ir)
+			return rowCommitted{row: written.Lease, err: err}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sc := newSidecar(t, 2)
+			predecessor := sc.instanceRow(100)
+			predecessor.Lease = leaser.Row{Incarnation: 1}
+			written, err := sc.tableStore.writeRow(sc.ctx, predecessor)
+			is.NoErr(err)
+			former, err := sc.tableStore.writeRow(sc.ctx, written)
+			is.NoErr(err)
+			sc.isJoining = cas.isJoining
+			handedOver, done := make(chan struct{}), make(chan struct{})
+			sc.handle(stopRequested{handedOver: handedOver})
+			sc.advanceStop()
+			if cas.isJoining {
+				is.True(!isClosed(handedOver)) // the row may be committed yet
+				sc.handle(cas.join(sc, former.Lease))
+			}
+			sc.advanceUntil(func() bool { return isClosed(handedOver) })
+			sc.handle(stopRequested{done: done})
+			sc.advanceUntil(func() bool { return isClosed(done) })
+			is.Equal(sc.err, ErrLeft)
+			found, err := sc.tableStore.readRow(sc.ctx, sc.self.BackendServer)
+			is.NoErr(err)
+			is.Equal(found.State, cas.state)
+		})
+	}
+}
+
+// advanceUntil advances a planned stop until the condition holds.
+func (sc *sidecar) advanceUntil(holds func() bool) {
+	sc.t.Helper()
+	for range 10 {
+		sc.advanceStop()
+		if sc.stopping.isBusy {
+			sc.handle(<-sc.events)
+		}
+		if holds() {
+			return
+		}
+	}
+	sc.t.Fatal("the planned stop does not advance")
+}
+
+// TestStopOfRevokedIncarnation guards against a planned stop that waits for an event loop
+// which has ended.
+func TestStopOfRevokedIncarnation(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 1)
+	sc.err = ErrRevoked
+	is.Equal(sc.Run(sc.ctx), ErrRevoked)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	is.Equal(sc.HandOver(ctx), ErrRevoked)
+	is.Equal(sc.Leave(ctx), ErrRevoked)
+	_, err := sc.Status(ctx)
+	is.Equal(err, ErrRevoked)
+}
--- a/instance/router/stop.go
+++ b/instance/router/stop.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
 
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/controller"
 )
 
 // stopSchedule gives the ends of the phases of a planned stop. It is safe for
@@ -99,6 +101,9 @@
 	running := ro.servers.awaitIdle(ctx)
 	ro.lo.Info("planned stop complete", "handedOverIn", handedOverIn.Duration().String(),
 		"took", ro.clock.Now().Sub(startedAt).Duration().String(), "hasLeft", err == nil, "stillRunning", running)
+	if errors.Is(err, controller.ErrRevoked) {
+		return controller.ErrLeft // there is no row left to write
+	}
 	if err != nil {
 		return fmt.Errorf("router: planned stop: %w", err)
 	}
