What a backend server says of its leaving binds the next process

A deregistration of a server not heard from yet was dropped and acknowledged all the same.

Cause: leaving was known in the memory of one process only.

The member row lists the runs of the server that announced their end. A join takes them over from the former row, with a weight of 0 for a run that leaves. A deregistration or a draining heartbeat is acknowledged once the row is committed, and not while the table is unavailable; the instance keeps to it from the first moment.

--- a/core/folder/folder.go
+++ b/core/folder/folder.go
@@ -17,6 +17,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/registrar"
 )
 
 // LimitsService is an internal service for rate limits. Its keys are workspaces and
@@ -54,6 +55,9 @@
 	IsStopping bool
 	State      State
 	Lease      leaser.Row
+	// Leaving lists the runs of the backend server that have announced their end. It binds
+	// each later instance beside the server.
+	Leaving []registrar.ServerRun
 	// Settled holds, by service, a map version at which this incarnation has obtained
 	// every partition that the version assigns to it.
 	Settled map[string]uint64
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -195,13 +195,13 @@
 	latest Heartbeat
 	// restarts is how often the server has restarted since this instance first
 	// received a heartbeat from it, at most maxRestarts.
-	restarts       uint64
-	isKnown        bool
-	isDown         bool
-	hasLeaveNotice bool
-	heartbeatAt    timer.Instant
-	ranges         []placer.Range
-	partitions     []partitionState
+	restarts    uint64
+	isKnown     bool
+	isDown      bool
+	notices     []leaveNotice
+	heartbeatAt timer.Instant
+	ranges      []placer.Range
+	partitions  []partitionState
 }
 
 // New returns a registrar of a server in the Unknown state. The error is an
@@ -261,10 +261,13 @@
 	}
 	if re.isKnown && !isSame {
 		re.clearHolds()
-		re.hasLeaveNotice = false
 		re.restarts = min(re.restarts+1, maxRestarts)
 	}
 	re.latest, re.isKnown, re.isDown, re.heartbeatAt = hb, true, false, now
+	re.bindNotices(hb, now)
+	if hb.IsDraining {
+		re.addNotice(ServerRun{ID: hb.ID, StartedAt: hb.StartedAt}, now)
+	}
 	if !hb.OmitsHolds && !re.UsesOrders() {
 		re.recordHolds(hb)
 	}
@@ -338,16 +341,6 @@
 
 func overlaps(le, ri placer.Range) bool { return le.From <= ri.To && ri.From <= le.To }
 
-// MarkLeaving records that the server announced its shutdown outside a heartbeat. It
-// reports false, and changes nothing, if id is not that of the latest heartbeat.
-func (re *Registrar) MarkLeaving(id string) bool {
-	if !re.isKnown || re.latest.ID != id {
-		return false
-	}
-	re.hasLeaveNotice = true
-	return true
-}
-
 // MarkDown records that connections to the server's address are refused. A refused
 // connection proves that the process has ended and holds nothing, unless the server
 // is shutting down: then it stops listening before it ends, and the call has no
@@ -360,8 +353,6 @@
 	re.clearHolds()
 }
 
-func (re *Registrar) isLeaving() bool { return re.latest.IsDraining || re.hasLeaveNotice }
-
 // State returns the server's state at now.
 func (re *Registrar) State(now timer.Instant) State {
 	switch {
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -120,12 +120,16 @@
 	// refuseAt is from when a draining server gets no new requests.
 	refuseAt timer.Instant
 	// writtenWeight is the weight in the latest write of this instance's row.
-	writtenWeight      uint32
-	nextWeightUpdateAt timer.Instant
-	startedAt          timer.Instant
-	nextOrphansAt      timer.Instant
-	isPollingConfig    bool
-	hasCheckedOrphans  bool
+	writtenWeight   uint32
+	nextRowUpdateAt timer.Instant
+	// storedLeaving lists the leaving runs of the backend server in the row as last
+	// committed, and deregistrations the calls that wait until it lists all.
+	storedLeaving     []registrar.ServerRun
+	deregistrations   []deregistration
+	startedAt         timer.Instant
+	nextOrphansAt     timer.Instant
+	isPollingConfig   bool
+	hasCheckedOrphans bool
 	// ackClocks holds the clock in each watcher's latest acknowledgement, which
 	// the next renewal echoes.
 	ackClocks          map[uint64]uint32
@@ -305,7 +309,7 @@
 
 // isBusy reports whether an operation is in progress whose steps the ticks drive.
 func (co *Controller) isBusy() bool {
-	if !co.isJoined || co.prepared != nil || co.needsFold || co.needsOwnFold || co.stopping != nil {
+	if !co.isJoined || co.prepared != nil || co.needsFold || co.needsOwnFold || co.stopping != nil || !co.isLeavingStored() {
 		return true
 	}
 	for _, ow := range co.ownerships {
@@ -356,7 +360,7 @@
 	case heartbeatReceived:
 		co.onHeartbeat(ev, now)
 	case serverDeregistered:
-		ev.reply <- co.onServerDeregistered(ev, now)
+		co.onServerDeregistered(ev, now)
 	case connectionRefused:
 		co.onConnectionRefused(now)
 	case ordersDone:
@@ -393,7 +397,7 @@
 	co.pollConfig(now)
 	co.poll(now)
 	co.updateServerState(now)
-	co.updateWeight(now)
+	co.updateRow(now)
 	co.checkExpiredHolders(now)
 	co.findOrphans(now)
 	co.replaceLostWatchers(now)
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -59,6 +59,10 @@
 // rowCommitted carries this instance's row as found after a write.
 type rowCommitted struct {
 	row leaser.Row
+	// leaving lists the runs of the backend server that the row found says are leaving,
+	// and formerLeaving those of the former instance's row after a join.
+	leaving       []registrar.ServerRun
+	formerLeaving []registrar.ServerRun
 	// isFirst is set if the backend server had no row before.
 	isFirst bool
 	// isEnded is set if the row's state was found to be left or revoked.
@@ -126,6 +130,8 @@
 // The row has version 0 if it is not known after a failed write.
 type stopStepDone struct {
 	row leaser.Row
+	// leaving is as in rowCommitted.
+	leaving []registrar.ServerRun
 	// isEnded is set if the row was found to name another incarnation, or to be left or
 	// revoked.
 	isEnded bool
@@ -159,8 +165,8 @@
 	abandoned <-chan struct{}
 }
 
-// serverDeregistered announces that a start of the backend server, named by its
-// id, is ending.
+// serverDeregistered announces that a run of the backend server, named by its ID, is
+// ending. The reply may be nil.
 type serverDeregistered struct {
 	id    string
 	reply chan<- bool
--- a/instance/controller/join.go
+++ b/instance/controller/join.go
@@ -22,9 +22,13 @@
 	ir := co.instanceRow(co.weight())
 	co.writtenWeight = ir.Weight
 	ir.Lease = leaser.Row{Incarnation: co.self.Incarnation, Watchers: co.chooseWatchers(nil, now)}
+	heard := co.heardRun()
 	co.spawn(func(ctx context.Context) event {
-		row, isFirst, err := co.tableStore.join(ctx, ir, co.revokePredecessor)
-		return rowCommitted{row: row, isFirst: isFirst, err: err}
+		result, err := co.tableStore.join(ctx, ir, heard, co.revokePredecessor)
+		return rowCommitted{
+			row: result.row.Lease, leaving: result.row.Leaving, formerLeaving: result.former.Leaving,
+			isFirst: err == nil && result.former.Lease.Version == 0, err: err,
+		}
 	})
 }
 
@@ -32,7 +36,7 @@
 	return folder.InstanceRow{
 		BackendServer: co.self.BackendServer, Service: co.self.Service, DataCentre: co.self.DataCentre,
 		Region: co.self.Region, Address: co.self.Address, Weight: weight, State: folder.Active,
-		Settled: co.reported,
+		Settled: co.reported, Leaving: co.leavingRuns(),
 	}
 }
 
@@ -50,6 +54,7 @@
 		former := co.ho.Committed().Watchers
 		co.ho.Commit(ev.row)
 		co.dismiss(former, now)
+		co.recordStoredLeaving(ev.leaving)
 	}
 	if ev.err != nil {
 		co.lo.Warn("failed to write member row", "error", ev.err)
@@ -60,6 +65,7 @@
 		return
 	}
 	if !co.isJoined {
+		co.restoreLeaving(ev.formerLeaving, now)
 		co.lo.Info("joined the fleet", "incarnation", co.self.Incarnation, "watchers", len(ev.row.Watchers))
 		co.needsOwnFold = true
 		spread, foldAt := foldSpreadPerMember*timer.Span(1+len(co.ds.members())), now
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -249,7 +249,7 @@
 	ir.Lease = row
 	co.spawn(func(ctx context.Context) event {
 		found, err := co.tableStore.writeRow(ctx, ir)
-		return rowCommitted{row: found.Lease, err: err, isEnded: hasEnded(found)}
+		return rowCommitted{row: found.Lease, leaving: found.Leaving, err: err, isEnded: hasEnded(found)}
 	})
 }
 
--- a/instance/controller/leave.go
+++ b/instance/controller/leave.go
@@ -34,6 +34,11 @@
 	hasEnded bool
 }
 
+// takesWrites reports whether the row may be written between the steps of the stop.
+func (ss *stopState) takesWrites() bool {
+	return !ss.isBusy && !ss.hasEnded && ss.phase < phaseLeave
+}
+
 // HandOver hands all owned partitions over to other instances and returns once
 // that is done, or with the error of the context or of Run. The event loop keeps
 // running, so that the instance can forward callers' requests until Leave.
@@ -132,11 +137,11 @@
 	co.spawn(func(ctx context.Context) event {
 		committed, err := co.tableStore.writeRow(ctx, ir)
 		if err != nil {
-			return stopStepDone{row: committed.Lease, isEnded: isReplacedOrEnded(committed, ir.Lease.Incarnation), err: err}
+			return stopStepDone{row: committed.Lease, leaving: committed.Leaving, isEnded: isReplacedOrEnded(committed, ir.Lease.Incarnation), err: err}
 		}
 		docs, err := co.tableStore.fold(ctx)
 		co.post(ctx, documentsFetched{documents: docs})
-		return stopStepDone{row: committed.Lease, err: err}
+		return stopStepDone{row: committed.Lease, leaving: committed.Leaving, err: err}
 	})
 }
 
@@ -148,6 +153,7 @@
 	}
 	if ev.row.Version != 0 {
 		co.ho.Commit(ev.row)
+		co.recordStoredLeaving(ev.leaving)
 	}
 	if ev.err != nil {
 		co.lo.Warn("planned stop: failed to write row or fold maps", "error", ev.err)
--- /dev/null
+++ b/instance/controller/leaving.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"slices"
+
+	"cornellanding.example/core/registrar"
+	"cornellanding.example/core/timer"
+)
+
+// maxDeregistrations bounds the calls of the backend server that wait for the row of this
+// instance to be written. Further ones get no reply.
+const maxDeregistrations = 16
+
+// onServerDeregistered records the end of a run of the backend server. The reply is an
+// acknowledgement, which binds the instances after this one, so it waits for the row.
+func (co *Controller) onServerDeregistered(ev serverDeregistered, now timer.Instant) {
+	isPresent := co.re.MarkLeaving(ev.id, now)
+	co.updateServerState(now)
+	co.join(now)
+	co.updateRow(now)
+	switch {
+	case ev.reply == nil:
+	case co.isLeavingStored():
+		ev.reply <- isPresent
+	case len(co.deregistrations) < maxDeregistrations:
+		co.deregistrations = append(co.deregistrations, deregistration{isPresent: isPresent, reply: ev.reply})
+	}
+}
+
+// deregistration is a call of the backend server that waits for the row to be written.
+type deregistration struct {
+	isPresent bool
+	reply     chan<- bool
+}
+
+// leavingRuns returns the runs of the backend server that have announced their end, which
+// the row of this instance must list.
+func (co *Controller) leavingRuns() []registrar.ServerRun {
+	if co.re == nil {
+		return nil
+	}
+	return co.re.Leaving()
+}
+
+// heardRun returns the run of the backend server that sent the latest heartbeat, or a zero
+// ServerRun.
+func (co *Controller) heardRun() registrar.ServerRun {
+	if co.re == nil {
+		return registrar.ServerRun{}
+	}
+	hb, _ := co.re.LatestHeartbeat()
+	return registrar.ServerRun{ID: hb.ID, StartedAt: hb.StartedAt}
+}
+
+// isLeavingStored reports whether the row as last committed lists every leaving run of the
+// backend server. Nothing that says that it leaves is acknowledged before.
+func (co *Controller) isLeavingStored() bool {
+	for _, ru := range co.leavingRuns() {
+		if !slices.Contains(co.storedLeaving, ru) {
+			return false
+		}
+	}
+	return true
+}
+
+// recordStoredLeaving records the leaving runs in the row as committed, and gives the
+// replies that waited for them.
+func (co *Controller) recordStoredLeaving(runs []registrar.ServerRun) {
+	co.storedLeaving = runs
+	if !co.isLeavingStored() {
+		return
+	}
+	for _, de := range co.deregistrations {
+		de.reply <- de.isPresent
+	}
+	co.deregistrations = nil
+	if co.heldHeartbeat != nil && co.heldHeartbeat.replyAt == co.heldHeartbeat.storeBy {
+		co.heldHeartbeat.replyAt = 0
+		co.replyIfDue(co.pu.Now())
+	}
+}
+
+// awaitStoredLeaving delays the reply to the held heartbeat until the row is written, or
+// gives up on it. Without a reply the server repeats what it said.
+func (co *Controller) awaitStoredLeaving(now timer.Instant) {
+	if now.Before(co.heldHeartbeat.storeBy) {
+		co.heldHeartbeat.replyAt = co.heldHeartbeat.storeBy
+		return
+	}
+	co.lo.Warn("heartbeat of a leaving backend server not acknowledged: the member row is not written", "isJoined", co.isJoined,
+		"tableError", co.tableError)
+	co.heldHeartbeat = nil
+}
+
+// restoreLeaving applies what the former instance recorded of leaving servers. A server
+// that it acknowledged gets no new requests from this instance at all.
+func (co *Controller) restoreLeaving(runs []registrar.ServerRun, now timer.Instant) {
+	if co.re == nil || len(runs) == 0 {
+		return
+	}
+	co.re.RestoreLeaving(runs, now)
+	if co.re.State(now) == registrar.Draining {
+		// What this instance heard of the server so far was older.
+		co.server = registrar.Unknown
+	}
+	co.updateServerState(now)
+}
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -14,6 +14,7 @@
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/port/storer"
@@ -254,7 +255,7 @@
 	isSame := found.Lease.Version > written.Lease.Version &&
 		found.Lease.Incarnation == written.Lease.Incarnation &&
 		found.State == written.State && found.Weight == written.Weight && found.IsStopping == written.IsStopping &&
-		slices.Equal(found.Lease.Watchers, written.Lease.Watchers)
+		slices.Equal(found.Lease.Watchers, written.Lease.Watchers) && slices.Equal(found.Leaving, written.Leaving)
 	if isSame {
 		return nil
 	}
@@ -377,28 +378,40 @@
 	return docs, true, nil
 }
 
+// joinResult is the outcome of a join.
+type joinResult struct {
+	// row is this instance's row as committed, and former that of the former instance
+	// beside the backend server, which has version 0 if there was none.
+	row, former folder.InstanceRow
+}
+
 // join writes the row of a new incarnation, after the former one of its backend
-// server is known to have stopped serving, if need be by revoking it. It returns
-// the row as committed and whether there was none before.
-func (ts *tableStore) join(ctx context.Context, ir folder.InstanceRow, revoke func(context.Context, folder.InstanceRow) error) (row leaser.Row, isFirst bool, err error) {
+// server is known to have stopped serving, if need be by revoking it. What the former
+// one recorded of leaving servers goes into the new row, with a weight of 0 if that
+// includes the run of the server that this instance has heard from.
+func (ts *tableStore) join(ctx context.Context, ir folder.InstanceRow, heard registrar.ServerRun, revoke func(context.Context, folder.InstanceRow) error) (joinResult, error) {
 	former, err := ts.readRow(ctx, ir.BackendServer)
 	if err != nil {
-		return leaser.Row{}, false, err
+		return joinResult{}, err
 	}
 	if former.Lease.Incarnation == ir.Lease.Incarnation && former.State == folder.Active {
-		return former.Lease, false, nil
+		return joinResult{row: former, former: former}, nil
 	}
 	if !isKnownEnded(former, ir) {
 		if err := revoke(ctx, former); err != nil {
-			return leaser.Row{}, false, fmt.Errorf("controller: revoke former incarnation: %w", err)
+			return joinResult{}, fmt.Errorf("controller: revoke former incarnation: %w", err)
 		}
 	}
 	ir.Lease.Version = former.Lease.Version
+	if registrar.HasLeft(former.Leaving, heard) {
+		ir.Weight = 0
+	}
+	ir.Leaving = registrar.MergeRuns(former.Leaving, ir.Leaving)
 	committed, err := ts.writeRow(ctx, ir)
 	if err != nil {
-		return leaser.Row{}, false, err
+		return joinResult{}, err
 	}
-	return committed.Lease, former.Lease.Version == 0, nil
+	return joinResult{row: committed, former: former}, nil
 }
 
 // isKnownEnded reports whether the former incarnation has provably stopped serving:
--- a/instance/controller/rows_test.go
+++ b/instance/controller/rows_test.go
@@ -10,6 +10,7 @@
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/encoder"
 	"github.com/matryer/is"
@@ -182,7 +183,7 @@
 			isRevoked := false
 			ir := rowOf(2, 0)
 			ir.Address = "here"
-			row, _, err := ts.join(context.Background(), ir, func(ctx context.Context, former folder.InstanceRow) error {
+			result, err := ts.join(context.Background(), ir, registrar.ServerRun{}, func(ctx context.Context, former folder.InstanceRow) error {
 				isRevoked = true
 				return ts.endIncarnation(ctx, former, folder.Revoked)
 			})
@@ -191,7 +192,7 @@
 			// must be retried.
 			is.Equal(err != nil, tc.revokes)
 			if !tc.revokes {
-				is.Equal(row.Incarnation, uint64(2))
+				is.Equal(result.row.Lease.Incarnation, uint64(2))
 			}
 		})
 	}
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -13,6 +13,9 @@
 	// acquireReplyTimeout bounds how long the reply to a heartbeat is delayed until
 	// pending partitions are acquired: the server gives up on a reply after 1 s.
 	acquireReplyTimeout = 600 * timer.Millisecond
+	// storeReplyTimeout bounds how long the reply to a heartbeat of a leaving server is
+	// delayed until the instance's row says that the server is leaving.
+	storeReplyTimeout = 800 * timer.Millisecond
 	// drainReplyTimeout bounds how long the reply to a server's first draining
 	// heartbeat is delayed until the maps assign its keys to others, so that the
 	// reply can exclude them. The calls to the table take about half of it.
@@ -31,6 +34,8 @@
 	reply     chan<- registrar.Reply
 	abandoned <-chan struct{}
 	replyAt   timer.Instant
+	// storeBy is until when the reply waits for the server's leaving to be stored.
+	storeBy timer.Instant
 }
 
 // isAbandoned reports whether the caller no longer waits for the reply.
@@ -52,8 +57,8 @@
 	return call(ctx, co, reply, heartbeatReceived{heartbeat: hb, reply: reply, abandoned: ctx.Done()})
 }
 
-// DeregisterServer records that the start of the backend server with this id ends.
-// It reports whether that is the current start.
+// DeregisterServer records that the run of the backend server with this ID ends, and
+// returns once the instance's row says so. It reports whether that is the current run.
 func (co *Controller) DeregisterServer(ctx context.Context, id string) (bool, error) {
 	reply := make(chan bool, 1)
 	return call(ctx, co, reply, serverDeregistered{id: id, reply: reply})
@@ -80,15 +85,16 @@
 		return
 	}
 	select {
-	case co.events <- serverDeregistered{id: id, reply: make(chan bool, 1)}:
+	case co.events <- serverDeregistered{id: id}:
 	default:
 	}
 }
 
 // isServerKnown reports whether the backend server's state is known, or no heartbeat
-// arrived within firstHeartbeatTimeout, so that it is considered absent.
+// arrived within firstHeartbeatTimeout, so that it is considered absent. A server that
+// announces its end may send no heartbeat any more.
 func (co *Controller) isServerKnown(now timer.Instant) bool {
-	return co.re == nil || co.re.State(now) != registrar.Unknown || now.Sub(co.startedAt) > firstHeartbeatTimeout
+	return co.re == nil || co.re.State(now) != registrar.Unknown || co.re.HasLeaveNotice() || now.Sub(co.startedAt) > firstHeartbeatTimeout
 }
 
 // tracksHolds reports whether the backend server holds partitions of the service, by
@@ -113,19 +119,22 @@
 	former, _ := co.re.LatestHeartbeat()
 	if !co.re.IsDuplicate(hb) && !co.re.ApplyHeartbeat(hb, now) {
 		co.lo.Warn("heartbeat out of order, ignored", "server", hb.ID, "sequence", hb.Sequence)
-		ev.reply <- registrar.Reply{}
+		if !hb.IsDraining || co.isLeavingStored() {
+			ev.reply <- registrar.Reply{}
+		}
 		return
 	}
 	if former.ID != hb.ID || former.StartedAt != hb.StartedAt {
 		co.withdrawOrderedHolds()
 	}
-	if co.heldHeartbeat != nil {
+	if co.heldHeartbeat != nil && co.isLeavingStored() {
 		co.heldHeartbeat.reply <- registrar.Reply{}
-		co.heldHeartbeat = nil
 	}
+	co.heldHeartbeat = nil
 	wasDraining := co.server == registrar.Draining
 	co.updateServerState(now)
-	co.heldHeartbeat = &delayedReply{reply: ev.reply, abandoned: ev.abandoned, replyAt: now}
+	co.heldHeartbeat = &delayedReply{reply: ev.reply, abandoned: ev.abandoned, replyAt: now, storeBy: now.Add(storeReplyTimeout)}
+	co.updateRow(now)
 	switch {
 	case co.usesOrders():
 	case hb.IsDraining && !wasDraining:
@@ -170,6 +179,10 @@
 		co.heldHeartbeat = nil
 		return
 	}
+	if !co.isLeavingStored() {
+		co.awaitStoredLeaving(now)
+		return
+	}
 	reply := co.heldHeartbeat.reply
 	co.heldHeartbeat = nil
 	ow := co.ownerships[co.self.Service]
@@ -191,12 +204,6 @@
 	reply <- answer
 }
 
-func (co *Controller) onServerDeregistered(ev serverDeregistered, now timer.Instant) bool {
-	isPresent := co.re.MarkLeaving(ev.id)
-	co.updateServerState(now)
-	return isPresent
-}
-
 func (co *Controller) onConnectionRefused(now timer.Instant) {
 	switch co.re.State(now) {
 	case registrar.Unknown, registrar.Down, registrar.Draining:
@@ -232,7 +239,7 @@
 			co.refuseAt = now
 		}
 		co.server = state
-		co.nextWeightUpdateAt = now
+		co.nextRowUpdateAt = now
 	}
 	co.replyIfDue(now)
 	co.pu.SetBackendServer(co.describeServer(hb, heardAt, state))
@@ -249,24 +256,27 @@
 	return bs
 }
 
-// updateWeight rewrites this instance's row when its weight has changed.
-func (co *Controller) updateWeight(now timer.Instant) {
-	isReady := co.isJoined && !co.isWritingRow && !co.isJoining && co.stopping == nil
+// updateRow rewrites this instance's row when its weight has changed, or when it does not
+// say of every leaving run of the backend server that it leaves.
+func (co *Controller) updateRow(now timer.Instant) {
+	isReady := co.isJoined && !co.isWritingRow && !co.isJoining && (co.stopping == nil || co.stopping.takesWrites())
 	weight := co.weight()
-	if co.re == nil || !isReady || weight == co.writtenWeight || now.Before(co.nextWeightUpdateAt) {
+	isDue := co.stopping == nil && weight != co.writtenWeight || !co.isLeavingStored()
+	if co.re == nil || !isReady || !isDue || now.Before(co.nextRowUpdateAt) {
 		return
 	}
-	co.nextWeightUpdateAt = now.Add(joinBackoff)
+	co.nextRowUpdateAt = now.Add(joinBackoff)
 	co.isWritingRow = true
 	former := co.writtenWeight
 	co.writtenWeight = weight
 	ir := co.instanceRow(weight)
+	ir.IsStopping = co.stopping != nil
 	ir.Lease = co.ho.Committed()
-	co.lo.Info("updating weight in member row", "weight", weight, "server", co.server.String())
+	co.lo.Info("updating member row", "weight", weight, "server", co.server.String(), "leaving", len(ir.Leaving))
 	co.spawn(func(ctx context.Context) event {
 		found, err := co.tableStore.writeRow(ctx, ir)
 		return rowCommitted{
-			row: found.Lease, err: err, affectsMaps: true, isWeightChange: true, formerWeight: former,
+			row: found.Lease, leaving: found.Leaving, err: err, affectsMaps: true, isWeightChange: true, formerWeight: former,
 			isEnded: hasEnded(found),
 		}
 	})
--- a/instance/controller/settler.go
+++ b/instance/controller/settler.go
@@ -42,7 +42,7 @@
 	co.spawn(func(ctx context.Context) event {
 		found, err := co.tableStore.writeRow(ctx, ir)
 		return rowCommitted{
-			row: found.Lease, err: err, affectsMaps: true,
+			row: found.Lease, leaving: found.Leaving, err: err, affectsMaps: true,
 			isEnded: hasEnded(found),
 		}
 	})
--- a/wire/encoder/document.go
+++ b/wire/encoder/document.go
@@ -17,6 +17,7 @@
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 )
 
@@ -109,6 +110,11 @@
 	Incarnation   uint64 `json:"incarnation"`
 }
 
+type wireServerRun struct {
+	ID        string `json:"id"`
+	StartedAt int64  `json:"startedAt,omitempty"`
+}
+
 type wireRow struct {
 	BackendServer string            `json:"backendServer"`
 	Service       string            `json:"service"`
@@ -121,6 +127,7 @@
 	Incarnation   uint64            `json:"incarnation"`
 	Watchers      []wireWatcher     `json:"watchers,omitempty"`
 	Settled       map[string]uint64 `json:"settled,omitempty"`
+	Leaving       []wireServerRun   `json:"leaving,omitempty"`
 }
 
 // EncodeInstanceRow returns the stored form of an instance's row, without the row's
@@ -134,6 +141,9 @@
 	for _, wt := range ir.Lease.Watchers {
 		wr.Watchers = append(wr.Watchers, wireWatcher(wt))
 	}
+	for _, ru := range ir.Leaving {
+		wr.Leaving = append(wr.Leaving, wireServerRun(ru))
+	}
 	return json.Marshal(wr)
 }
 
@@ -152,6 +162,9 @@
 	for _, wt := range wr.Watchers {
 		ir.Lease.Watchers = append(ir.Lease.Watchers, leaser.WatcherID(wt))
 	}
+	for _, ru := range wr.Leaving {
+		ir.Leaving = append(ir.Leaving, registrar.ServerRun(ru))
+	}
 	return ir, nil
 }
 
--- a/wire/encoder/encoder_test.go
+++ b/wire/encoder/encoder_test.go
@@ -8,6 +8,7 @@
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/examples"
 	"cornellanding.example/wire/parser"
 	"github.com/matryer/is"
@@ -28,6 +29,7 @@
 	an := folder.InstanceRow{
 		BackendServer: "a", Service: "counter", DataCentre: "x", Region: "r", Address: "127.0.0.1:1", Weight: 4,
 		State: folder.Active, Lease: leaser.Row{Incarnation: 9, Version: 3, Watchers: []leaser.WatcherID{{BackendServer: "b", Incarnation: 2}}},
+		Leaving: []registrar.ServerRun{{ID: "i-1", StartedAt: 1700000000000}, {ID: "i-2"}},
 	}
 	content, err = EncodeInstanceRow(an)
 	is.NoErr(err)
