The quarantine of crashing requests binds the next process

Cause: which requests crash servers was known in the memory of each process, and told to others once. The next incarnation of a process forgot it too.

A request that is quarantined because of a crash here goes into a row of the table, which each instance reads with the maps before it joins. A new incarnation takes the quarantine over in memory. Peers do not compare the row, so that instances of an earlier version are not affected.

--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -150,7 +150,7 @@
 	}
 	is.True(qu.IsQuarantined(7, 0, 0))                                     // refused before it reaches a third server
 	is.Equal(qu.IsQuarantined(8, 0, 0), false)                             // a success clears a request
-	is.Equal(qu.IsQuarantined(7, 0, timer.Instant(quarantineTerm)), false) // until the record expires
+	is.Equal(qu.IsQuarantined(7, 0, timer.Instant(QuarantineTerm)), false) // until the record expires
 	is.True(qu.IsQuarantined(9, 2, 0))                                     // the forwarding instance has seen two crashes
 	qu.RecordCrashes(10, 1, 0)
 	qu.Start(10)
@@ -158,6 +158,30 @@
 	is.True(qu.IsQuarantined(10, 0, 0)) // one crash elsewhere and one here
 }
 
+// TestQuarantineOfASuccessor checks what a gate passes on of the requests that crash
+// servers, and what it accepts from others.
+func TestQuarantineOfASuccessor(t *testing.T) {
+	is := is.New(t)
+	qu := NewQuarantine()
+	_, ok := qu.LocalSuspect(7, 0)
+	is.True(!ok)
+	qu.RecordCrashes(7, 2, 0)
+	_, ok = qu.LocalSuspect(7, 0)
+	is.True(!ok) // it crashed other servers only, whose instances pass it on
+	qu.Start(7)
+	qu.Crash(7, 0)
+	su, ok := qu.LocalSuspect(7, 0)
+	is.True(ok)
+	is.Equal(su, Suspect{Fingerprint: 7, Crashes: 3})
+	is.True(qu.Clone().IsQuarantined(7, 0, 0))
+
+	next := NewQuarantine()
+	next.Learn(su, 0)
+	is.True(next.IsQuarantined(7, 0, 0))
+	next.Learn(su, timer.Instant(QuarantineTerm)-1)
+	is.True(!next.IsQuarantined(7, 0, timer.Instant(QuarantineTerm))) // learning it again prolongs nothing
+}
+
 func BenchmarkArrive(b *testing.B) {
 	ga, err := New(Slots(9), QueueLength(64))
 	if err != nil {
--- a/core/admitter/quarantine.go
+++ b/core/admitter/quarantine.go
@@ -1,19 +1,32 @@
 package admitter
 
-import "cornellanding.example/core/timer"
+import (
+	"maps"
+
+	"cornellanding.example/core/timer"
+)
 
 const (
 	// crashesAllowed is the number of crashes after which a request is refused.
 	crashesAllowed = 2
-	// quarantineTerm is how long crashes are remembered after the last one.
-	quarantineTerm = 600 * timer.Second
 	// quarantineCapacity bounds the requests whose crashes are remembered.
 	quarantineCapacity = 4096
 )
 
-// suspect is a request that was running when backend servers crashed.
+// QuarantineTerm is how long a request is refused after its last crash.
+const QuarantineTerm = 600 * timer.Second
+
+// Suspect is a request that was running when backend servers crashed.
+type Suspect struct {
+	Fingerprint uint64
+	Crashes     int
+}
+
+// suspect is what is remembered of a Suspect.
 type suspect struct {
-	crashes   int
+	crashes int
+	// isLocal is set if the backend server of this instance was among those.
+	isLocal   bool
 	expiresAt timer.Instant
 }
 
@@ -31,6 +44,11 @@
 	return &Quarantine{running: map[uint64]int{}, suspects: map[uint64]suspect{}}
 }
 
+// Clone returns a copy without the running requests, for a successor of this Quarantine.
+func (qu *Quarantine) Clone() *Quarantine {
+	return &Quarantine{running: map[uint64]int{}, suspects: maps.Clone(qu.suspects)}
+}
+
 // Start records that a request with the fingerprint is running.
 func (qu *Quarantine) Start(fingerprint uint64) { qu.running[fingerprint]++ }
 
@@ -44,6 +62,10 @@
 func (qu *Quarantine) Crash(fingerprint uint64, now timer.Instant) {
 	qu.end(fingerprint)
 	qu.RecordCrashes(fingerprint, 1, now)
+	if su, ok := qu.suspects[fingerprint]; ok {
+		su.isLocal = true
+		qu.suspects[fingerprint] = su
+	}
 }
 
 // Cancel records an end of the request that shows neither a success nor a crash.
@@ -65,10 +87,25 @@
 		return
 	}
 	su.crashes += crashes
-	su.expiresAt = now.Add(quarantineTerm)
+	su.expiresAt = now.Add(QuarantineTerm)
 	qu.suspects[fingerprint] = su
 }
 
+// Learn records a request that another instance quarantined, or this one before it was
+// restarted. It does not prolong the quarantine of a request that is known.
+func (qu *Quarantine) Learn(su Suspect, now timer.Instant) {
+	if known := qu.Crashes(su.Fingerprint, now); known < su.Crashes {
+		qu.RecordCrashes(su.Fingerprint, su.Crashes-known, now)
+	}
+}
+
+// LocalSuspect returns a request that is quarantined and crashed the backend server of
+// this instance. It returns false for any other request.
+func (qu *Quarantine) LocalSuspect(fingerprint uint64, now timer.Instant) (Suspect, bool) {
+	su := Suspect{Fingerprint: fingerprint, Crashes: qu.Crashes(fingerprint, now)}
+	return su, su.Crashes >= crashesAllowed && qu.suspects[fingerprint].isLocal
+}
+
 func (qu *Quarantine) expire(now timer.Instant) {
 	for fingerprint, su := range qu.suspects {
 		if !now.Before(su.expiresAt) {
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"time"
 
+	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/freshener"
 	"cornellanding.example/core/leaser"
@@ -95,11 +96,13 @@
 	peers          Peers
 	buckets        Buckets
 	suspectHandler func(fingerprint uint64)
-	sender         Sender
-	pu             *publisher.Publisher
-	lo             hclog.Logger
-	leaseTerm      timer.Span
-	freshness      timer.Span
+	// quarantineHandler is as in WithQuarantineHandler.
+	quarantineHandler func(suspects []admitter.Suspect)
+	sender            Sender
+	pu                *publisher.Publisher
+	lo                hclog.Logger
+	leaseTerm         timer.Span
+	freshness         timer.Span
 	// isFreshnessStrict is set if only successful reads count for freshness.
 	isFreshnessStrict bool
 	self              publisher.Self
@@ -141,6 +144,7 @@
 	// pollUntil is until when this instance polls in place of one that failed to.
 	pollUntil timer.Instant
 
+	quarantine quarantine
 	ho         *leaser.Holder
 	wa         *leaser.Watcher
 	ds         *documents
@@ -206,7 +210,8 @@
 		ackClocks: map[uint64]uint32{}, reported: map[string]uint64{}, settleChanges: settleChanges, settleSpread: settleSpread,
 		isSyncing: map[uint64]bool{}, avoidUntil: map[uint64]timer.Instant{},
 		takeovers: map[uint64]bool{}, nextTakeover: map[uint64]timer.Instant{}, lo: hclog.NewNullLogger(),
-		suspectHandler: func(uint64) {},
+		suspectHandler: func(uint64) {}, quarantineHandler: func([]admitter.Suspect) {},
+		quarantine: quarantine{unstored: map[uint64]admitter.Suspect{}},
 	}
 	for _, opt := range opts {
 		opt(co)
@@ -383,6 +388,10 @@
 		co.onStopStepDone(ev)
 	case suspectReported:
 		co.broadcastSuspect(ev.fingerprint, now)
+	case requestQuarantined:
+		co.onRequestQuarantined(ev, now)
+	case quarantineWritten:
+		co.onQuarantineWritten(ev, now)
 	case statusRequested:
 		ev.reply <- co.status(now)
 	default:
@@ -406,6 +415,7 @@
 	co.requestReleases(now)
 	co.issueOrders(now)
 	co.foldIfNeeded(now)
+	co.writeQuarantine(now)
 	co.advanceStop()
 	co.logStateChanges(now)
 	if !now.Before(co.nextObserveAt) {
@@ -422,6 +432,7 @@
 		if ev.err != nil && !co.isJoined {
 			co.nextPollAt = now.Add(joinBackoff)
 		}
+		co.quarantine.isRead = co.quarantine.isRead || ev.err == nil
 	}
 	if ev.isTable {
 		co.recordTableError(ev)
@@ -477,6 +488,7 @@
 func (co *Controller) onChange(now timer.Instant) {
 	co.fr.SetDataCentres(dataCentreNames(co.ds.config.Catalogue))
 	co.recordLimitsMap(now)
+	co.applyQuarantine(now)
 	co.followMaps()
 	co.pu.Publish(co.ds.view())
 	co.checkMembership()
--- a/instance/controller/documents.go
+++ b/instance/controller/documents.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/placer"
@@ -16,10 +17,12 @@
 
 // Names of documents and keys of table rows. MapPrefix is followed by the name of a
 // service, and MemberPrefix by that of a backend server.
+// QuarantineKey sorts next to the maps, so that one read of a range returns both.
 const (
-	ConfigKey    = "config"
-	MapPrefix    = "map/"
-	MemberPrefix = "member/"
+	ConfigKey     = "config"
+	MapPrefix     = "map/"
+	MemberPrefix  = "member/"
+	QuarantineKey = "crashes"
 )
 
 // Document is a versioned document, the configuration or a partition map, in its
@@ -53,11 +56,14 @@
 	config cataloguer.Config
 	// tables holds the decoded maps, by service.
 	tables map[string]*placer.Table
+	// quarantine lists the requests that crash backend servers. Peers do not exchange
+	// it: they report crashes to each other, and a new instance reads it from the table.
+	quarantine []admitter.Suspect
 	// byIncarnation indexes the members of the limits service's map, which are
 	// all instances.
 	byIncarnation map[uint64]placer.Member
-	// hash covers the names and versions of all documents. Peers compare it to
-	// detect that one of them lacks a version.
+	// hash covers the names and versions of the documents that peers exchange. They
+	// compare it to detect that one of them lacks a version.
 	hash uint32
 }
 
@@ -91,6 +97,13 @@
 		ds.config = co
 		return nil
 	}
+	if do.Name == QuarantineKey {
+		suspects, err := encoder.DecodeQuarantine(do.Content)
+		if err == nil {
+			ds.quarantine = suspects
+		}
+		return err
+	}
 	service, ok := strings.CutPrefix(do.Name, MapPrefix)
 	if !ok {
 		return fmt.Errorf("controller: unknown document %q", do.Name)
@@ -109,11 +122,13 @@
 	return nil
 }
 
-// versionsHash hashes the names and versions of all documents.
+// versionsHash hashes the names and versions of the documents that peers exchange.
 func (ds *documents) versionsHash() uint32 {
 	var names []string
 	for name := range ds.held {
-		names = append(names, name)
+		if name != QuarantineKey {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	di := xxhash.New()
@@ -134,11 +149,12 @@
 	return versions
 }
 
-// newerThan returns the documents that are newer than the given versions.
+// newerThan returns the documents that peers exchange and that are newer than the given
+// versions.
 func (ds *documents) newerThan(versions map[string]uint64) []Document {
 	var newer []Document
 	for name, do := range ds.held {
-		if do.Version <= versions[name] {
+		if do.Version <= versions[name] || name == QuarantineKey {
 			continue
 		}
 		if do.compressed == nil {
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
@@ -144,6 +145,19 @@
 	fingerprint uint64
 }
 
+// requestQuarantined carries a request that crashed this instance's backend server and is
+// quarantined.
+type requestQuarantined struct {
+	suspect admitter.Suspect
+}
+
+// quarantineWritten ends a write of the stored quarantine.
+type quarantineWritten struct {
+	added    []admitter.Suspect
+	document Document
+	err      error
+}
+
 // statusRequested requests a copy of the control state.
 type statusRequested struct {
 	reply chan<- Status
@@ -193,4 +207,6 @@
 func (stopRequested) isEvent()      {}
 func (stopStepDone) isEvent()       {}
 func (suspectReported) isEvent()    {}
+func (requestQuarantined) isEvent() {}
+func (quarantineWritten) isEvent()  {}
 func (statusRequested) isEvent()    {}
--- a/instance/controller/join.go
+++ b/instance/controller/join.go
@@ -9,10 +9,10 @@
 	"cornellanding.example/core/timer"
 )
 
-// join writes this instance's row once the configuration is known and the state of
-// the backend server has been established.
+// join writes this instance's row once the configuration and the quarantine are known and
+// the state of the backend server has been established.
 func (co *Controller) join(now timer.Instant) {
-	if co.isJoined || co.isJoining || co.stopping != nil || now.Before(co.nextJoinAt) || co.ds.config.Version == 0 {
+	if co.isJoined || co.isJoining || co.stopping != nil || now.Before(co.nextJoinAt) || co.ds.config.Version == 0 || !co.quarantine.isRead {
 		return
 	}
 	if !co.isServerKnown(now) {
--- a/instance/controller/leaving_test.go
+++ b/instance/controller/leaving_test.go
@@ -15,6 +15,7 @@
 	sc.t.Helper()
 	sc.clk.Advance(firstHeartbeatTimeout + timer.Millisecond)
 	sc.ds.config = cataloguer.Config{Version: 1}
+	sc.quarantine.isRead = true
 	sc.join(sc.clk.Now())
 	sc.handle(<-sc.events)
 	if !sc.isJoined {
--- a/instance/controller/options.go
+++ b/instance/controller/options.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
@@ -119,7 +120,13 @@
 	return func(co *Controller) { co.suspectHandler = suspectHandler }
 }
 
-// WithPredecessor takes the documents and the freshness from a former incarnation
+// WithQuarantineHandler sets the function that is called, in the event loop, with the
+// requests that are to be refused since they crash backend servers.
+func WithQuarantineHandler(quarantineHandler func(suspects []admitter.Suspect)) Option {
+	return func(co *Controller) { co.quarantineHandler = quarantineHandler }
+}
+
+// WithPredecessor takes the documents, the freshness and the quarantine from a former incarnation
 // of this process, which must have ended. Versions never decrease, so they are
 // valid for the next incarnation too. A nil predecessor is ignored.
 func WithPredecessor(former *Controller) Option {
@@ -127,6 +134,8 @@
 		if former != nil {
 			co.ds = former.ds
 			co.fr = former.fr
+			co.quarantine.unstored = former.quarantine.unstored
+			co.quarantine.seenAt = former.quarantine.seenAt
 		}
 	}
 }
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -47,9 +47,9 @@
 }
 
 // readDocuments reads the documents that are newer than the given versions. The
-// maps are read only if withMaps is set: peers spread them, and freshness depends
-// on the configuration alone. With an external configuration it reads all maps and
-// nothing else.
+// maps and the quarantine are read only if withMaps is set: peers spread what is in
+// them, and freshness depends on the configuration alone. With an external
+// configuration it reads these and nothing else.
 func (ts *tableStore) readDocuments(ctx context.Context, have map[string]uint64, withMaps bool) ([]Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
@@ -58,6 +58,7 @@
 	}
 	query := tabler.Query{Keys: []string{ConfigKey}, VersionsOnly: true}
 	if withMaps {
+		query.Keys = append(query.Keys, QuarantineKey)
 		query.Prefixes = []string{MapPrefix}
 	}
 	rows, err := ts.table.Read(ctx, query)
@@ -80,9 +81,9 @@
 	return ts.toDocuments(ctx, rows)
 }
 
-// readMaps reads all maps.
+// readMaps reads all maps and the quarantine.
 func (ts *tableStore) readMaps(ctx context.Context) ([]Document, error) {
-	rows, err := ts.table.Read(ctx, tabler.Query{Prefixes: []string{MapPrefix}})
+	rows, err := ts.table.Read(ctx, tabler.Query{Keys: []string{QuarantineKey}, Prefixes: []string{MapPrefix}})
 	if err != nil {
 		return nil, err
 	}
@@ -145,6 +146,10 @@
 		content, err := ts.objects.Get(ctx, string(ro.Value))
 		return Document{Name: ro.Key, Version: ro.Version, Content: content}, err
 	}
+	if ro.Key == QuarantineKey {
+		_, err := encoder.DecodeQuarantine(ro.Value)
+		return Document{Name: ro.Key, Version: ro.Version, Content: ro.Value}, err
+	}
 	ma, err := encoder.DecodeMap(ro.Value)
 	return Document{Name: ro.Key, Version: ma.Version, Content: ro.Value, decoded: &ma}, err
 }
--- a/instance/gatekeeper/condition.go
+++ b/instance/gatekeeper/condition.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
@@ -106,17 +107,23 @@
 func (ga *Gatekeeper) Condition() FormerCondition {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return FormerCondition{observed: ga.condition}
+	return FormerCondition{observed: ga.condition, quarantine: ga.qu.Clone()}
 }
 
-// FormerCondition is the condition of the backend server as known to another Gatekeeper
-// in front of it.
+// FormerCondition is the condition of the backend server, and what crashed it, as known
+// to another Gatekeeper in front of it.
 type FormerCondition struct {
-	observed observedCondition
+	observed   observedCondition
+	quarantine *admitter.Quarantine
 }
 
 // WithFormerCondition starts with the condition known to the Gatekeeper of a former
 // incarnation, as the backend server does not end with it.
 func WithFormerCondition(fc FormerCondition) Option {
-	return func(ga *Gatekeeper) { ga.condition = fc.observed }
+	return func(ga *Gatekeeper) {
+		ga.condition = fc.observed
+		if fc.quarantine != nil {
+			ga.qu = fc.quarantine
+		}
+	}
 }
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -78,6 +78,13 @@
 	return func(ga *Gatekeeper) { ga.notifyCrash = notifyCrash }
 }
 
+// WithQuarantineNotifier sets the function called when a request that crashed the backend
+// server is quarantined, and at each later crash of it. It is called with the Gatekeeper's
+// lock held, so it must not call the Gatekeeper.
+func WithQuarantineNotifier(notifyQuarantine func(su admitter.Suspect)) Option {
+	return func(ga *Gatekeeper) { ga.notifyQuarantine = notifyQuarantine }
+}
+
 // WithCodec sets the protocol of the backend server. The default sends the headers
 // Request-Id, Entity-Key, Workspace, Request-Timeout and, for an exclusive service,
 // Fencing-Epoch, and reads Request-Outcome.
@@ -111,6 +118,7 @@
 	lo                hclog.Logger
 	sampleEvery       uint64
 	notifyCrash       func(fingerprint uint64)
+	notifyQuarantine  func(su admitter.Suspect)
 	connectionRefused func()
 	serverLeaving     func(id string)
 	observe           func(outcome, code string, latency timer.Span)
@@ -148,7 +156,7 @@
 	ga := &Gatekeeper{
 		pu: pu, bs: newBackend(address, pu.Now), lo: hclog.NewNullLogger(),
 		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan turn{},
-		notifyCrash: func(uint64) {}, connectionRefused: func() {}, serverLeaving: func(string) {}, observe: func(string, string, timer.Span) {},
+		notifyCrash: func(uint64) {}, notifyQuarantine: func(admitter.Suspect) {}, connectionRefused: func() {}, serverLeaving: func(string) {}, observe: func(string, string, timer.Span) {},
 	}
 	for _, opt := range opts {
 		opt(ga)
@@ -494,6 +502,7 @@
 	case resultCrashed:
 		ga.qu.Crash(jo.fingerprint, ga.pu.Now())
 		ga.notifyCrash(jo.fingerprint)
+		ga.notifyIfQuarantined(jo.fingerprint)
 	default:
 		ga.qu.Cancel(jo.fingerprint)
 	}
@@ -510,4 +519,22 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.qu.RecordCrashes(fingerprint, 1, ga.pu.Now())
+	ga.notifyIfQuarantined(fingerprint)
+}
+
+// LearnSuspects records requests that are quarantined already.
+func (ga *Gatekeeper) LearnSuspects(suspects []admitter.Suspect) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	for _, su := range suspects {
+		ga.qu.Learn(su, ga.pu.Now())
+	}
+}
+
+// notifyIfQuarantined notifies the control loop of a request that is quarantined and has
+// crashed the backend server here. The lock must be held.
+func (ga *Gatekeeper) notifyIfQuarantined(fingerprint uint64) {
+	if su, ok := ga.qu.LocalSuspect(fingerprint, ga.pu.Now()); ok {
+		ga.notifyQuarantine(su)
+	}
 }
--- a/instance/gatekeeper/gatekeeper_test.go
+++ b/instance/gatekeeper/gatekeeper_test.go
@@ -188,6 +188,35 @@
 	is.Equal(ga.Forward(context.Background(), request("4", "fine")).GetOutcome(), uint32(OutcomeAnswered))
 }
 
+// TestSuccessorRefusesQuarantinedRequest guards against a gate that lets a crashing request
+// through again, after a restart or in the next incarnation of the same process.
+func TestSuccessorRefusesQuarantinedRequest(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(t)
+	var reported []admitter.Suspect
+	WithQuarantineNotifier(func(su admitter.Suspect) { reported = append(reported, su) })(ga.Gatekeeper)
+	ga.bs.SetFaults(emulator.BackendServerFaults{CrashOn: "poison"})
+	ga.Forward(context.Background(), request("1", "poison"))
+	ga.bs.Restart()
+	is.Equal(len(reported), 0)
+	ga.RecordCrash(fingerprint(request("2", "poison"))) // at another instance
+	is.Equal(len(reported), 1)
+	is.Equal(reported[0].Crashes, 2)
+
+	for name, successor := range map[string]func(next *Gatekeeper){
+		"restarted process": func(next *Gatekeeper) { next.LearnSuspects(reported) },
+		"next incarnation":  func(next *Gatekeeper) { WithFormerCondition(ga.Condition())(next) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			next := newGate(t)
+			successor(next.Gatekeeper)
+			is.Equal(next.Forward(context.Background(), request("3", "poison")).GetCode(), admitter.CodeQuarantined)
+			is.Equal(next.calls.Load(), int32(0))
+		})
+	}
+}
+
 func TestLeaseLossCancelsRunningWork(t *testing.T) {
 	is := is.New(t)
 	ga := newGate(t, emulator.WithServiceTime(time.Minute))
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
@@ -324,6 +325,7 @@
 	gateOptions := []gatekeeper.Option{
 		gatekeeper.WithLogger(ro.lo), gatekeeper.WithLogSampling(ro.se.Log.SampleEvery),
 		gatekeeper.WithCrashNotifier(func(fingerprint uint64) { in.co.ReportSuspect(fingerprint) }),
+		gatekeeper.WithQuarantineNotifier(func(su admitter.Suspect) { in.co.ReportQuarantined(su) }),
 		gatekeeper.WithObserver(ro.meter.ObserveAdmission),
 		gatekeeper.WithRefusedConnection(func() { in.co.ReportConnectionRefused() }),
 		gatekeeper.WithLeavingServer(func(id string) { in.co.ReportServerLeaving(id) }),
@@ -347,6 +349,7 @@
 		controller.WithTable(ro.table), controller.WithObjects(ro.objects), controller.WithPeers(ro.pe),
 		controller.WithBuckets(in.gr), controller.WithSender(&reachSender{ro: ro}), controller.WithPublisher(in.pu), controller.WithLogger(ro.lo),
 		controller.WithLeaseTerm(ro.se.LeaseTerm), controller.WithFreshness(ro.se.FreshnessLimit), controller.WithPredecessor(former), controller.WithSuspectHandler(in.ga.RecordCrash),
+		controller.WithQuarantineHandler(in.ga.LearnSuspects),
 	)...)
 	if err != nil {
 		return nil, err
--- a/wire/encoder/document.go
+++ b/wire/encoder/document.go
@@ -12,7 +12,9 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"strconv"
 
+	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
@@ -168,6 +170,43 @@
 	return ir, nil
 }
 
+type wireSuspect struct {
+	// Fingerprint is in hexadecimal, since JSON numbers are not exact at 64 bits.
+	Fingerprint string `json:"fingerprint"`
+	Crashes     int    `json:"crashes"`
+}
+
+type wireQuarantine struct {
+	Requests []wireSuspect `json:"requests"`
+}
+
+// EncodeQuarantine returns the stored form of the requests that crash backend servers.
+func EncodeQuarantine(suspects []admitter.Suspect) ([]byte, error) {
+	wq := wireQuarantine{Requests: []wireSuspect{}}
+	for _, su := range suspects {
+		wq.Requests = append(wq.Requests, wireSuspect{Fingerprint: strconv.FormatUint(su.Fingerprint, 16), Crashes: su.Crashes})
+	}
+	return json.Marshal(wq)
+}
+
+// DecodeQuarantine decodes the stored form of the requests that crash backend servers.
+// The error is a *DecodeError.
+func DecodeQuarantine(content []byte) ([]admitter.Suspect, error) {
+	var wq wireQuarantine
+	if err := decode("quarantine", content, &wq); err != nil {
+		return nil, err
+	}
+	var suspects []admitter.Suspect
+	for _, ws := range wq.Requests {
+		fingerprint, err := strconv.ParseUint(ws.Fingerprint, 16, 64)
+		if err != nil {
+			return nil, &DecodeError{Document: "quarantine", Err: fmt.Errorf("requests: fingerprint: %w", err)}
+		}
+		suspects = append(suspects, admitter.Suspect{Fingerprint: fingerprint, Crashes: ws.Crashes})
+	}
+	return suspects, nil
+}
+
 type wireDataCentre struct {
 	Name   string `json:"name"`
 	Region string `json:"region"`
--- a/wire/encoder/encoder_test.go
+++ b/wire/encoder/encoder_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
@@ -37,6 +38,13 @@
 	is.NoErr(err)
 	is.Equal(gotRow, an)
 
+	suspects := []admitter.Suspect{{Fingerprint: 1<<63 + 1, Crashes: 2}, {Fingerprint: 3, Crashes: 9}}
+	content, err = EncodeQuarantine(suspects)
+	is.NoErr(err)
+	gotSuspects, err := DecodeQuarantine(content)
+	is.NoErr(err)
+	is.Equal(gotSuspects, suspects)
+
 	yaml, err := examples.Catalogue("kadrs")
 	is.NoErr(err)
 	co := cataloguer.Config{Version: 4, DrainedServers: []string{"a"}, DrainedDataCentres: []string{"riga-1"}, WorkspaceKeys: []cataloguer.WorkspaceKey{{Digest: cataloguer.Digest{1}, Workspace: "klaps"}}}
@@ -60,6 +68,9 @@
 		if _, err := DecodeMap(content); err != nil && !errors.As(err, &de) {
 			t.Fatalf("unexpected kind of error: %v", err)
 		}
+		if _, err := DecodeQuarantine(content); err != nil && !errors.As(err, &de) {
+			t.Fatalf("unexpected kind of error: %v", err)
+		}
 		if _, err := DecodeInstanceRow(content, 1); err != nil && !errors.As(err, &de) {
 			t.Fatalf("unexpected kind of error: %v", err)
 		}
