Requests that may outlast a planned stop are refused late in it

It can happen here where the grace period is long: with 10 s, requests were taken until 4.75 s after the signal, with the end of the stop as their deadline, and broken off there.

A request that arrives later than 2.5 s into a stop, the time that callers need to notice it, is taken only if its own deadline lies before the end, and otherwise refused at once as not run. The gate refuses those of other instances in the same way.

--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -123,18 +123,20 @@
 
 // Forwarder accepts, routes and forwards requests. It is safe for concurrent use.
 type Forwarder struct {
-	so            Source
-	gates         GateClient
-	index         routeIndex
-	shares        *shares
-	balancers     *balancers
-	lo            hclog.Logger
-	sampleEvery   uint64
-	observer      Observer
-	isStopping    atomic.Bool
-	isHedging     bool
-	callerService string
-	dataCentre    string
+	so          Source
+	gates       GateClient
+	index       routeIndex
+	shares      *shares
+	balancers   *balancers
+	lo          hclog.Logger
+	sampleEvery uint64
+	observer    Observer
+	isStopping  atomic.Bool
+	// refuseLongFrom is as in RefuseLong, 0 before it is called.
+	refuseLongFrom atomic.Int64
+	isHedging      bool
+	callerService  string
+	dataCentre     string
 	// decided counts the answers, for log sampling.
 	decided atomic.Uint64
 	retries *budgets
@@ -168,7 +170,34 @@
 	if !fo.isStopping.Load() {
 		return nil
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Code: CodeStopping, Reason: "the instance is stopping", RetryAfter: defaultRetryAfter}
+	return refuseStopping("the instance is stopping")
+}
+
+func refuseStopping(reason string) *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Code: CodeStopping, Reason: reason, RetryAfter: defaultRetryAfter}
+}
+
+// RefuseLong refuses requests that arrive at or after the instant if their deadline lies
+// beyond that of the context in which they are served: the end of the instance would
+// break them off. Earlier ones are served with the context's deadline.
+func (fo *Forwarder) RefuseLong(from timer.Instant) { fo.refuseLongFrom.Store(int64(from)) }
+
+// applyContextDeadline shortens the deadline of a call to that of the context, or refuses
+// the call, see RefuseLong.
+func (fo *Forwarder) applyContextDeadline(ctx context.Context, ca *call) *Refusal {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return nil
+	}
+	endAt := fo.so.Now().Add(timer.FromDuration(time.Until(deadline)))
+	if ca.deadlineAt <= endAt {
+		return nil
+	}
+	if from := timer.Instant(fo.refuseLongFrom.Load()); from != 0 && !ca.startedAt.Before(from) {
+		return refuseStopping("the instance is stopping and may end before the request does")
+	}
+	ca.deadlineAt = endAt
+	return nil
 }
 
 // ServeHTTP implements http.Handler.
@@ -282,6 +311,10 @@
 		fo.refuse(wr, ca, *rf)
 		return
 	}
+	if rf := fo.applyContextDeadline(re.Context(), ca); rf != nil {
+		fo.refuse(wr, ca, *rf)
+		return
+	}
 	ctx, cancel := context.WithTimeout(re.Context(), ca.deadlineAt.Sub(fo.so.Now()).Duration())
 	defer cancel()
 	if rf := fo.limit(ctx, ca); rf != nil {
--- a/instance/forwarder/request.go
+++ b/instance/forwarder/request.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
@@ -109,9 +108,8 @@
 	ca.key, ca.target, ca.host, ca.headers, ca.body = rq.Key, rq.Target, rq.Host, rq.Headers, rq.Body
 	ca.method, ca.callerService = rq.Method, fo.callerService
 	ca.setDeadline(rq.Timeout)
-	if deadline, ok := ctx.Deadline(); ok {
-		left := timer.FromDuration(time.Until(deadline))
-		ca.deadlineAt = min(ca.deadlineAt, fo.so.Now().Add(left))
+	if rf := fo.applyContextDeadline(ctx, ca); rf != nil {
+		return nil, rf
 	}
 	if vi.Services[ca.service].Class == cataloguer.Exclusive && ca.key == "" {
 		return nil, &Refusal{Status: http.StatusBadRequest, Code: CodeBadRequest, Reason: "the entity key is missing"}
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -262,6 +262,9 @@
 	if !ok || rq.GetService() != self.Service {
 		return refuse(CodeUnknownService, "this instance does not serve "+rq.GetService())
 	}
+	if end, ok := ctx.Deadline(); ok && ga.pu.RefusesLong() && time.Until(end) < time.Duration(rq.GetRemaining()) {
+		return refuse(admitter.CodeDraining, "this instance is stopping and may end before the request does")
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(rq.GetRemaining()))
 	defer cancel()
 	jo := &job{rq: rq, sv: sv, deadlineAt: ga.pu.Now().Add(timer.Span(rq.GetRemaining())), fingerprint: fingerprint(rq)}
--- a/instance/gatekeeper/gatekeeper_test.go
+++ b/instance/gatekeeper/gatekeeper_test.go
@@ -217,6 +217,24 @@
 	}
 }
 
+// TestLongRequestsLateInAStop guards against a request of another instance that is taken late
+// in a planned stop and broken off when the process ends.
+func TestLongRequestsLateInAStop(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	ga.pu.SetStopping(ga.pu.Now().Add(timer.Second))
+	is.Equal(ga.Forward(ctx, request("1", "body")).GetOutcome(), uint32(OutcomeAnswered)) // peers have not noticed yet
+	ga.pu.SetStopping(ga.pu.Now())
+	answer := ga.Forward(ctx, request("2", "body"))
+	is.Equal([]any{answer.GetOutcome(), answer.GetCode()}, []any{uint32(OutcomeNotRun), admitter.CodeDraining})
+	short := request("3", "body")
+	short.Remaining = int64(time.Second)
+	is.Equal(ga.Forward(ctx, short).GetOutcome(), uint32(OutcomeAnswered))
+	is.Equal(ga.calls.Load(), int32(2))
+}
+
 func TestLeaseLossCancelsRunningWork(t *testing.T) {
 	is := is.New(t)
 	ga := newGate(t, emulator.WithServiceTime(time.Minute))
--- a/instance/publisher/publisher.go
+++ b/instance/publisher/publisher.go
@@ -103,7 +103,9 @@
 	leaseUntil atomic.Int64
 	freshUntil atomic.Int64
 	isStopping atomic.Bool
-	server     atomic.Pointer[BackendServer]
+	// refuseLongFrom is as in SetStopping.
+	refuseLongFrom atomic.Int64
+	server         atomic.Pointer[BackendServer]
 
 	mu            sync.RWMutex
 	partitionSets map[string]*partitionSet
@@ -155,8 +157,17 @@
 // IsFresh reports whether the known set of withdrawn keys is recent enough.
 func (pu *Publisher) IsFresh() bool { return pu.clock.Now().Before(pu.FreshUntil()) }
 
-// SetStopping marks that a planned stop has begun.
-func (pu *Publisher) SetStopping() { pu.isStopping.Store(true) }
+// SetStopping marks that a planned stop has begun. From refuseLongFrom on, no request is
+// to be taken that the end of the instance may break off.
+func (pu *Publisher) SetStopping(refuseLongFrom timer.Instant) {
+	pu.refuseLongFrom.Store(int64(refuseLongFrom))
+	pu.isStopping.Store(true)
+}
+
+// RefusesLong reports whether requests must be refused that may outlast the instance.
+func (pu *Publisher) RefusesLong() bool {
+	return pu.IsStopping() && !pu.clock.Now().Before(timer.Instant(pu.refuseLongFrom.Load()))
+}
 
 // IsStopping reports whether a planned stop has begun.
 func (pu *Publisher) IsStopping() bool { return pu.isStopping.Load() }
--- a/instance/router/servers.go
+++ b/instance/router/servers.go
@@ -22,6 +22,9 @@
 	// second have switched to others by then.
 	quietPeriod = time.Second
 	quietCheck  = 20 * time.Millisecond
+	// noticeSpan is how long callers need to notice a planned stop: they check once a
+	// second that an instance is ready, and leave after the second miss.
+	noticeSpan = 2500 * timer.Millisecond
 	// cancelGrace bounds the wait for the answers of cancelled requests.
 	cancelGrace = 200 * time.Millisecond
 )
--- a/instance/router/stop.go
+++ b/instance/router/stop.go
@@ -73,11 +73,14 @@
 // stop makes a planned stop: answers close callers' connections, so that they switch
 // to other instances, ownership is handed over and running work finishes. Requests
 // that arrive after that are refused as not run, since the process could end before
-// they are answered. done receives the result of the event loop.
+// they are answered. So are those that arrive after noticeSpan and whose own deadline
+// lies beyond the end of the stop. done receives the result of the event loop.
 func (ro *Router) stop(in *incarnation, done <-chan error) error {
 	startedAt := ro.clock.Now()
 	schedule := newStopSchedule(ro.clock, ro.stopTimeout)
-	in.pu.SetStopping()
+	refuseLongFrom := startedAt.Add(noticeSpan)
+	in.pu.SetStopping(refuseLongFrom)
+	ro.fo.RefuseLong(refuseLongFrom)
 	ro.servers.stopKeepingAlive(schedule.end(answerUntil))
 	stopCtx, stopped := context.WithCancel(ro.killed)
 	defer stopped()
