Late heartbeats of a former run free no keys

Cause: the bound of one lease term for a former instance's grants was dropped with the first heartbeat, and with the first restart that it seemed to show. A heartbeat may have been sent before the process started.

The bound stays, unless a heartbeat lists a hold that only this instance can have granted: then it was sent after the start. Grants by calls had the same fault at a restart of the server.

Three cases of TestIsFree wanted the fault; each now stands with and without a current heartbeat.

--- a/core/registrar/grant.go
+++ b/core/registrar/grant.go
@@ -38,6 +38,7 @@
 		return Reply{}, nil
 	}
 	holds, granted := re.selectHolds(wanted, now)
+	re.recordFirstEpoch(wanted)
 	for _, pt := range granted {
 		ps := &re.partitions[pt]
 		// The server's hold starts when it sent the heartbeat, which was before now.
@@ -48,6 +49,15 @@
 	return Reply{Holds: holds, HoldTerm: span}, granted
 }
 
+// recordFirstEpoch updates firstEpoch with the epochs of partitions that are granted.
+func (re *Registrar) recordFirstEpoch(wanted []WantedPartition) {
+	for _, wa := range wanted {
+		if re.firstEpoch == 0 || wa.Epoch < re.firstEpoch {
+			re.firstEpoch = wa.Epoch
+		}
+	}
+}
+
 // selectHolds returns holds for the wanted partitions, as many as fit into a reply,
 // and the partitions they cover. Partitions that the server already holds go first. If
 // one hold for each partition would exceed the reply, adjacent ranges are merged.
--- a/core/registrar/orders_explorer_test.go
+++ b/core/registrar/orders_explorer_test.go
@@ -53,13 +53,16 @@
 }
 
 // newRegistrar returns the registrar of an instance that started at startedAt and has
-// heard from the server.
-func (ex *explored) newRegistrar(startedAt timer.Instant) *Registrar {
+// heard from the server, after the late heartbeats if there are any.
+func (ex *explored) newRegistrar(startedAt timer.Instant, late ...Heartbeat) *Registrar {
 	re, err := New(Start(startedAt), Term(term), OrderTimeout(exploreTimeout), MaxHold(exploreHold))
 	if err != nil {
 		panic(err)
 	}
 	re.SetRanges([]placer.Range{{From: 0, To: 9}, {From: 10, To: 19}})
+	for _, hb := range late {
+		re.ApplyHeartbeat(hb, ex.now)
+	}
 	re.ApplyHeartbeat(ex.heartbeat(1), ex.now)
 	return re
 }
@@ -105,6 +108,15 @@
 	return or
 }
 
+// dropOrders makes the server receive the grants in flight of an instance that ends.
+func (ex *explored) dropOrders() {
+	for len(ex.inFlight) > 0 {
+		if or := ex.takeOrder(); !or.IsRelease {
+			ex.unapplied = append(ex.unapplied, sentOrder{order: or, arrivedAt: ex.now})
+		}
+	}
+}
+
 // successors returns the states that one action leads to.
 func (ex *explored) successors() []*explored {
 	var all []*explored
@@ -145,13 +157,14 @@
 	if ex.serverRestarts+ex.instanceRestarts < maxExploreRestarts {
 		add("the instance restarts", func(ne *explored) {
 			ne.instanceRestarts++
-			for len(ne.inFlight) > 0 {
-				if or := ne.takeOrder(); !or.IsRelease {
-					ne.unapplied = append(ne.unapplied, sentOrder{order: or, arrivedAt: ne.now})
-				}
-			}
+			ne.dropOrders()
 			ne.re = ne.newRegistrar(ne.now)
 		})
+		add("the instance restarts and hears of a former run first", func(ne *explored) {
+			ne.instanceRestarts++
+			ne.dropOrders()
+			ne.re = ne.newRegistrar(ne.now, Heartbeat{ID: "s", StartedAt: 0, Sequence: 9, Slots: 1, IsDraining: true})
+		})
 	}
 	return all
 }
@@ -275,7 +288,7 @@
 		},
 		"a release voids unanswered grants": func(ex *explored) {
 			for pt := range ex.re.partitions {
-				if ps := &ex.re.partitions[pt]; ps.token == 0 && ps.heldUntil == 0 {
+				if ps := &ex.re.partitions[pt]; ps.token == 0 && ps.heldUntil <= ex.re.formerUntil() {
 					ps.order.unansweredUntil = 0
 				}
 			}
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -195,10 +195,16 @@
 	latest Heartbeat
 	// restarts is how often the server has restarted since this instance first
 	// received a heartbeat from it, at most maxRestarts.
-	restarts    uint64
-	isKnown     bool
-	isDown      bool
-	notices     []leaveNotice
+	restarts uint64
+	isKnown  bool
+	isDown   bool
+	notices  []leaveNotice
+	// firstEpoch is the lowest epoch in any hold that this instance granted, 0 before
+	// the first. Those of former instances are lower.
+	firstEpoch uint64
+	// isCurrent is set once a heartbeat listed such a hold. It and all later ones were
+	// sent after Start.
+	isCurrent   bool
 	heartbeatAt timer.Instant
 	ranges      []placer.Range
 	partitions  []partitionState
@@ -221,24 +227,31 @@
 }
 
 // SetRanges sets the key ranges of all partitions, indexed by partition. It has no
-// effect if their number is unchanged. Until the first heartbeat or one lease term
-// after Start, the server may hold any of them by the grants of a former instance.
+// effect if their number is unchanged. Until one lease term after Start, the server may
+// hold any of them by the grants of a former instance.
 func (re *Registrar) SetRanges(ranges []placer.Range) {
 	if len(ranges) == len(re.ranges) {
 		return
 	}
 	re.ranges = ranges
 	re.partitions = make([]partitionState, len(ranges))
-	for pt := range re.partitions {
-		re.partitions[pt].heldUntil = re.startedAt.Add(re.term)
-		// A grant of a former instance may still be applied after a release.
-		re.partitions[pt].order.unansweredUntil = re.startedAt.Add(re.term)
-	}
+	re.clearHolds(re.formerUntil())
 	if re.isKnown && !re.latest.OmitsHolds && !re.UsesOrders() {
 		re.recordHolds(re.latest)
 	}
 }
 
+// formerUntil returns an upper bound for the end of all holds that a former instance
+// granted and that heartbeats don't list, 0 if there are none. A heartbeat may have been
+// sent before Start and arrive late, even from a former run. So it proves nothing before
+// one lease term has passed, unless heartbeats are known to be current.
+func (re *Registrar) formerUntil() timer.Instant {
+	if re.isCurrent {
+		return 0
+	}
+	return re.startedAt.Add(re.term)
+}
+
 // IsDuplicate reports whether a heartbeat is a copy of the latest one, which the
 // server sends again if it received no reply. It may be replied to but must not be
 // applied again, since its content is older than the replies sent since.
@@ -260,9 +273,15 @@
 		return false
 	}
 	if re.isKnown && !isSame {
-		re.clearHolds()
+		// A run that began after Start has nothing from a former instance. Whether that is
+		// so is known only if the run before it was heard after Start.
+		re.clearHolds(re.formerUntil())
 		re.restarts = min(re.restarts+1, maxRestarts)
 	}
+	if re.isDown && isSame {
+		// The server did not end after all, so that it may still hold what it was granted.
+		re.clearHolds(now.Add(re.term))
+	}
 	re.latest, re.isKnown, re.isDown, re.heartbeatAt = hb, true, false, now
 	re.bindNotices(hb, now)
 	if hb.IsDraining {
@@ -274,13 +293,15 @@
 	return true
 }
 
-// clearHolds marks all partitions as not held, since a restarted or ended server holds
-// nothing. Hand-over strings received for the server stay, and so do epochs, which
-// later tokens must not fall below. Orders in flight may still reach the next start.
-func (re *Registrar) clearHolds() {
+// clearHolds forgets what the server holds, with an upper bound for the end of all holds
+// that it may have. Hand-over strings received for the server stay, and so do epochs,
+// which later tokens must not fall below. Orders in flight may still reach the next start.
+func (re *Registrar) clearHolds(heldUntil timer.Instant) {
 	for pt := range re.partitions {
 		ps := re.partitions[pt]
-		cleared := partitionState{receivedHandover: ps.receivedHandover, epoch: ps.epoch}
+		cleared := partitionState{receivedHandover: ps.receivedHandover, epoch: ps.epoch, heldUntil: heldUntil}
+		// A grant of a former instance may still be applied after a release.
+		cleared.order.unansweredUntil = heldUntil
 		cleared.order.inFlight, cleared.order.isGranting = ps.order.inFlight, ps.order.isGranting
 		re.partitions[pt] = cleared
 	}
@@ -293,6 +314,7 @@
 		re.partitions[pt].isListed, re.partitions[pt].token = false, 0
 	}
 	for _, ho := range hb.Holds {
+		re.isCurrent = re.isCurrent || re.firstEpoch != 0 && ho.FencingToken>>restartBits >= re.firstEpoch
 		for _, pt := range re.overlapping(ho.Range) {
 			ps := &re.partitions[pt]
 			ps.isListed, ps.token = true, max(ps.token, ho.FencingToken)
@@ -301,7 +323,7 @@
 	for pt := range re.partitions {
 		ps := &re.partitions[pt]
 		if !ps.isListed {
-			ps.heldUntil = 0
+			ps.heldUntil = re.formerUntil()
 			continue
 		}
 		ps.epoch = max(ps.epoch, ps.token>>restartBits)
@@ -350,7 +372,7 @@
 		return
 	}
 	re.isDown = true
-	re.clearHolds()
+	re.clearHolds(0)
 }
 
 // State returns the server's state at now.
@@ -376,17 +398,16 @@
 func (re *Registrar) LatestHeartbeat() (Heartbeat, timer.Instant) { return re.latest, re.heartbeatAt }
 
 // IsFree reports whether the server provably does not hold the partition at now. A
-// partition without a range is free once a heartbeat has arrived or one lease term
-// after Start.
+// partition without a range is free one lease term after Start.
 func (re *Registrar) IsFree(pt uint32, now timer.Instant) bool {
 	if int(pt) >= len(re.partitions) {
-		return re.isKnown || !now.Before(re.startedAt.Add(re.term))
+		return !now.Before(re.formerUntil())
 	}
 	ps := &re.partitions[pt]
 	if re.UsesOrders() {
 		return ps.isOrderFree(now)
 	}
-	return !now.Before(ps.heldUntil) || re.isKnown && !ps.isListed && ps.heldUntil == 0
+	return !now.Before(ps.heldUntil)
 }
 
 // MayHold reports whether the server may hold the partition at now.
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -69,16 +69,27 @@
 		at     timer.Instant
 		isFree bool
 	}{
-		"no heartbeat, within a term": {do: func(*Registrar) {}, at: 12 * second},
-		"no heartbeat, after a term":  {do: func(*Registrar) {}, at: 13 * second, isFree: true},
-		"heartbeat, held":             {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1, held), 11*second) }, at: 12 * second},
-		"heartbeat, not held":         {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second) }, at: 11 * second, isFree: true},
-		"granted, reply in flight":    {do: grant, at: 12 * second},
-		"granted, hold ended":         {do: grant, at: 15 * second, isFree: true},
+		"no heartbeat, within a term":          {do: func(*Registrar) {}, at: 12 * second},
+		"no heartbeat, after a term":           {do: func(*Registrar) {}, at: 13 * second, isFree: true},
+		"heartbeat, held":                      {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1, held), 11*second) }, at: 12 * second},
+		"heartbeat, not held, may be late":     {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second) }, at: 12 * second},
+		"heartbeat, not held, after a term":    {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second) }, at: 13 * second, isFree: true},
+		"current heartbeat, not held":          {do: func(re *Registrar) { granted(re); re.ApplyHeartbeat(beat(3), 11*second) }, at: 11 * second, isFree: true},
+		"late draining one of a former run":    {do: lateHeartbeat, at: 11 * second},
+		"the same, then one that lists holds":  {do: func(re *Registrar) { lateHeartbeat(re); re.ApplyHeartbeat(beat(1, held), 12*second) }, at: 12 * second},
+		"the same, then one that lists none":   {do: func(re *Registrar) { lateHeartbeat(re); re.ApplyHeartbeat(beat(1), 12*second) }, at: 12 * second},
+		"the same, after a term":               {do: func(re *Registrar) { lateHeartbeat(re); re.ApplyHeartbeat(beat(1), 12*second) }, at: 13 * second, isFree: true},
+		"address refuses, heartbeat after all": {do: func(re *Registrar) { granted(re); re.MarkDown(); re.ApplyHeartbeat(beat(3, grantedHold), 12*second) }, at: 14 * second},
+		"granted, reply in flight":             {do: grant, at: 12 * second},
+		"granted, hold ended":                  {do: grant, at: 15 * second, isFree: true},
 		"granted, server restarts": {do: func(re *Registrar) {
-			grant(re)
+			granted(re)
 			re.ApplyHeartbeat(Heartbeat{ID: "s2", StartedAt: 2, Sequence: 1}, 12*second)
 		}, at: 12 * second, isFree: true},
+		"granted to a run that may have ended before, server restarts": {do: func(re *Registrar) {
+			grant(re)
+			re.ApplyHeartbeat(Heartbeat{ID: "s2", StartedAt: 2, Sequence: 1}, 12*second)
+		}, at: 12 * second},
 		"granted, address refuses": {do: func(re *Registrar) { grant(re); re.MarkDown() }, at: 12 * second, isFree: true},
 		"granted, leaving server stops listening": {do: func(re *Registrar) {
 			grant(re)
@@ -88,7 +99,8 @@
 			re.MarkDown()
 		}, at: 12 * second},
 		"released, requests running": {do: func(re *Registrar) { grant(re); re.ApplyHeartbeat(beat(2, held), 12*second) }, at: 12 * second},
-		"released":                   {do: func(re *Registrar) { grant(re); re.ApplyHeartbeat(beat(2), 12*second) }, at: 12 * second, isFree: true},
+		"released":                   {do: func(re *Registrar) { granted(re); re.ApplyHeartbeat(beat(3), 12*second) }, at: 12 * second, isFree: true},
+		"released, may be late":      {do: func(re *Registrar) { grant(re); re.ApplyHeartbeat(beat(2), 12*second) }, at: 12 * second},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -105,6 +117,21 @@
 	re.Grant(wants(7, 0), 14*second, 11*second)
 }
 
+// grantedHold is the hold that grant grants.
+var grantedHold = Hold{Range: placer.Range{From: 0, To: 9}, FencingToken: 7 << restartBits}
+
+// granted grants a hold that the server's next heartbeat lists.
+func granted(re *Registrar) {
+	grant(re)
+	re.ApplyHeartbeat(beat(2, grantedHold), 11*second)
+}
+
+// lateHeartbeat delivers the last heartbeat of a run that was replaced before this instance
+// started, which must not free what the present run holds by a former instance's grants.
+func lateHeartbeat(re *Registrar) {
+	re.ApplyHeartbeat(Heartbeat{ID: "s0", StartedAt: 0, Sequence: 30, Slots: 4, IsDraining: true}, 11*second)
+}
+
 // TestHoldEndsBeforeLease checks that holds end before the instance's lease even if the
 // server's clock runs as slow as allowed.
 func TestHoldEndsBeforeLease(t *testing.T) {
