Paths with two leading slashes reach the server unchanged

Cause: the target is sent as the opaque part of a URL, and net/url writes the scheme before one that begins with two slashes.

Such a target goes out as raw path and query. One that can't be written as it came is refused as not run, with 400.

--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -260,7 +260,7 @@
 	}
 	switch at.answer.GetCode() {
 	case admitter.CodeOverloaded, admitter.CodeServerLimit, admitter.CodeDeadline, admitter.CodeQuarantined, admitter.CodeDuplicate,
-		gatekeeper.CodeIdempotencyKeyReused, gatekeeper.CodeDeduperFull:
+		gatekeeper.CodeIdempotencyKeyReused, gatekeeper.CodeDeduperFull, gatekeeper.CodeBadTarget:
 		return true
 	case gatekeeper.CodeLost, gatekeeper.CodeCrashed:
 		return !ca.idempotent
@@ -290,6 +290,8 @@
 		return http.StatusConflict
 	case admitter.CodeQuarantined:
 		return http.StatusUnprocessableEntity
+	case gatekeeper.CodeBadTarget:
+		return http.StatusBadRequest
 	case gatekeeper.CodeLost, gatekeeper.CodeCrashed:
 		return http.StatusBadGateway
 	default:
--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -189,7 +190,7 @@
 func (bs *backend) request(ctx context.Context, ex Exchange) *http.Request {
 	rq := ex.Request
 	re := (&http.Request{
-		Method: rq.GetMethod(), URL: &url.URL{Scheme: "http", Host: bs.address, Opaque: rq.GetPathAndQuery()},
+		Method: rq.GetMethod(), URL: targetURL(bs.address, rq.GetPathAndQuery()),
 		Host: rq.GetHost(), Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
 	re.Body = onceBody{bytes.NewReader(rq.GetBody())}
@@ -205,6 +206,22 @@
 	return re
 }
 
+// targetURL returns the URL of a request to the address whose target goes out as it is.
+// An opaque part does, except after two slashes: net/url would put the scheme before it.
+func targetURL(address, target string) *url.URL {
+	if !strings.HasPrefix(target, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: target}
+	}
+	ur := &url.URL{Scheme: "http", Host: address}
+	ur.RawPath, ur.RawQuery, ur.ForceQuery = target, "", false
+	if path, query, hasQuery := strings.Cut(target, "?"); hasQuery {
+		ur.RawPath, ur.RawQuery, ur.ForceQuery = path, query, query == ""
+	}
+	// A path that can't be decoded has no URL that is written like it, see run.
+	ur.Path, _ = url.PathUnescape(ur.RawPath)
+	return ur
+}
+
 // remaining returns the time left until the deadline, or 0 without a deadline.
 func remaining(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
@@ -220,6 +237,9 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wasConnected.Store(true) }}
 	ex := Exchange{Request: jo.rq, ServerID: serverID, Epoch: epoch, Remaining: remaining(ctx)}
 	re := bs.request(httptrace.WithClientTrace(ctx, trace), ex)
+	if re.URL.RequestURI() != jo.rq.GetPathAndQuery() {
+		return refuse(CodeBadTarget, "the request target can't be passed on unchanged"), resultCancelled
+	}
 	sentAt := bs.now()
 	transport := bs.transport
 	if jo.rq.GetRefused() {
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -48,6 +48,7 @@
 	CodeIdempotencyKeyReused = "idempotencyKeyReused"
 	CodeCrashed              = "backendServerCrashed"
 	CodeServerUnknown        = "backendServerUnknown"
+	CodeBadTarget            = "badTarget"
 	// CodeKeyRejected means that the backend server received the request and rejected
 	// it, because it does not hold the key or has been restarted.
 	CodeKeyRejected = "backendServerRejectedKey"
