A gate starts few requests before the server's first answer

Cause: without an answer the gate takes the server for unlimited, up to its slots. Now it starts at most four at once until the first answer, and again after the server has started anew; a known limit is taken over within the process as before.

--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -200,6 +200,8 @@
 	lastTicket Ticket
 	queues     [queueCount]fairQueue
 	isDraining bool
+	// awaitsAnswer is as in AwaitAnswer.
+	awaitsAnswer bool
 }
 
 // New returns a Gate without requests, by default with one slot and no queue.
@@ -227,7 +229,23 @@
 }
 
 // Limit returns the concurrency limit in force.
-func (ga *Gate) Limit() int { return ga.limit }
+func (ga *Gate) Limit() int {
+	if ga.awaitsAnswer {
+		return min(ga.limit, unheardSlots)
+	}
+	return ga.limit
+}
+
+// AwaitAnswer holds the concurrency to unheardSlots until HearAnswer: the answers of the
+// server may name a limit on the rate of requests, which is not known before the first.
+func (ga *Gate) AwaitAnswer() { ga.awaitsAnswer = true }
+
+// HearAnswer ends AwaitAnswer. It reports whether that was in force.
+func (ga *Gate) HearAnswer() bool {
+	wasAwaited := ga.awaitsAnswer
+	ga.awaitsAnswer = false
+	return wasAwaited
+}
 
 // Running returns the number of running requests.
 func (ga *Gate) Running() int { return ga.running }
@@ -265,7 +283,7 @@
 	}
 	rq.Priority = min(rq.Priority, cataloguer.PriorityCount-1)
 	ga.lastTicket++
-	if ga.running < ga.limit && ga.Waiting() == 0 && !ga.isRateExhausted(now) {
+	if ga.running < ga.Limit() && ga.Waiting() == 0 && !ga.isRateExhausted(now) {
 		ga.startRun()
 		return Run{Ticket: ga.lastTicket}
 	}
@@ -328,7 +346,7 @@
 func (ga *Gate) StartQueued(now timer.Instant) []Ticket {
 	var started []Ticket
 	for pr := range ga.queues {
-		for ga.running < ga.limit && !ga.isRateExhausted(now) {
+		for ga.running < ga.Limit() && !ga.isRateExhausted(now) {
 			next, ok := ga.queues[pr].pop()
 			if !ok {
 				break
--- a/core/admitter/rate.go
+++ b/core/admitter/rate.go
@@ -12,6 +12,8 @@
 	// minStartRate is the lowest rate of starts, in requests a second. A server that
 	// gets no request can't lift its limit.
 	minStartRate = 0.25
+	// unheardSlots is the concurrency limit for a server that has not answered yet.
+	unheardSlots = 4
 )
 
 // SetColdRate limits how many requests per second start on a cold server. At 0,
@@ -90,7 +92,7 @@
 // NextStartAt returns when the next queued request may start even if no run ends
 // before. It returns false if the start rate is not what holds the queue up.
 func (ga *Gate) NextStartAt(now timer.Instant) (timer.Instant, bool) {
-	if ga.Waiting() == 0 || ga.running >= ga.limit || !ga.isRateExhausted(now) {
+	if ga.Waiting() == 0 || ga.running >= ga.Limit() || !ga.isRateExhausted(now) {
 		return 0, false
 	}
 	rate, _ := ga.startRate(now)
--- a/core/admitter/rate_test.go
+++ b/core/admitter/rate_test.go
@@ -157,3 +157,25 @@
 	is.True(len(ll.starts) >= 4)
 	is.True(ll.most(4*timer.Second, second, 21*second) <= 5)
 }
+
+// TestFewStartsBeforeTheFirstAnswer guards against a gate that starts again and exceeds a low
+// limit of the server before an answer names it. The load is 20 requests at once.
+func TestFewStartsBeforeTheFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	ga, err := New(Slots(9), QueueLength(36))
+	is.NoErr(err)
+	ga.AwaitAnswer()
+	starts := 0
+	for range 20 {
+		if _, ok := ga.Arrive(Request{Workspace: "a", DeadlineAt: late}, 0).(Run); ok {
+			starts++
+		}
+	}
+	is.Equal(starts, unheardSlots)
+	is.Equal(ga.Limit(), unheardSlots)
+	is.True(ga.HearAnswer())
+	ga.SetServerLimit(1, true, 0)
+	is.Equal(len(ga.Finish(Completion{}, 0)), 0) // the limit holds from the first answer on
+	ga.SetServerLimit(0, false, 0)
+	is.Equal(len(ga.StartQueued(0)), 9-(unheardSlots-1))
+}
--- a/instance/gatekeeper/condition.go
+++ b/instance/gatekeeper/condition.go
@@ -21,6 +21,8 @@
 type observedCondition struct {
 	Condition
 	serverID string
+	// isHeard is set with the first answer.
+	isHeard bool
 	// limitedAt is when an answer last named a limit.
 	limitedAt timer.Instant
 	// refuseAt is from when a leaving server gets no new requests.
@@ -41,6 +43,8 @@
 		}
 		ga.condition = observedCondition{serverID: serverID}
 	}
+	ga.condition.isHeard = true
+	wasAwaited := ga.gate != nil && ga.gate.HearAnswer()
 	former := ga.condition.Condition
 	switch {
 	case cn.IsLimited:
@@ -53,10 +57,12 @@
 	if cn.IsLeaving {
 		ga.leave(now)
 	}
+	if cn != former || wasAwaited {
+		ga.applyServerLimit()
+	}
 	if cn == former {
 		return
 	}
-	ga.applyServerLimit()
 	ga.lo.Info("condition of the backend server changed", "server", serverID, "isLimited", cn.IsLimited, "requestLimit", cn.RequestLimit,
 		"isLeaving", cn.IsLeaving, "formerLimit", former.RequestLimit)
 }
@@ -100,6 +106,9 @@
 		return
 	}
 	ga.condition = observedCondition{serverID: bs.ID}
+	if ga.gate != nil {
+		ga.gate.AwaitAnswer()
+	}
 	ga.applyServerLimit()
 }
 
--- a/instance/gatekeeper/server.go
+++ b/instance/gatekeeper/server.go
@@ -90,6 +90,9 @@
 		panic(fmt.Sprintf("gatekeeper: a validated catalogue has bad limits: %v", err))
 	}
 	gate.SetColdRate(li.ColdRate)
+	if !ga.condition.isHeard {
+		gate.AwaitAnswer()
+	}
 	ga.gate = gate
 	ga.applyServerLimit()
 }
