Stand-in store: an answer's version is that of its rows

Cause found by reading: the stand-in read the rows and the version of an answer at two moments. A reader continues from that version and skips what was written in between; a writer took another transaction's version for its own.

Both are of one moment now.

--- a/standin/platformer/store.go
+++ b/standin/platformer/store.go
@@ -165,10 +165,10 @@
 	}
 }
 
-func (st *Store) answer(wr http.ResponseWriter, status int, list []Row, hasMore bool) {
-	st.mu.Lock()
-	body := rows{Rows: list, HasMore: hasMore, Version: st.version, Now: time.Since(st.start).Seconds()}
-	st.mu.Unlock()
+// answer writes rows as of a version. A reader continues from that version, so both must be
+// of one moment.
+func (st *Store) answer(wr http.ResponseWriter, status int, list []Row, hasMore bool, version uint64) {
+	body := rows{Rows: list, HasMore: hasMore, Version: version, Now: time.Since(st.start).Seconds()}
 	wr.Header().Set("Content-Type", "application/json")
 	wr.WriteHeader(status)
 	// A failed write means that the caller's connection broke.
@@ -178,15 +178,16 @@
 func (st *Store) serveGet(wr http.ResponseWriter, re *http.Request) {
 	qu := re.URL.Query()
 	from, to := qu.Get("from"), qu.Get("to")
-	list := st.list(func(ro Row) bool {
+	list, version := st.list(func(ro Row) bool {
 		return ro.Table == qu.Get("table") && !ro.Tombstone && ro.Key >= from && (to == "" || ro.Key < to)
 	})
 	slices.SortFunc(list, func(le, ri Row) int { return strings.Compare(le.Key, ri.Key) })
 	hasMore := len(list) > pageLength
-	st.answer(wr, http.StatusOK, list[:min(len(list), pageLength)], hasMore)
+	st.answer(wr, http.StatusOK, list[:min(len(list), pageLength)], hasMore, version)
 }
 
-func (st *Store) list(matches func(Row) bool) []Row {
+// list returns the matching rows and the version as of which they are current.
+func (st *Store) list(matches func(Row) bool) ([]Row, uint64) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	list := []Row{}
@@ -195,7 +196,7 @@
 			list = append(list, ro)
 		}
 	}
-	return list
+	return list, st.version
 }
 
 func (st *Store) serveFeed(wr http.ResponseWriter, re *http.Request) {
@@ -211,16 +212,16 @@
 			http.Error(wr, "history is gone", http.StatusGone)
 			return
 		}
-		list := st.list(func(ro Row) bool { return ro.Table == qu.Get("table") && ro.Version > after })
+		list, version := st.list(func(ro Row) bool { return ro.Table == qu.Get("table") && ro.Version > after })
 		slices.SortFunc(list, func(le, ri Row) int { return int(le.Version) - int(ri.Version) })
 		if len(list) > 0 {
-			st.answer(wr, http.StatusOK, list, false)
+			st.answer(wr, http.StatusOK, list, false, version)
 			return
 		}
 		select {
 		case <-changed:
 		case <-end:
-			st.answer(wr, http.StatusOK, list, false)
+			st.answer(wr, http.StatusOK, list, false, version)
 			return
 		case <-re.Context().Done():
 			return
@@ -242,6 +243,7 @@
 	}
 	st.mu.Lock()
 	found, isSatisfied := st.apply(tx)
+	version := st.version
 	isLost := isSatisfied && st.faults.LoseAnswers > 0
 	if isLost {
 		st.faults.LoseAnswers--
@@ -251,9 +253,9 @@
 	case isLost:
 		panic(http.ErrAbortHandler)
 	case !isSatisfied:
-		st.answer(wr, http.StatusPreconditionFailed, found, false)
+		st.answer(wr, http.StatusPreconditionFailed, found, false, version)
 	default:
-		st.answer(wr, http.StatusOK, []Row{}, false)
+		st.answer(wr, http.StatusOK, []Row{}, false, version)
 	}
 }
 
