Only a leaving run waits for its acknowledgement

Found by reading the change: with the table unavailable, the notice of a run that has left kept back the replies to the heartbeats of its successor, which would have lost its keys. The reply waits only if the run that sent the heartbeat is leaving.

The stored quarantine is passed on when it changes, not with each map, so that a request which succeeded since is not refused again; members are counted only if an entry has expired.

--- a/core/registrar/leaving.go
+++ b/core/registrar/leaving.go
@@ -96,8 +96,8 @@
 	}
 }
 
-// isLeaving reports whether the run of the latest heartbeat has announced its end.
-func (re *Registrar) isLeaving() bool {
+// IsLeaving reports whether the run of the latest heartbeat has announced its end.
+func (re *Registrar) IsLeaving() bool {
 	return re.isKnown && re.hasNotice(ServerRun{ID: re.latest.ID, StartedAt: re.latest.StartedAt})
 }
 
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -368,7 +368,7 @@
 // is shutting down: then it stops listening before it ends, and the call has no
 // effect.
 func (re *Registrar) MarkDown() {
-	if re.isLeaving() {
+	if re.IsLeaving() {
 		return
 	}
 	re.isDown = true
@@ -382,7 +382,7 @@
 		return Unknown
 	case re.isDown:
 		return Down
-	case re.isLeaving():
+	case re.IsLeaving():
 		return Draining
 	case now.Sub(re.heartbeatAt) > silentAfter:
 		return Silent
--- a/instance/controller/leaving.go
+++ b/instance/controller/leaving.go
@@ -53,7 +53,7 @@
 }
 
 // isLeavingStored reports whether the row as last committed lists every leaving run of the
-// backend server. Nothing that says that it leaves is acknowledged before.
+// backend server.
 func (co *Controller) isLeavingStored() bool {
 	for _, ru := range co.leavingRuns() {
 		if !slices.Contains(co.storedLeaving, ru) {
@@ -63,18 +63,23 @@
 	return true
 }
 
+// mayAcknowledge reports whether the latest heartbeat may be replied to: the row must list
+// its run if that is leaving.
+func (co *Controller) mayAcknowledge() bool {
+	return !co.re.IsLeaving() || slices.Contains(co.storedLeaving, co.heardRun())
+}
+
 // recordStoredLeaving records the leaving runs in the row as committed, and gives the
 // replies that waited for them.
 func (co *Controller) recordStoredLeaving(runs []registrar.ServerRun) {
 	co.storedLeaving = runs
-	if !co.isLeavingStored() {
-		return
-	}
-	for _, de := range co.deregistrations {
-		de.reply <- de.isPresent
+	if co.isLeavingStored() {
+		for _, de := range co.deregistrations {
+			de.reply <- de.isPresent
+		}
+		co.deregistrations = nil
 	}
-	co.deregistrations = nil
-	if co.heldHeartbeat != nil && co.heldHeartbeat.replyAt == co.heldHeartbeat.storeBy {
+	if co.heldHeartbeat != nil && co.heldHeartbeat.replyAt == co.heldHeartbeat.storeBy && co.mayAcknowledge() {
 		co.heldHeartbeat.replyAt = 0
 		co.replyIfDue(co.pu.Now())
 	}
--- a/instance/controller/leaving_test.go
+++ b/instance/controller/leaving_test.go
@@ -135,3 +135,17 @@
 	is.NoErr(err)
 	is.Equal(row.Leaving, []registrar.ServerRun{{ID: "s1", StartedAt: 1}})
 }
+
+// TestServerKeepsItsKeysWhileAnotherRunLeaves guards against replies that are withheld from a
+// server because a run before it has left and the table is unavailable.
+func TestServerKeepsItsKeysWhileAnotherRunLeaves(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 1).joined()
+	sc.beat(nil, nil)
+	sc.settleRow()
+	sc.tableStore.table.(*fakeTable).faults = []string{"refused"}
+	acked := sc.deregister("s0")
+	_, isReplied := sc.beat(nil, nil)
+	is.True(isReplied)
+	is.Equal(len(acked), 0)
+}
--- a/instance/controller/quarantine.go
+++ b/instance/controller/quarantine.go
@@ -30,6 +30,8 @@
 type quarantine struct {
 	// unstored holds the requests that this instance has quarantined and not written.
 	unstored map[uint64]admitter.Suspect
+	// version is that of the stored quarantine that was passed on last.
+	version uint64
 	// seenAt is when each request in the stored quarantine was first seen there.
 	seenAt  map[uint64]timer.Instant
 	writeAt timer.Instant
@@ -54,9 +56,14 @@
 	co.writeQuarantine(now)
 }
 
-// applyQuarantine passes on the stored quarantine. A request stays in it for
-// admitter.QuarantineTerm from when this instance first saw it there.
+// applyQuarantine passes on the stored quarantine if it has changed. A request stays in it
+// for admitter.QuarantineTerm from when this instance first saw it there.
 func (co *Controller) applyQuarantine(now timer.Instant) {
+	version := co.ds.held[QuarantineKey].Version
+	if version == co.quarantine.version {
+		return
+	}
+	co.quarantine.version = version
 	var current []admitter.Suspect
 	seenAt := map[uint64]timer.Instant{}
 	for _, su := range co.ds.quarantine {
@@ -91,9 +98,9 @@
 	if qu.isWriting || now.Before(qu.writeAt) {
 		return
 	}
-	var expired []uint64
-	if co.isJoined && co.isPoller() {
-		expired = co.expiredSuspects(now)
+	expired := co.expiredSuspects(now)
+	if len(expired) > 0 && !(co.isJoined && co.isPoller()) {
+		expired = nil
 	}
 	if len(qu.unstored) == 0 && len(expired) == 0 {
 		return
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -119,7 +119,7 @@
 	former, _ := co.re.LatestHeartbeat()
 	if !co.re.IsDuplicate(hb) && !co.re.ApplyHeartbeat(hb, now) {
 		co.lo.Warn("heartbeat out of order, ignored", "server", hb.ID, "sequence", hb.Sequence)
-		if !hb.IsDraining || co.isLeavingStored() {
+		if !hb.IsDraining || co.mayAcknowledge() {
 			ev.reply <- registrar.Reply{}
 		}
 		return
@@ -127,7 +127,7 @@
 	if former.ID != hb.ID || former.StartedAt != hb.StartedAt {
 		co.withdrawOrderedHolds()
 	}
-	if co.heldHeartbeat != nil && co.isLeavingStored() {
+	if co.heldHeartbeat != nil && co.mayAcknowledge() {
 		co.heldHeartbeat.reply <- registrar.Reply{}
 	}
 	co.heldHeartbeat = nil
@@ -179,7 +179,7 @@
 		co.heldHeartbeat = nil
 		return
 	}
-	if !co.isLeavingStored() {
+	if !co.mayAcknowledge() {
 		co.awaitStoredLeaving(now)
 		return
 	}
