An instance whose row another writer left joins again

A row of its own that can't be decoded kept an instance from joining for ever, and made one that had joined repeat the write of its row for ever, with no watcher replaced and nothing stored meanwhile.

An instance that had joined takes itself for replaced; a join writes over the row if the maps name no instance of the server at another address.

--- a/instance/controller/join.go
+++ b/instance/controller/join.go
@@ -22,9 +22,9 @@
 	ir := co.instanceRow(co.weight())
 	co.writtenWeight = ir.Weight
 	ir.Lease = leaser.Row{Incarnation: co.self.Incarnation, Watchers: co.chooseWatchers(nil, now)}
-	heard := co.heardRun()
+	heard, members := co.heardRun(), co.ds.members()
 	co.spawn(func(ctx context.Context) event {
-		result, err := co.tableStore.join(ctx, ir, heard, co.revokePredecessor)
+		result, err := co.tableStore.join(ctx, ir, heard, members, co.revokePredecessor)
 		return rowCommitted{
 			row: result.row.Lease, leaving: result.row.Leaving, formerLeaving: result.former.Leaving,
 			isFirst: err == nil && result.former.Lease.Version == 0, err: err,
--- a/instance/controller/oddrows_test.go
+++ b/instance/controller/oddrows_test.go
@@ -7,6 +7,8 @@
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/encoder"
@@ -95,3 +97,44 @@
 	is.True(err != nil && !isDone)
 	is.Equal(string(ft.rows[MapPrefix+"counter"].Value), "?")
 }
+
+// TestOddOwnRow guards against an instance that never joins again because another writer left
+// its row, or that goes on with a row that it has lost.
+func TestOddOwnRow(t *testing.T) {
+	odd := func(sc *sidecar) {
+		key := MemberPrefix + sc.self.BackendServer
+		ft := sc.tableStore.table.(*fakeTable)
+		ft.rows[key] = tabler.Row{Key: key, Version: ft.rows[key].Version + 5, Value: []byte("\xff\x00")}
+	}
+	member := func(sc *sidecar, address string) placer.Map {
+		return placer.NewMap(folder.LimitsService, 8).NextVersion(0).WithMember(placer.Member{
+			BackendServer: sc.self.BackendServer, Incarnation: 1, Address: address, Weight: placer.FullWeight,
+		})
+	}
+	t.Run("before the join", func(t *testing.T) {
+		is := is.New(t)
+		sc := newSidecar(t, 2)
+		odd(sc)
+		sc.joined()
+		row, err := sc.tableStore.readRow(sc.ctx, sc.self.BackendServer)
+		is.NoErr(err)
+		is.Equal(row.Lease.Incarnation, uint64(2))
+	})
+	t.Run("before the join, a former instance elsewhere", func(t *testing.T) {
+		is := is.New(t)
+		sc := newSidecar(t, 2)
+		odd(sc)
+		_, err := sc.tableStore.join(sc.ctx, sc.instanceRow(100), registrar.ServerRun{}, member(sc, "10.0.0.8:7000").Members, nil)
+		is.True(isUnreadable(err)) // it may still serve
+		_, err = sc.tableStore.join(sc.ctx, sc.instanceRow(100), registrar.ServerRun{}, member(sc, sc.self.Address).Members, nil)
+		is.NoErr(err)
+	})
+	t.Run("after the join", func(t *testing.T) {
+		is := is.New(t)
+		sc := newSidecar(t, 2).joined()
+		odd(sc)
+		sc.beat(nil, nil) // the weight changes, so the row is written
+		sc.handle(<-sc.events)
+		is.Equal(sc.err, ErrRevoked) // the next incarnation joins in its place
+	})
+}
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -155,7 +155,8 @@
 }
 
 // readRow reads the row of a backend server's instance. The lease of an absent row
-// has version 0.
+// has version 0. If another writer left the row, so that it can't be decoded, the error
+// is an *encoder.DecodeError and the row returned has nothing but its version.
 func (ts *tableStore) readRow(ctx context.Context, name string) (folder.InstanceRow, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
@@ -168,7 +169,18 @@
 	if ro.Version == 0 {
 		return folder.InstanceRow{}, nil
 	}
-	return encoder.DecodeInstanceRow(ro.Value, ro.Version)
+	ir, err := encoder.DecodeInstanceRow(ro.Value, ro.Version)
+	if err != nil {
+		ts.logUnreadable(ro, err)
+		return folder.InstanceRow{Lease: leaser.Row{Version: ro.Version}}, err
+	}
+	return ir, nil
+}
+
+// isUnreadable reports whether an error of readRow means that another writer left the row.
+func isUnreadable(err error) bool {
+	var de *encoder.DecodeError
+	return errors.As(err, &de)
 }
 
 // holdersWatchedFrom returns the active holders whose rows name a former
@@ -220,6 +232,9 @@
 		}
 		mayHaveApplied = mayHaveApplied || !isRefusal(err)
 		found, readErr := ts.readRow(ctx, ir.BackendServer)
+		if isUnreadable(readErr) && found.Lease.Version != ir.Lease.Version {
+			return found, err // replaced by another writer
+		}
 		isUnchanged := readErr == nil && found.Lease.Version == ir.Lease.Version
 		switch {
 		case readErr == nil && !isUnchanged:
@@ -394,9 +409,14 @@
 // server is known to have stopped serving, if need be by revoking it. What the former
 // one recorded of leaving servers goes into the new row, with a weight of 0 if that
 // includes the run of the server that this instance has heard from.
-func (ts *tableStore) join(ctx context.Context, ir folder.InstanceRow, heard registrar.ServerRun, revoke func(context.Context, folder.InstanceRow) error) (joinResult, error) {
+//
+// A row that another writer left is replaced if the maps name no instance of the backend
+// server at another address, so that nothing else can be its former instance.
+func (ts *tableStore) join(ctx context.Context, ir folder.InstanceRow, heard registrar.ServerRun, members []placer.Member, revoke func(context.Context, folder.InstanceRow) error) (joinResult, error) {
 	former, err := ts.readRow(ctx, ir.BackendServer)
-	if err != nil {
+	me, isMember := placer.Map{Members: members}.Member(ir.BackendServer)
+	isElsewhere := isMember && me.Address != ir.Address
+	if err != nil && (!isUnreadable(err) || isElsewhere) {
 		return joinResult{}, err
 	}
 	if former.Lease.Incarnation == ir.Lease.Incarnation && former.State == folder.Active {
--- a/instance/controller/rows_test.go
+++ b/instance/controller/rows_test.go
@@ -183,7 +183,7 @@
 			isRevoked := false
 			ir := rowOf(2, 0)
 			ir.Address = "here"
-			result, err := ts.join(context.Background(), ir, registrar.ServerRun{}, func(ctx context.Context, former folder.InstanceRow) error {
+			result, err := ts.join(context.Background(), ir, registrar.ServerRun{}, nil, func(ctx context.Context, former folder.InstanceRow) error {
 				isRevoked = true
 				return ts.endIncarnation(ctx, former, folder.Revoked)
 			})
