--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -242,9 +242,10 @@
 }
 
 // formerUntil returns an upper bound for the end of all holds that a former instance
-// granted and that heartbeats don't list, 0 if there are none. A heartbeat may have been
-// sent before Start and arrive late, even from a former run. So it proves nothing before
-// one lease term has passed, unless heartbeats are known to be current.
+// granted and that a heartbeat which may be late does not list, 0 if there are none. A
+// heartbeat may have been sent before Start and arrive late, even from a former run. So
+// that of a leaving run, or the first one of a later run, proves nothing before one lease
+// term has passed, unless heartbeats are known to be current.
 func (re *Registrar) formerUntil() timer.Instant {
 	if re.isCurrent {
 		return 0
@@ -310,6 +311,11 @@
 // recordHolds updates the partitions by the ranges that a heartbeat lists as held and
 // as released.
 func (re *Registrar) recordHolds(hb Heartbeat) {
+	// The last heartbeat of a replaced run may arrive late, and says that it leaves.
+	unlistedUntil := timer.Instant(0)
+	if re.IsLeaving() {
+		unlistedUntil = re.formerUntil()
+	}
 	for pt := range re.partitions {
 		re.partitions[pt].isListed, re.partitions[pt].token = false, 0
 	}
@@ -323,7 +329,7 @@
 	for pt := range re.partitions {
 		ps := &re.partitions[pt]
 		if !ps.isListed {
-			ps.heldUntil = re.formerUntil()
+			ps.heldUntil = unlistedUntil
 			continue
 		}
 		ps.epoch = max(ps.epoch, ps.token>>restartBits)
@@ -398,10 +404,11 @@
 func (re *Registrar) LatestHeartbeat() (Heartbeat, timer.Instant) { return re.latest, re.heartbeatAt }
 
 // IsFree reports whether the server provably does not hold the partition at now. A
-// partition without a range is free one lease term after Start.
+// partition without a range is free once a heartbeat of a run that does not leave has
+// arrived, or one lease term after Start.
 func (re *Registrar) IsFree(pt uint32, now timer.Instant) bool {
 	if int(pt) >= len(re.partitions) {
-		return !now.Before(re.formerUntil())
+		return re.isKnown && !re.IsLeaving() || !now.Before(re.formerUntil())
 	}
 	ps := &re.partitions[pt]
 	if re.UsesOrders() {
