--- a/wire/parser/settings.go
+++ b/wire/parser/settings.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/leaser"
@@ -31,6 +32,30 @@
 	SampleEvery int
 }
 
+// ResourceLimits are the limits of the VM within which an instance must stay. 0 means that
+// there is none.
+type ResourceLimits struct {
+	// LinkRate is the rate of the VM's link in each direction, in bytes a second.
+	LinkRate float64
+	// Memory is in bytes.
+	Memory int64
+	// Descriptors bounds the open file descriptors.
+	Descriptors int
+}
+
+// Features are the optional parts of an instance. All instances of a deployment must have
+// the same ones.
+type Features struct {
+	// RollOuts moves services between versions of their backend servers on operators'
+	// orders. Servers of a version that is not in force get no requests.
+	RollOuts bool
+	// Pacing lets the answers of a backend server decide how many requests it gets, and
+	// its speed how many keys.
+	Pacing bool
+	// ServerMemory bounds the bytes of the requests that a backend server holds.
+	ServerMemory bool
+}
+
 // Settings configures one instance. Addresses are of the form IP:port.
 type Settings struct {
 	VM                   string
@@ -54,6 +79,8 @@
 	// FreshnessLimit is the maximum age of the knowledge of withdrawn workspace keys,
 	// see package freshener.
 	FreshnessLimit timer.Span
+	Limits         ResourceLimits
+	Features       Features
 }
 
 // DefaultFreshnessLimit is the default of Settings.FreshnessLimit.
@@ -82,6 +109,8 @@
 	copy(se.OperatorKeyDigest[:], root.hexadecimal("operatorKeyDigest", cataloguer.DigestSize))
 	se.BackendServer = backendServer(root.child("backendServer", true))
 	se.Log = logging(root.child("log", false))
+	se.Limits = resourceLimits(root.child("limits", false))
+	se.Features = features(root.child("features", false))
 	root.rejectUnknownFields()
 	return se, errors.Join(doc.errs...)
 }
@@ -111,6 +140,33 @@
 	return lo
 }
 
+const (
+	bytesPerMegabit = 1e6 / 8
+	bytesPerMB      = 1 << 20
+)
+
+// NewResourceLimits returns the limits for a link of linkMbps Mbit/s, a memory of memoryMB
+// MiB and a number of descriptors. It returns false if one is negative or no number.
+func NewResourceLimits(linkMbps float64, memoryMB, descriptors int) (ResourceLimits, bool) {
+	rl := ResourceLimits{LinkRate: linkMbps * bytesPerMegabit, Memory: int64(memoryMB) * bytesPerMB, Descriptors: descriptors}
+	isNumber := linkMbps >= 0 && !math.IsInf(linkMbps, 1)
+	return rl, isNumber && memoryMB >= 0 && descriptors >= 0
+}
+
+func resourceLimits(ob *object) ResourceLimits {
+	defer ob.rejectUnknownFields()
+	rl, ok := NewResourceLimits(ob.number("linkMbps", 0), ob.integer("memoryMb", 0), ob.integer("maxFds", 0))
+	if !ok {
+		ob.doc.fail(ob.line, ob.path, "", "limits must be numbers of 0 or more")
+	}
+	return rl
+}
+
+func features(ob *object) Features {
+	defer ob.rejectUnknownFields()
+	return Features{RollOuts: ob.boolean("rollOuts"), Pacing: ob.boolean("pacing"), ServerMemory: ob.boolean("serverMemory")}
+}
+
 // hexadecimal reads a required field of at least minBytes bytes in hexadecimal. Its errors
 // omit the value, which may be a secret.
 func (ob *object) hexadecimal(name string, minBytes int) []byte {
