Pacing of large messages on the VM's link, admission by it

Cause: downloads of 1.25 times the rate of a link fill its queue. Lease datagrams, the configuration and small calls wait behind them, and the downloads themselves are all late, since nothing refuses them.

Change: with limits.linkMbps, messages of 16 KiB and more on connections of callers and peers wait for their turn at 0.9 of the rate (core/shaper). Control calls have a transport of their own and never wait. The gate refuses requests whose responses the link can't send in time (linkFull, not run), on arrival and again at the start; the entry tries one other server of a shared service. Without the setting nothing changes.

--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -36,6 +36,8 @@
 	// CodeServerLimit means that the backend server takes fewer requests a second than
 	// arrive, by a limit that it named.
 	CodeServerLimit = "serverLimit"
+	// CodeLinkFull means that the VM's link can't send the response in time.
+	CodeLinkFull = "linkFull"
 )
 
 // There is one queue for each priority, and behind them one for requests that are
--- a/instance/forwarder/attempts_test.go
+++ b/instance/forwarder/attempts_test.go
@@ -130,6 +130,28 @@
 	is.Equal([]any{rf.Status, rf.Code, rf.MayHaveRun(), rf.RetryAfter}, []any{http.StatusServiceUnavailable, admitter.CodeServerLimit, false, timer.Second})
 }
 
+// TestFullLinkIsAvoidedOnce guards against requests that are refused although another server
+// could answer them, and against attempts at every server when all links are full.
+func TestFullLinkIsAvoidedOnce(t *testing.T) {
+	is := is.New(t)
+	fo, fl := newFleet(t, WithRetryBudget(1, 100))
+	fl.addMembers("c", "d")
+	full := func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return &peerproto.ForwardResponse{Outcome: gatekeeper.OutcomeNotRun, Code: admitter.CodeLinkFull, RetryAfter: int64(timer.Second)}, true, nil
+	}
+	fl.set(full, "a", "b", "c", "d")
+	_, rf := fo.Do(context.Background(), toPath("/page/x"))
+	is.Equal([]any{rf.Status, rf.Code, rf.MayHaveRun(), rf.RetryAfter}, []any{http.StatusServiceUnavailable, admitter.CodeLinkFull, false, timer.Second})
+	is.Equal(len(fl.seen), 2)
+	fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+		return answered("ok")
+	}, "b", "c", "d")
+	for range 20 {
+		_, rf = fo.Do(context.Background(), toPath("/page/x"))
+		is.Equal(rf, nil)
+	}
+}
+
 // TestCopiesTellThatTheyWereRefused: the gate needs to know that the answer to a copy could
 // be the refusal of an earlier one.
 func TestCopiesTellThatTheyWereRefused(t *testing.T) {
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -169,6 +169,10 @@
 				tried = nil
 			case at.answer.GetCode() == admitter.CodeServerLimit && isAnyUntried(tb, tried):
 				// The limit is that server's own.
+			case at.answer.GetCode() == admitter.CodeLinkFull && !ca.wasLinkFull && isAnyUntried(tb, tried):
+				// The link is that VM's own. Only one other is tried: where all are busy,
+				// each try adds to their work.
+				ca.wasLinkFull = true
 			case isFinal(last, ca):
 				return fo.conclude(last)
 			case last.outcome() == gatekeeper.OutcomeUnknown && !(ca.idempotent && fo.mayRepeat(ca, repeatUnknown)):
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -21,6 +21,7 @@
 
 	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/shaper"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/peerproto"
@@ -130,6 +131,8 @@
 	qu      *admitter.Quarantine
 	waiting map[admitter.Ticket]chan turn
 	limits  cataloguer.ServiceLimits
+	// link is nil if the rate of the VM's link is not limited.
+	link *linkGate
 	// decided counts the requests that have ended, for log sampling.
 	decided uint64
 	// idempotents counts the idempotent requests that run, and repeats adds up their
@@ -295,6 +298,8 @@
 	partition   uint32
 	deadlineAt  timer.Instant
 	fingerprint uint64
+	// onLink is its share of the VM's link.
+	onLink shaper.Reservation
 }
 
 // fingerprint hashes the route, method, path and query, key and body of a request. A
@@ -312,12 +317,18 @@
 
 // admit waits for a slot and then runs the request.
 func (ga *Gatekeeper) admit(ctx context.Context, jo *job) *peerproto.ForwardResponse {
+	defer ga.leaveLink(jo)
 	refusal := ga.enqueue(ctx, jo)
 	if refusal != nil {
 		return refusal
 	}
+	if refusal := ga.startOnLink(jo); refusal != nil {
+		ga.finish(admitter.Completion{})
+		return refusal
+	}
 	startedAt := ga.pu.Now()
 	answer, isOverloaded := ga.start(ctx, jo)
+	ga.observeLink(jo, answer)
 	ga.finish(admitter.Completion{Route: jo.rq.GetRoute(), Latency: ga.pu.Now().Sub(startedAt), Overloaded: isOverloaded})
 	return answer
 }
@@ -339,6 +350,10 @@
 		return refuse(admitter.CodeQuarantined, "this request crashed backend servers before")
 	}
 	request := jo.admissionRequest()
+	if refusal := ga.arriveOnLink(jo, request); refusal != nil {
+		ga.mu.Unlock()
+		return refusal
+	}
 	decision := ga.gate.Arrive(request, ga.pu.Now())
 	switch de := decision.(type) {
 	case admitter.Run:
--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -20,8 +20,15 @@
 	idlePerPeer     = 64
 )
 
-// peers is the RPC client of all other instances. They share one transport.
+// peers is the RPC client of all other instances.
 type peers struct {
+	// requests carries callers' requests, and control all other calls.
+	requests *peerClients
+	control  *peerClients
+}
+
+// peerClients are the clients of all other instances that share one transport.
+type peerClients struct {
 	client    *http.Client
 	transport *http.Transport
 	mu        sync.RWMutex
@@ -51,54 +58,78 @@
 	return answer, err
 }
 
-func newPeers(si *signer.Signer, isReachable func(address string) bool) *peers {
+// newPeers returns a client whose bulk messages wait for their turn on the link. Control
+// calls have connections of their own then, which are not shaped. If li is nil, nothing
+// is shaped and all calls share their connections.
+func newPeers(si *signer.Signer, isReachable func(address string) bool, li *link) *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	control := newPeerClients(si, isReachable, dialer.DialContext)
+	if li == nil {
+		return &peers{requests: control, control: control}
+	}
+	requests := newPeerClients(si, isReachable, func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConnection(conn, li), nil
+	})
+	return &peers{requests: requests, control: control}
+}
+
+// dialFunc is the type of net.Dialer.DialContext.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newPeerClients(si *signer.Signer, isReachable func(address string) bool, dial dialFunc) *peerClients {
 	transport := &http.Transport{
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		DialContext:            dialer.DialContext, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: peerIdle,
+		DialContext:            dial, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: peerIdle,
 		DisableCompression: true,
 	}
-	return &peers{
+	return &peerClients{
 		transport: transport, client: &http.Client{Transport: si.Transport(&reachTransport{base: transport, isReachable: isReachable})},
 		clients: map[string]peerproto.Peer{},
 	}
 }
 
-func (pe *peers) close() { pe.transport.CloseIdleConnections() }
+func (pe *peers) close() {
+	pe.requests.transport.CloseIdleConnections()
+	pe.control.transport.CloseIdleConnections()
+}
 
 // at returns the client of the instance with the address, host:port.
-func (pe *peers) at(address string) peerproto.Peer {
-	pe.mu.RLock()
-	cl := pe.clients[address]
-	pe.mu.RUnlock()
+func (pc *peerClients) at(address string) peerproto.Peer {
+	pc.mu.RLock()
+	cl := pc.clients[address]
+	pc.mu.RUnlock()
 	if cl != nil {
 		return cl
 	}
-	pe.mu.Lock()
-	defer pe.mu.Unlock()
-	cl = peerproto.NewPeerProtobufClient("http://"+address, pe.client)
-	pe.clients[address] = cl
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	cl = peerproto.NewPeerProtobufClient("http://"+address, pc.client)
+	pc.clients[address] = cl
 	return cl
 }
 
 // Sync implements controller.Peers.
 func (pe *peers) Sync(ctx context.Context, address string, re *peerproto.SyncRequest) (*peerproto.SyncResponse, error) {
-	return pe.at(address).Sync(ctx, re)
+	return pe.control.at(address).Sync(ctx, re)
 }
 
 // Revoke implements controller.Peers.
 func (pe *peers) Revoke(ctx context.Context, address string, re *peerproto.RevokeRequest) (*peerproto.RevokeResponse, error) {
-	return pe.at(address).Revoke(ctx, re)
+	return pe.control.at(address).Revoke(ctx, re)
 }
 
 // Release implements controller.Peers.
 func (pe *peers) Release(ctx context.Context, address string, re *peerproto.ReleaseRequest) (*peerproto.ReleaseResponse, error) {
-	return pe.at(address).Release(ctx, re)
+	return pe.control.at(address).Release(ctx, re)
 }
 
 // Grant implements forwarder.Homes.
 func (pe *peers) Grant(ctx context.Context, address string, re *peerproto.GrantRequest) (*peerproto.GrantResponse, error) {
-	return pe.at(address).Grant(ctx, re)
+	return pe.control.at(address).Grant(ctx, re)
 }
 
 // Forward implements forwarder.Gates. It also reports whether the request may have
@@ -106,6 +137,6 @@
 func (pe *peers) Forward(ctx context.Context, address string, re *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
 	var wasSent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wasSent.Store(true) }}
-	answer, err := pe.at(address).Forward(httptrace.WithClientTrace(ctx, trace), re)
+	answer, err := pe.requests.at(address).Forward(httptrace.WithClientTrace(ctx, trace), re)
 	return answer, wasSent.Load(), err
 }
--- a/instance/router/peerserver.go
+++ b/instance/router/peerserver.go
@@ -10,6 +10,10 @@
 // controlTimeout bounds the time that a peer's RPC waits for the event loop.
 const controlTimeout = 2 * time.Second
 
+// forwardPath is the path of the RPC that carries callers' requests. All others are control
+// calls, whose answers never wait for the link.
+const forwardPath = peerproto.PeerPathPrefix + "Forward"
+
 // peerServer serves the peer RPCs of one incarnation.
 type peerServer struct {
 	in *incarnation
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -57,11 +57,13 @@
 
 // Router is an instance. It runs one incarnation after another.
 type Router struct {
-	se          parser.Settings
-	lo          hclog.Logger
-	clock       timer.Clock
-	si          *signer.Signer
-	pe          *peers
+	se    parser.Settings
+	lo    hclog.Logger
+	clock timer.Clock
+	si    *signer.Signer
+	pe    *peers
+	// li is nil if the rate of the VM's link is not limited.
+	li          *link
 	me          *messenger.Messenger
 	table       tabler.Table
 	objects     storer.Objects
@@ -120,7 +122,10 @@
 	if err := ro.connect(); err != nil {
 		return nil, err
 	}
-	ro.pe = newPeers(ro.si, ro.isReachable)
+	if ro.li, err = newLink(se.Limits.LinkRate, ro.clock); err != nil {
+		return nil, err
+	}
+	ro.pe = newPeers(ro.si, ro.isReachable, ro.li)
 	if ro.me, err = messenger.Listen(se.PeerAddress, ro.si); err != nil {
 		return nil, err
 	}
@@ -231,6 +236,24 @@
 	ro.meter.Gauge("control_received_bytes", "Payload of control datagrams received.", func() float64 {
 		return float64(ro.me.Counts().ReceivedBytes)
 	})
+	if ro.li != nil {
+		ro.registerLinkGauges()
+	}
+}
+
+func (ro *Router) registerLinkGauges() {
+	ro.meter.Gauge("link_sent_bytes", "Bytes sent on connections of callers and peers.", func() float64 {
+		sent, _, _ := ro.li.traffic()
+		return float64(sent)
+	})
+	ro.meter.Gauge("link_received_bytes", "Bytes received on connections of callers and peers.", func() float64 {
+		_, received, _ := ro.li.traffic()
+		return float64(received)
+	})
+	ro.meter.Gauge("link_backlog_bytes", "Bytes of large messages that wait for their turn on the link.", func() float64 {
+		_, _, backlog := ro.li.traffic()
+		return float64(backlog)
+	})
 }
 
 // Counts returns the totals of the control datagrams.
@@ -330,6 +353,9 @@
 		gatekeeper.WithRefusedConnection(func() { in.co.ReportConnectionRefused() }),
 		gatekeeper.WithLeavingServer(func(id string) { in.co.ReportServerLeaving(id) }),
 	}
+	if ro.li != nil {
+		gateOptions = append(gateOptions, gatekeeper.WithLink(ro.li))
+	}
 	if last := ro.current.Load(); last != nil {
 		gateOptions = append(gateOptions, gatekeeper.WithFormerCondition(last.ga.Condition()))
 	}
--- a/instance/router/servers.go
+++ b/instance/router/servers.go
@@ -65,16 +65,16 @@
 		})
 	}
 	var err error
-	ss.caller, err = newServer(ro.se.CallerAddress, ss.track(pick(func(*incarnation) http.Handler { return ro.caller }), true))
+	ss.caller, err = newServer(ro.se.CallerAddress, ss.track(pick(func(*incarnation) http.Handler { return ro.caller }), true), ro.li)
 	if err != nil {
 		return nil, err
 	}
-	ss.peer, err = newServer(ro.se.PeerAddress, ss.track(pick(func(in *incarnation) http.Handler { return in.peer }), false))
+	ss.peer, err = newServer(ro.se.PeerAddress, ss.track(pick(func(in *incarnation) http.Handler { return in.peer }), false), ro.li)
 	if err != nil {
 		ss.close()
 		return nil, err
 	}
-	ss.administrator, err = newServer(ro.se.AdministratorAddress, pick(func(in *incarnation) http.Handler { return in.ad }))
+	ss.administrator, err = newServer(ro.se.AdministratorAddress, pick(func(in *incarnation) http.Handler { return in.ad }), nil)
 	if err != nil {
 		ss.close()
 		return nil, err
@@ -83,12 +83,16 @@
 }
 
 // newServer returns a kratos server with time-outs against slow callers. The
-// per-request time-out of kratos is disabled, since each route has its own.
-func newServer(address string, handler http.Handler) (*khttp.Server, error) {
+// per-request time-out of kratos is disabled, since each route has its own. Large
+// responses wait for their turn on the link, unless it is nil.
+func newServer(address string, handler http.Handler, li *link) (*khttp.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("router: listen on %s: %w", address, err)
 	}
+	if li != nil {
+		listener = &shapedListener{Listener: listener, li: li}
+	}
 	server := khttp.NewServer(khttp.Listener(listener), khttp.Address(address), khttp.Timeout(0))
 	// The handler replaces the router of kratos, which redirects requests whose
 	// path is not in canonical form.
@@ -97,6 +101,7 @@
 	server.ReadTimeout = bodyTimeout
 	server.IdleTimeout = idleTimeout
 	server.MaxHeaderBytes = maxHeaderBytes
+	server.ConnContext = withConnection
 	return server, nil
 }
 
@@ -162,6 +167,7 @@
 func (ss *servers) track(handler http.Handler, isCaller bool) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
 		ss.active.Add(1)
+		beginResponse(re.Context(), !isCaller && re.URL.Path != forwardPath)
 		if isCaller {
 			ss.lastRequestAt.Store(int64(ss.clock.Now()))
 		}
