Large bodies of requests follow their heads once the owner admits them

Cause: uploads of several entries at once fill the owner's link, are held there before they are admitted, and bodies above 12 MiB can't be sent to another instance, since wire/signer takes a message as a whole.

Change: with limits.linkMbps a body from 16 KiB is sent after the owner admitted it (Expect: 100-continue), by priority, then arrival, at 0.8 of the rate. The head is signed with the body's length and tag; the body is checked before the backend server gets a byte. A transfer without a byte for 1 s ends, and the request has not run. Without the setting only bodies from 8 MiB are sent so.

--- a/core/shaper/admission.go
+++ b/core/shaper/admission.go
@@ -42,7 +42,7 @@
 // IsHeld reports whether the reservation counts at present.
 func (re *Reservation) IsHeld() bool { return re.isQueued || re.isRunning }
 
-// Wish describes a request to Admission.
+// Wish describes a request to Admission or to Shaper.Fits.
 type Wish struct {
 	Route string
 	// TargetAt is by when the response should be sent, or 0. DeadlineAt is when it is of
@@ -61,7 +61,7 @@
 	ahead := ad.queued + ad.running
 	alone := finish(own, now).Sub(finish(0, now))
 	if own >= Bulk && finish(ahead+own, now) > wi.latestFinish(alone, now) {
-		return min(max(finish(ahead, now).Sub(now), minRetryAfter), maxRetryAfter), false
+		return retryAfter(finish(ahead, now), now), false
 	}
 	*re = Reservation{bytes: own, isQueued: true}
 	ad.queued += own
@@ -80,13 +80,18 @@
 	return min(by, now.Add(max(usable, alone)))
 }
 
+// retryAfter returns the retry delay to advise if the link has sent all at the given time.
+func retryAfter(at, now timer.Instant) timer.Span {
+	return min(max(at.Sub(now), minRetryAfter), maxRetryAfter)
+}
+
 // Start records that a request gets a slot. It returns false and a retry delay if the link
 // has become so busy that the response would be sent after the deadline: the slot would be
 // wasted.
 func (ad *Admission) Start(re *Reservation, wi Wish, finish FinishFunc, now timer.Instant) (timer.Span, bool) {
 	ad.Release(re)
 	if re.bytes >= Bulk && finish(ad.running+re.bytes, now) > wi.DeadlineAt {
-		return min(max(finish(ad.queued+ad.running, now).Sub(now), minRetryAfter), maxRetryAfter), false
+		return retryAfter(finish(ad.queued+ad.running, now), now), false
 	}
 	re.isRunning = true
 	ad.running += re.bytes
--- a/core/shaper/shaper.go
+++ b/core/shaper/shaper.go
@@ -12,15 +12,17 @@
 //
 //	sh, err := shaper.New(linkRate)
 //	sh.Count(len(small), now) // a message below Bulk is sent at once
-//	ticket := sh.Arrive(size, now)
+//	ticket := sh.Arrive(size, 0, now)
 //	grants, nextAt := sh.Start(now) // again after each call, and at nextAt
 //	sh.Written(ticket, now)         // after the bytes of a grant have been written
 package shaper
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
 )
 
@@ -32,6 +34,9 @@
 	// usableShare is the share of the link's rate that is given out. The rest is for
 	// traffic that is not counted: datagrams, the store, headers below TCP.
 	usableShare = 0.9
+	// bodyShare is the share of the rate for bodies of requests, see NewInlet. Responses to
+	// this VM's own requests use the same direction and are not counted.
+	bodyShare = 0.8
 	// maxTurns is how many bulk messages are sent at a time. With more, all of a burst
 	// would finish late rather than some in time.
 	maxTurns = 2
@@ -60,9 +65,12 @@
 
 // message is a bulk message that has not been written completely.
 type message struct {
-	ticket Ticket
+	ticket   Ticket
+	priority cataloguer.Priority
 	// left is how many bytes have not been granted.
 	left int64
+	// hasStarted means that it has had a grant.
+	hasStarted bool
 	// isWriting means that a grant of grantedAt has not been written yet.
 	isWriting bool
 	grantedAt timer.Instant
@@ -87,7 +95,8 @@
 	tokens   float64
 	filledAt timer.Instant
 	last     Ticket
-	// messages are in order of arrival.
+	// messages are in order of their priorities, and of arrival within one. Those that have
+	// started go first.
 	messages []*message
 	// backlog is the sum of what is left of all messages.
 	backlog int64
@@ -99,10 +108,23 @@
 	if !(linkRate > 0) {
 		return nil, &RateError{Rate: linkRate}
 	}
-	sh := &Shaper{rate: usableShare * linkRate}
+	return newShaper(usableShare * linkRate), nil
+}
+
+// NewInlet returns a Shaper for the bodies of requests that arrive over a link with a rate in
+// bytes a second: a grant lets the sender send so much. The error is that of New.
+func NewInlet(linkRate float64) (*Shaper, error) {
+	if !(linkRate > 0) {
+		return nil, &RateError{Rate: linkRate}
+	}
+	return newShaper(bodyShare * linkRate), nil
+}
+
+func newShaper(rate float64) *Shaper {
+	sh := &Shaper{rate: rate}
 	sh.burst = max(minBurst, sh.bytesIn(burstSpan))
 	sh.tokens = sh.burst
-	return sh, nil
+	return sh
 }
 
 func (sh *Shaper) bytesIn(sp timer.Span) float64 {
@@ -127,11 +149,16 @@
 	sh.tokens = max(sh.tokens-float64(bytes), min(sh.tokens, -sh.bytesIn(maxDebtSpan)))
 }
 
-// Arrive adds a bulk message of size bytes behind all others.
-func (sh *Shaper) Arrive(size int64, now timer.Instant) Ticket {
+// Arrive adds a bulk message of size bytes behind those that have started or are of the same
+// or a higher priority.
+func (sh *Shaper) Arrive(size int64, priority cataloguer.Priority, now timer.Instant) Ticket {
 	sh.fill(now)
 	sh.last++
-	sh.messages = append(sh.messages, &message{ticket: sh.last, left: size})
+	i := len(sh.messages)
+	for i > 0 && !sh.messages[i-1].hasStarted && sh.messages[i-1].priority > priority {
+		i--
+	}
+	sh.messages = slices.Insert(sh.messages, i, &message{ticket: sh.last, priority: priority, left: size})
 	sh.backlog += size
 	return sh.last
 }
@@ -140,15 +167,7 @@
 // event can change anything.
 func (sh *Shaper) Start(now timer.Instant) (grants []Grant, nextAt timer.Instant) {
 	sh.fill(now)
-	turns := 0
-	for _, me := range sh.messages {
-		me.isSlow = me.isSlow || me.isWriting && now.Sub(me.grantedAt) >= stallSpan
-		if !me.isSlow && turns == maxTurns {
-			continue
-		}
-		if !me.isSlow {
-			turns++
-		}
+	for _, me := range sh.active(now) {
 		if me.isWriting {
 			if !me.isSlow {
 				nextAt = earliest(nextAt, me.grantedAt.Add(stallSpan))
@@ -165,6 +184,25 @@
 	return grants, nextAt
 }
 
+// active returns the messages that have a turn and the slow ones. The one whose latest
+// grant is oldest is first, so that a very large message leaves others half of the link.
+func (sh *Shaper) active(now timer.Instant) []*message {
+	var active []*message
+	turns := 0
+	for _, me := range sh.messages {
+		me.isSlow = me.isSlow || me.isWriting && now.Sub(me.grantedAt) >= stallSpan
+		switch {
+		case me.isSlow:
+			active = append(active, me)
+		case turns < maxTurns:
+			active = append(active, me)
+			turns++
+		}
+	}
+	slices.SortStableFunc(active, func(me, other *message) int { return cmp.Compare(me.grantedAt, other.grantedAt) })
+	return active
+}
+
 func earliest(at, other timer.Instant) timer.Instant {
 	if at == 0 {
 		return other
@@ -178,7 +216,7 @@
 	me.left -= count
 	sh.backlog -= count
 	sh.tokens -= float64(count)
-	me.isWriting, me.grantedAt = true, now
+	me.hasStarted, me.isWriting, me.grantedAt = true, true, now
 	return Grant{Ticket: me.ticket, Bytes: count}
 }
 
@@ -212,6 +250,15 @@
 // Backlog returns how many bytes of bulk messages wait.
 func (sh *Shaper) Backlog() int64 { return sh.backlog }
 
+// Fits reports whether a bulk message of size bytes that arrives now would be sent in time,
+// or else returns the retry delay to advise.
+func (sh *Shaper) Fits(size int64, wi Wish, now timer.Instant) (timer.Span, bool) {
+	if sh.Finish(size, now) <= wi.latestFinish(sh.spanOf(float64(size)), now) {
+		return 0, true
+	}
+	return retryAfter(sh.Finish(0, now), now), false
+}
+
 // Finish returns when a bulk message of the given size in bytes that arrives now would be
 // completely sent.
 func (sh *Shaper) Finish(bytes int64, now timer.Instant) timer.Instant {
--- a/core/shaper/shaper_test.go
+++ b/core/shaper/shaper_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
 	"github.com/matryer/is"
 )
@@ -26,7 +27,7 @@
 	sh := newTestShaper(t)
 	const size, count = 100_000, 20
 	for range count {
-		sh.Arrive(size, 0)
+		sh.Arrive(size, 0, 0)
 	}
 	is.Equal(sh.Backlog(), int64(size*count))
 	expected := sh.Finish(0, 0)
@@ -51,14 +52,33 @@
 	is.True(math.Abs(float64(now.Sub(expected))) < float64(10*timer.Millisecond))
 }
 
+// TestPriorityOrder guards against bodies of urgent requests that wait behind others, and
+// against urgent ones that take the turn of a body on its way.
+func TestPriorityOrder(t *testing.T) {
+	is := is.New(t)
+	sh, err := NewInlet(testRate)
+	is.NoErr(err)
+	var tickets []Ticket
+	for _, priority := range []cataloguer.Priority{2, 2, 2, 1} {
+		tickets = append(tickets, sh.Arrive(1<<20, priority, 0))
+		sh.Start(0)
+	}
+	urgent := sh.Arrive(1<<20, 0, 0)
+	var order []Ticket
+	for _, me := range sh.messages {
+		order = append(order, me.ticket)
+	}
+	is.Equal(order, []Ticket{tickets[0], urgent, tickets[3], tickets[1], tickets[2]})
+}
+
 // TestStalledWrite guards against readers that stop and keep all others from their turn.
 func TestStalledWrite(t *testing.T) {
 	is := is.New(t)
 	sh := newTestShaper(t)
 	for range maxTurns {
-		sh.Arrive(1<<20, 0)
+		sh.Arrive(1<<20, 0, 0)
 	}
-	other := sh.Arrive(Bulk, 0)
+	other := sh.Arrive(Bulk, 0, 0)
 	for at := timer.Instant(0); at.Before(timer.Instant(stallSpan)); at = at.Add(10 * timer.Millisecond) {
 		grants, _ := sh.Start(at)
 		is.True(!slices.ContainsFunc(grants, func(gr Grant) bool { return gr.Ticket == other }))
@@ -86,7 +106,7 @@
 	for range 1000 {
 		sh.Count(1<<15, 0)
 	}
-	sh.Arrive(Bulk, 0)
+	sh.Arrive(Bulk, 0, 0)
 	grants, nextAt := sh.Start(0)
 	is.Equal(len(grants), 0)
 	is.True(nextAt <= timer.Instant(maxDebtSpan+sh.spanOf(Bulk)+timer.Millisecond))
@@ -100,7 +120,7 @@
 	is.NoErr(err)
 	for now := timer.Instant(0); now < timer.Instant(timer.Second); now = now.Add(20 * timer.Millisecond) {
 		for range 4 {
-			ticket := sh.Arrive(80_000, now)
+			ticket := sh.Arrive(80_000, 0, now)
 			grants, _ := sh.Start(now)
 			is.Equal(grants, []Grant{{Ticket: ticket, Bytes: 80_000}})
 			sh.Written(ticket, now)
@@ -180,7 +200,7 @@
 	}
 	si.ad.Release(&ru.re)
 	si.ad.Observe(ru.wi.Route, ru.size)
-	si.bulk[si.sh.Arrive(ru.size, now)] = ru
+	si.bulk[si.sh.Arrive(ru.size, 0, now)] = ru
 }
 
 func (si *simulation) call(now timer.Instant) {
--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -16,6 +15,7 @@
 	"time"
 
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/assembler"
 	"cornellanding.example/wire/peerproto"
 )
 
@@ -49,6 +49,7 @@
 // Exchange is one request as sent to the backend server.
 type Exchange struct {
 	Request *peerproto.ForwardRequest
+	Body    *assembler.Body
 	// ServerID identifies the start of the backend server that the request is
 	// meant for, or is empty if the server does not announce itself.
 	ServerID string
@@ -193,8 +194,8 @@
 		Method: rq.GetMethod(), URL: targetURL(bs.address, rq.GetPathAndQuery()),
 		Host: rq.GetHost(), Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
-	re.Body = onceBody{bytes.NewReader(rq.GetBody())}
-	re.ContentLength = int64(len(rq.GetBody()))
+	re.Body = onceBody{ex.Body.NewReader()}
+	re.ContentLength = ex.Body.Len()
 	for _, he := range rq.GetHeaders() {
 		re.Header.Add(he.GetName(), he.GetValue())
 	}
@@ -235,7 +236,7 @@
 func (bs *backend) run(ctx context.Context, jo *job, epoch uint64, serverID string) (*peerproto.ForwardResponse, result) {
 	var wasConnected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wasConnected.Store(true) }}
-	ex := Exchange{Request: jo.rq, ServerID: serverID, Epoch: epoch, Remaining: remaining(ctx)}
+	ex := Exchange{Request: jo.rq, Body: jo.body, ServerID: serverID, Epoch: epoch, Remaining: remaining(ctx)}
 	re := bs.request(httptrace.WithClientTrace(ctx, trace), ex)
 	if re.URL.RequestURI() != jo.rq.GetPathAndQuery() {
 		return refuse(CodeBadTarget, "the request target can't be passed on unchanged"), resultCancelled
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/netip"
 	"sync"
 	"time"
@@ -23,6 +24,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/shaper"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/assembler"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/peerproto"
 	"github.com/cespare/xxhash/v2"
@@ -215,7 +217,11 @@
 // gives the outcome, also for failures.
 func (ga *Gatekeeper) Forward(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
 	startedAt := ga.pu.Now()
-	answer := ga.forward(ctx, rq)
+	return ga.conclude(rq, ga.forward(ctx, rq), startedAt)
+}
+
+// conclude completes, counts and logs an answer to a request that arrived at startedAt.
+func (ga *Gatekeeper) conclude(rq *peerproto.ForwardRequest, answer *peerproto.ForwardResponse, startedAt timer.Instant) *peerproto.ForwardResponse {
 	took := ga.pu.Now().Sub(startedAt)
 	ga.observe(OutcomeName(answer.GetOutcome()), answer.GetCode(), took)
 	answer.RequestId = rq.GetRequestId()
@@ -257,21 +263,31 @@
 	return &peerproto.ForwardResponse{Outcome: OutcomeNotRun, Code: code, Reason: reason}
 }
 
-func (ga *Gatekeeper) forward(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
+// serviceOf returns the service of a request to this instance, or a refusal.
+func (ga *Gatekeeper) serviceOf(ctx context.Context, rq *peerproto.ForwardRequest) (cataloguer.Service, *peerproto.ForwardResponse) {
 	self := ga.pu.Self()
 	if rq.GetTo() != self.Incarnation {
-		return refuse(CodeWrongIncarnation, "this instance is another incarnation")
+		return cataloguer.Service{}, refuse(CodeWrongIncarnation, "this instance is another incarnation")
 	}
 	sv, ok := ga.pu.View().Services[rq.GetService()]
 	if !ok || rq.GetService() != self.Service {
-		return refuse(CodeUnknownService, "this instance does not serve "+rq.GetService())
+		return cataloguer.Service{}, refuse(CodeUnknownService, "this instance does not serve "+rq.GetService())
 	}
 	if end, ok := ctx.Deadline(); ok && ga.pu.RefusesLong() && time.Until(end) < time.Duration(rq.GetRemaining()) {
-		return refuse(admitter.CodeDraining, "this instance is stopping and may end before the request does")
+		return cataloguer.Service{}, refuse(admitter.CodeDraining, "this instance is stopping and may end before the request does")
+	}
+	return sv, nil
+}
+
+func (ga *Gatekeeper) forward(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
+	sv, refusal := ga.serviceOf(ctx, rq)
+	if refusal != nil {
+		return refusal
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(rq.GetRemaining()))
 	defer cancel()
-	jo := &job{rq: rq, sv: sv, deadlineAt: ga.pu.Now().Add(timer.Span(rq.GetRemaining())), fingerprint: fingerprint(rq)}
+	body := Body(ctx, rq)
+	jo := &job{rq: rq, body: body, sv: sv, deadlineAt: ga.pu.Now().Add(timer.Span(rq.GetRemaining())), fingerprint: fingerprintWith(rq, body)}
 	if sv.Class == cataloguer.Exclusive {
 		jo.partition = ga.pu.View().Tables[sv.Name].Partition(rq.GetKey())
 		if !ga.pu.Owns(sv.Name, jo.partition) {
@@ -294,6 +310,7 @@
 // job is one request on its way to the backend server.
 type job struct {
 	rq          *peerproto.ForwardRequest
+	body        *assembler.Body
 	sv          cataloguer.Service
 	partition   uint32
 	deadlineAt  timer.Instant
@@ -302,16 +319,37 @@
 	onLink shaper.Reservation
 }
 
+type bodyKey struct{}
+
+// WithBody returns a context for Forward with the body of the request, which takes the place
+// of the one in the request. It saves the copy into one slice.
+func WithBody(ctx context.Context, body *assembler.Body) context.Context {
+	return context.WithValue(ctx, bodyKey{}, body)
+}
+
+// Body returns the body of a request that is forwarded with the context, see WithBody.
+func Body(ctx context.Context, rq *peerproto.ForwardRequest) *assembler.Body {
+	if body, ok := ctx.Value(bodyKey{}).(*assembler.Body); ok {
+		return body
+	}
+	return assembler.New(rq.GetBody())
+}
+
 // fingerprint hashes the route, method, path and query, key and body of a request. A
 // copy under another request ID has the same fingerprint.
 func fingerprint(rq *peerproto.ForwardRequest) uint64 {
+	return fingerprintWith(rq, assembler.New(rq.GetBody()))
+}
+
+// fingerprintWith is fingerprint for a request with its body elsewhere.
+func fingerprintWith(rq *peerproto.ForwardRequest, body *assembler.Body) uint64 {
 	di := xxhash.New()
 	for _, part := range []string{rq.GetRoute(), rq.GetMethod(), rq.GetPathAndQuery(), rq.GetKey()} {
 		// A digest's Write never fails.
 		_, _ = di.WriteString(part)
 		_, _ = di.Write([]byte{0})
 	}
-	_, _ = di.Write(rq.GetBody())
+	_, _ = io.Copy(di, body.NewReader())
 	return di.Sum64()
 }
 
--- a/instance/gatekeeper/link.go
+++ b/instance/gatekeeper/link.go
@@ -1,12 +1,19 @@
 package gatekeeper
 
 import (
+	"context"
+
 	"cornellanding.example/core/admitter"
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/shaper"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/wire/peerproto"
 )
 
+// CodeBodyIncomplete means that the body of a request did not arrive, or not unaltered. The
+// request has not run.
+const CodeBodyIncomplete = "bodyIncomplete"
+
 // Link is the VM's outbound link.
 type Link interface {
 	// Finish returns when a response of the given size in bytes that is ready now would
@@ -81,3 +88,38 @@
 	defer ga.mu.Unlock()
 	ga.link.ad.Release(&jo.onLink)
 }
+
+// RefuseHead returns a refusal of a request whose body has not been sent yet, or nil. Forward
+// decides about the others once their bodies are there.
+func (ga *Gatekeeper) RefuseHead(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
+	startedAt := ga.pu.Now()
+	refusal := ga.refuseHead(ctx, rq)
+	if refusal == nil {
+		return nil
+	}
+	return ga.conclude(rq, refusal, startedAt)
+}
+
+func (ga *Gatekeeper) refuseHead(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
+	sv, refusal := ga.serviceOf(ctx, rq)
+	if refusal != nil {
+		return refusal
+	}
+	if sv.Class == cataloguer.Exclusive && !ga.pu.Owns(sv.Name, ga.pu.View().Tables[sv.Name].Partition(rq.GetKey())) {
+		return refuse(CodeNotOwner, "this instance does not own the key")
+	}
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.isDraining {
+		return refuse(admitter.CodeDraining, "this instance is stopping")
+	}
+	return ga.refuseIfServerUnavailable()
+}
+
+// RefuseBody refuses a request that arrived at startedAt because its body was not admitted or
+// not received.
+func (ga *Gatekeeper) RefuseBody(rq *peerproto.ForwardRequest, code, reason string, retryAfter timer.Span, startedAt timer.Instant) *peerproto.ForwardResponse {
+	answer := refuse(code, reason)
+	answer.RetryAfter = int64(retryAfter)
+	return ga.conclude(rq, answer, startedAt)
+}
--- a/instance/router/connection.go
+++ b/instance/router/connection.go
@@ -35,9 +35,10 @@
 }
 
 func newConnection(conn net.Conn, li *link) *connection {
-	if tcp, ok := conn.(*net.TCPConn); ok && li.writeBuffer > 0 {
-		// Without this buffer size the connection still works.
-		_ = tcp.SetWriteBuffer(li.writeBuffer)
+	if tcp, ok := conn.(*net.TCPConn); ok && li.socketBuffer > 0 {
+		// Without these buffer sizes the connection still works.
+		_ = tcp.SetWriteBuffer(li.socketBuffer)
+		_ = tcp.SetReadBuffer(li.socketBuffer)
 	}
 	return &connection{Conn: conn, li: li, closed: make(chan struct{}), changed: make(chan struct{}, 1)}
 }
@@ -97,7 +98,7 @@
 // send sends a message of size bytes by calls of write, each with the number of bytes
 // that it may write. It ends early if write wrote fewer.
 func (cn *connection) send(size int64, write func(limit int64) (int64, error)) (int64, error) {
-	ticket, turns := cn.li.arrive(size)
+	ticket, turns := cn.li.arrive(size, 0)
 	defer cn.li.leave(ticket)
 	sent := int64(0)
 	for sent < size {
--- a/instance/router/link.go
+++ b/instance/router/link.go
@@ -4,26 +4,27 @@
 	"sync"
 	"time"
 
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/shaper"
 	"cornellanding.example/core/timer"
 )
 
 const (
-	// writeBufferSpan is the size of a connection's send buffer, as time at the rate of
+	// socketBufferSpan is the size of a connection's kernel buffers, as time at the rate of
 	// the link. By default, the kernel buffers up to 4 MiB for a reader that has stopped:
 	// at 18 Mbit/s, others waited 6 s for the turn of three such readers.
-	writeBufferSpan = 100 * time.Millisecond
-	// maxWriteBuffer is the size from which the kernel's default is kept: a link that fast
+	socketBufferSpan = 100 * time.Millisecond
+	// maxSocketBuffer is the size from which the kernel's default is kept: a link that fast
 	// needs a large buffer.
-	maxWriteBuffer = 1 << 20
+	maxSocketBuffer = 1 << 20
 )
 
-// link drives the shaper of the VM's outbound link. It is safe for concurrent use.
+// link drives the shaper of one direction of the VM's link. It is safe for concurrent use.
 type link struct {
 	clock timer.Clock
-	// writeBuffer is the size in bytes of the kernel's send buffer of a connection, or 0
-	// for its default.
-	writeBuffer int
+	// socketBuffer is the size in bytes of each of the kernel's buffers of a connection, or
+	// 0 for its default.
+	socketBuffer int
 
 	mu sync.Mutex
 	sh *shaper.Shaper
@@ -37,19 +38,28 @@
 	received int64
 }
 
-// newLink returns the link with a rate in bytes a second, or nil for a rate of 0: then
-// nothing is shaped.
+// newLink returns the outbound link with a rate in bytes a second, or nil for a rate of 0:
+// then nothing is shaped.
 func newLink(rate float64, clock timer.Clock) (*link, error) {
+	return makeLink(rate, clock, shaper.New)
+}
+
+// newInlet returns the inbound link, for bodies of requests, or nil for a rate of 0.
+func newInlet(rate float64, clock timer.Clock) (*link, error) {
+	return makeLink(rate, clock, shaper.NewInlet)
+}
+
+func makeLink(rate float64, clock timer.Clock, newShaper func(rate float64) (*shaper.Shaper, error)) (*link, error) {
 	if rate == 0 {
 		return nil, nil
 	}
-	sh, err := shaper.New(rate)
+	sh, err := newShaper(rate)
 	if err != nil {
 		return nil, err
 	}
 	li := &link{clock: clock, sh: sh, turns: map[shaper.Ticket]chan int64{}}
-	if buffer := int(rate * writeBufferSpan.Seconds()); buffer < maxWriteBuffer {
-		li.writeBuffer = buffer
+	if buffer := int(rate * socketBufferSpan.Seconds()); buffer < maxSocketBuffer {
+		li.socketBuffer = buffer
 	}
 	return li, nil
 }
@@ -69,10 +79,10 @@
 }
 
 // arrive queues a bulk message. Its grants, in bytes, come on the channel.
-func (li *link) arrive(size int64) (shaper.Ticket, <-chan int64) {
+func (li *link) arrive(size int64, priority cataloguer.Priority) (shaper.Ticket, <-chan int64) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	ticket := li.sh.Arrive(size, li.clock.Now())
+	ticket := li.sh.Arrive(size, priority, li.clock.Now())
 	// A message has at most one grant at a time.
 	turns := make(chan int64, 1)
 	li.turns[ticket] = turns
@@ -131,6 +141,14 @@
 	return li.sh.Finish(bytes, now)
 }
 
+// fits reports whether a bulk message would be sent in time, or else returns the retry delay
+// to advise.
+func (li *link) fits(size int64, wi shaper.Wish, now timer.Instant) (timer.Span, bool) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return li.sh.Fits(size, wi, now)
+}
+
 // traffic returns the bytes sent and received so far, and those of bulk messages that
 // wait.
 func (li *link) traffic() (sent, received, backlog int64) {
--- a/instance/router/link_test.go
+++ b/instance/router/link_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -39,8 +38,8 @@
 	time.Sleep(wait)
 }
 
-// relay accepts connections at the address that it returns and passes what the target
-// sends through the throttle.
+// relay accepts connections at the address that it returns and passes what both sides send
+// through the throttle, as if it were the link of both.
 func (th *throttle) relay(t *testing.T, target string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -58,7 +57,7 @@
 				continue
 			}
 			go func() {
-				_, _ = io.Copy(to, from)
+				th.copy(to, from)
 				to.Close()
 			}()
 			go func() {
@@ -105,10 +104,14 @@
 
 // startPeer serves a testPeer behind the link and returns its address.
 func startPeer(t *testing.T, si *signer.Signer, li *link, bodySize int) string {
+	t.Helper()
+	return startServer(t, si.Handler(peerproto.NewPeerServer(&testPeer{body: make([]byte, bodySize)}), func() {}), li)
+}
+
+func startServer(t *testing.T, handler http.Handler, li *link) string {
 	t.Helper()
 	ss := &servers{clock: timer.BootClock{}}
 	ss.ended, ss.end = context.WithCancel(context.Background())
-	handler := si.Handler(peerproto.NewPeerServer(&testPeer{body: make([]byte, bodySize)}), func() {})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	address := listener.Addr().String()
@@ -222,8 +225,8 @@
 func TestWaitingWriteEnds(t *testing.T) {
 	is := is.New(t)
 	li := newTestLink(t)
-	li.arrive(1 << 30) // never written, so nothing else gets a turn
-	li.arrive(1 << 30)
+	li.arrive(1<<30, 0) // never written, so nothing else gets a turn
+	li.arrive(1<<30, 0)
 	write := func(end func(cn *connection, cancel context.CancelFunc)) error {
 		ours, theirs := net.Pipe()
 		defer theirs.Close()
--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"cornellanding.example/core/shaper"
+	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/wire/peerproto"
 	"cornellanding.example/wire/signer"
 )
@@ -22,6 +24,9 @@
 
 // peers is the RPC client of all other instances.
 type peers struct {
+	si *signer.Signer
+	// bodyMin is the size in bytes from which bodies follow their heads.
+	bodyMin int64
 	// requests carries callers' requests, and control all other calls.
 	requests *peerClients
 	control  *peerClients
@@ -29,7 +34,9 @@
 
 // peerClients are the clients of all other instances that share one transport.
 type peerClients struct {
-	client    *http.Client
+	client *http.Client
+	// base sends requests without signing them.
+	base      http.RoundTripper
 	transport *http.Transport
 	mu        sync.RWMutex
 	clients   map[string]peerproto.Peer
@@ -65,7 +72,7 @@
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	control := newPeerClients(si, isReachable, dialer.DialContext)
 	if li == nil {
-		return &peers{requests: control, control: control}
+		return &peers{si: si, bodyMin: wholeBodyMax, requests: control, control: control}
 	}
 	requests := newPeerClients(si, isReachable, func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
@@ -74,7 +81,7 @@
 		}
 		return newConnection(conn, li), nil
 	})
-	return &peers{requests: requests, control: control}
+	return &peers{si: si, bodyMin: shaper.Bulk, requests: requests, control: control}
 }
 
 // dialFunc is the type of net.Dialer.DialContext.
@@ -84,10 +91,11 @@
 	transport := &http.Transport{
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext:            dial, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: peerIdle,
-		DisableCompression: true,
+		DisableCompression: true, ExpectContinueTimeout: maxContinueWait,
 	}
+	base := &reachTransport{base: transport, isReachable: isReachable}
 	return &peerClients{
-		transport: transport, client: &http.Client{Transport: si.Transport(&reachTransport{base: transport, isReachable: isReachable})},
+		transport: transport, base: base, client: &http.Client{Transport: si.Transport(base)},
 		clients: map[string]peerproto.Peer{},
 	}
 }
@@ -133,8 +141,14 @@
 }
 
 // Forward implements forwarder.Gates. It also reports whether the request may have
-// run, which is so once it got a connection.
+// run, which is so once it got a connection, or the other instance may have the whole of a
+// large body.
 func (pe *peers) Forward(ctx context.Context, address string, re *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+	body := gatekeeper.Body(ctx, re)
+	if body.Len() >= pe.bodyMin {
+		return pe.forwardInSteps(ctx, address, re, body)
+	}
+	re.Body = body.Bytes()
 	var wasSent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wasSent.Store(true) }}
 	answer, err := pe.requests.at(address).Forward(httptrace.WithClientTrace(ctx, trace), re)
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -62,8 +62,9 @@
 	clock timer.Clock
 	si    *signer.Signer
 	pe    *peers
-	// li is nil if the rate of the VM's link is not limited.
+	// li and inlet are nil if the rate of the VM's link is not limited.
 	li          *link
+	inlet       *link
 	me          *messenger.Messenger
 	table       tabler.Table
 	objects     storer.Objects
@@ -125,6 +126,9 @@
 	if ro.li, err = newLink(se.Limits.LinkRate, ro.clock); err != nil {
 		return nil, err
 	}
+	if ro.inlet, err = newInlet(se.Limits.LinkRate, ro.clock); err != nil {
+		return nil, err
+	}
 	ro.pe = newPeers(ro.si, ro.isReachable, ro.li)
 	if ro.me, err = messenger.Listen(se.PeerAddress, ro.si); err != nil {
 		return nil, err
@@ -242,6 +246,10 @@
 }
 
 func (ro *Router) registerLinkGauges() {
+	ro.meter.Gauge("link_inbound_backlog_bytes", "Bytes of requests' bodies that wait to be admitted or have not arrived.", func() float64 {
+		_, _, backlog := ro.inlet.traffic()
+		return float64(backlog)
+	})
 	ro.meter.Gauge("link_sent_bytes", "Bytes sent on connections of callers and peers.", func() float64 {
 		sent, _, _ := ro.li.traffic()
 		return float64(sent)
@@ -382,7 +390,7 @@
 	}
 	api := administrator.NewAPI(in.pu, administrator.NewEditor(ro.table, ro.objects), in.co, ro.se.OperatorKeyDigest)
 	in.ad = api.Handler(ro.meter.Handler())
-	in.peer = ro.si.Handler(peerproto.NewPeerServer(&peerServer{in: in}), ro.meter.PeerCallRejected)
+	in.peer = ro.peerHandler(in)
 	return in, nil
 }
 
--- a/instance/router/servers.go
+++ b/instance/router/servers.go
@@ -74,6 +74,7 @@
 		ss.close()
 		return nil, err
 	}
+	ss.peer.MaxHeaderBytes = maxPeerHeader
 	ss.administrator, err = newServer(ro.se.AdministratorAddress, pick(func(in *incarnation) http.Handler { return in.ad }), nil)
 	if err != nil {
 		ss.close()
@@ -101,7 +102,9 @@
 	server.ReadTimeout = bodyTimeout
 	server.IdleTimeout = idleTimeout
 	server.MaxHeaderBytes = maxHeaderBytes
-	server.ConnContext = withConnection
+	if li != nil {
+		server.ConnContext = withConnection
+	}
 	return server, nil
 }
 
@@ -167,7 +170,7 @@
 func (ss *servers) track(handler http.Handler, isCaller bool) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
 		ss.active.Add(1)
-		beginResponse(re.Context(), !isCaller && re.URL.Path != forwardPath)
+		beginResponse(re.Context(), !isCaller && re.URL.Path != forwardPath && re.URL.Path != bodyPath)
 		if isCaller {
 			ss.lastRequestAt.Store(int64(ss.clock.Now()))
 		}
--- a/wire/signer/signer.go
+++ b/wire/signer/signer.go
@@ -4,7 +4,9 @@
 // truncated tag. An RPC request carries a tag over its path and body, and its response a
 // tag over the request's tag, the status and the body. Neither can therefore be forged,
 // altered or truncated, and a response is invalid for a request with another path or body.
-// Replays are not detected. Headers and the query are not signed.
+// Replays are not detected. Headers and the query are not signed. A request with a large body
+// carries a tag over its head, the body's length and the body's tag, so that the receiver can
+// refuse it before the body is sent, and reads the body in pieces.
 //
 // # Usage
 //
@@ -120,16 +122,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return tr.verify(answer, tag)
+	return tr.si.verify(answer, tag)
 }
 
-func (tr *transport) verify(answer *http.Response, requestTag []byte) (*http.Response, error) {
+func (si *Signer) verify(answer *http.Response, requestTag []byte) (*http.Response, error) {
 	body, err := readAll(answer.Body)
 	if err != nil {
 		return nil, err
 	}
 	got, err := base64.RawStdEncoding.DecodeString(answer.Header.Get(tagHeader))
-	want := tr.si.answerTag(requestTag, answer.StatusCode, body)
+	want := si.answerTag(requestTag, answer.StatusCode, body)
 	if err != nil || !hmac.Equal(got, want) {
 		return nil, ErrInvalidTag
 	}
