Bound on the bytes of large requests that a backend server holds

Cause: a server that holds more request bytes than it has memory for crashes. All requests that it held are lost, and count as suspects.

Change: with pressure in contracts, the gate bounds the bytes of large bodies by what its server has sustained: successes raise the bound, a crash halves it. Beyond it requests are refused (serverMemory, not run). The requests of such a crash don't count for the quarantine, unless one was alone.

--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -38,6 +38,9 @@
 	CodeServerLimit = "serverLimit"
 	// CodeLinkFull means that the VM's link can't send the response in time.
 	CodeLinkFull = "linkFull"
+	// CodeServerMemory means that the backend server holds as many bytes of requests as it
+	// has sustained so far, see ByteLimit.
+	CodeServerMemory = "serverMemory"
 )
 
 // There is one queue for each priority, and behind them one for requests that are
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -265,8 +265,8 @@
 	arrivals *atomic.Int32
 	// wasRefused means that a backend server refused a copy.
 	wasRefused *atomic.Bool
-	// wasLinkFull means that an instance refused it because of its VM's link.
-	wasLinkFull bool
+	// wasVMFull means that an instance refused it for a limit of its VM, see isFullVM.
+	wasVMFull bool
 	// repeatShare is how likely the request is a call by a repeat, from 0 to 1.
 	repeatShare float64
 	servedBy    string
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -169,10 +169,9 @@
 				tried = nil
 			case at.answer.GetCode() == admitter.CodeServerLimit && isAnyUntried(tb, tried):
 				// The limit is that server's own.
-			case at.answer.GetCode() == admitter.CodeLinkFull && !ca.wasLinkFull && isAnyUntried(tb, tried):
-				// The link is that VM's own. Only one other is tried: where all are busy,
-				// each try adds to their work.
-				ca.wasLinkFull = true
+			case isFullVM(at) && !ca.wasVMFull && isAnyUntried(tb, tried):
+				// Only one other is tried: where all are busy, each try adds to their work.
+				ca.wasVMFull = true
 			case isFinal(last, ca):
 				return fo.conclude(last)
 			case last.outcome() == gatekeeper.OutcomeUnknown && !(ca.idempotent && fo.mayRepeat(ca, repeatUnknown)):
@@ -188,6 +187,12 @@
 	}
 }
 
+// isFullVM reports whether an attempt was refused for a limit of that VM alone, while its
+// server may have slots.
+func isFullVM(at attempt) bool {
+	return at.answer.GetCode() == admitter.CodeLinkFull || at.answer.GetCode() == admitter.CodeServerMemory
+}
+
 // isAnyUntried reports whether a member that may get requests has not been tried yet.
 func isAnyUntried(tb *placer.Table, tried []uint64) bool {
 	return slices.ContainsFunc(tb.Map.Members, func(me placer.Member) bool {
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -135,6 +135,8 @@
 	limits  cataloguer.ServiceLimits
 	// link is nil if the rate of the VM's link is not limited.
 	link *linkGate
+	// bodies is nil if the bytes of running requests are not bounded.
+	bodies *admitter.ByteLimit
 	// decided counts the requests that have ended, for log sampling.
 	decided uint64
 	// idempotents counts the idempotent requests that run, and repeats adds up their
@@ -317,6 +319,8 @@
 	fingerprint uint64
 	// onLink is its share of the VM's link.
 	onLink shaper.Reservation
+	// isInBodies means that its body counts among those that the server may get.
+	isInBodies bool
 }
 
 type bodyKey struct{}
@@ -356,6 +360,7 @@
 // admit waits for a slot and then runs the request.
 func (ga *Gatekeeper) admit(ctx context.Context, jo *job) *peerproto.ForwardResponse {
 	defer ga.leaveLink(jo)
+	defer ga.leaveBodies(jo)
 	refusal := ga.enqueue(ctx, jo)
 	if refusal != nil {
 		return refusal
@@ -392,6 +397,10 @@
 		ga.mu.Unlock()
 		return refusal
 	}
+	if refusal := ga.arriveAtBodies(jo); refusal != nil {
+		ga.mu.Unlock()
+		return refusal
+	}
 	decision := ga.gate.Arrive(request, ga.pu.Now())
 	switch de := decision.(type) {
 	case admitter.Run:
@@ -544,6 +553,7 @@
 	ga.mu.Lock()
 	ga.qu.Start(jo.fingerprint)
 	ga.countRepeats(jo.rq, 1)
+	ga.startBody(jo)
 	ga.mu.Unlock()
 	serverID := ""
 	if bs := ga.pu.BackendServer(); bs != nil {
@@ -553,10 +563,11 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.countRepeats(jo.rq, -1)
-	switch result {
-	case resultAnswered:
+	isSuspect := ga.endBody(jo, answer, result)
+	switch {
+	case result == resultAnswered:
 		ga.qu.Succeed(jo.fingerprint)
-	case resultCrashed:
+	case result == resultCrashed && isSuspect:
 		ga.qu.Crash(jo.fingerprint, ga.pu.Now())
 		ga.notifyCrash(jo.fingerprint)
 		ga.notifyIfQuarantined(jo.fingerprint)
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -243,6 +243,14 @@
 	if ro.li != nil {
 		ro.registerLinkGauges()
 	}
+	if ro.se.Features.ServerMemory {
+		ro.meter.Gauge("server_body_bound_bytes", "Bytes of large requests that the backend server may hold.", func() float64 {
+			if in := ro.current.Load(); in != nil {
+				return float64(in.ga.BodyBound())
+			}
+			return 0
+		})
+	}
 }
 
 func (ro *Router) registerLinkGauges() {
@@ -364,6 +372,9 @@
 	if ro.li != nil {
 		gateOptions = append(gateOptions, gatekeeper.WithLink(ro.li))
 	}
+	if ro.se.Features.ServerMemory {
+		gateOptions = append(gateOptions, gatekeeper.WithServerMemory())
+	}
 	if last := ro.current.Load(); last != nil {
 		gateOptions = append(gateOptions, gatekeeper.WithFormerCondition(last.ga.Condition()))
 	}
