Keys by speed: a member's share follows its server's measured speed

Cause: servers of one service differ in speed by a factor of two and more and had equal shares of its keys, so that the slowest refused requests while others idled. Change: core/pacer compares the median latency of a server's runs with that of its peers, which their gates report in answers between instances (typical_run). The instance writes the speed in eighths into its member row, at most once in 10 s; core/placer counts half units of weight, and rows and maps without a speed give the same owners as before. Only with the feature pacing (health in contracts).

--- a/core/folder/folder.go
+++ b/core/folder/folder.go
@@ -50,6 +50,8 @@
 	// Weight is the backend server's relative share of its service's keys, from 0 to
 	// placer.FullWeight.
 	Weight uint32
+	// Speed is the measured speed of the backend server, as in placer.Member.
+	Speed uint32
 	// IsStopping reports that the instance itself is shutting down, so that it must
 	// not own token buckets either.
 	IsStopping bool
@@ -145,7 +147,7 @@
 		}
 		members = append(members, placer.Member{
 			BackendServer: ir.BackendServer, Incarnation: ir.Lease.Incarnation, DataCentre: ir.DataCentre,
-			Address: ir.Address, Weight: Weight(service, ir, in.Config),
+			Address: ir.Address, Weight: Weight(service, ir, in.Config), Speed: Speed(service, ir),
 		})
 	}
 	return members
@@ -165,6 +167,14 @@
 	return min(ir.Weight, placer.FullWeight)
 }
 
+// Speed returns the speed of an instance in a service's map, by its row.
+func Speed(service string, ir InstanceRow) uint32 {
+	if service == LimitsService {
+		return 0
+	}
+	return min(ir.Speed, placer.MaxSpeed)
+}
+
 // updateMembers changes the members of ne, which is ma at its next version, to the
 // wanted ones and reports whether any differed, except for those of the backend servers
 // named by kept. It removes members before it adds any, since a new incarnation may have
--- a/core/placer/history.go
+++ b/core/placer/history.go
@@ -14,10 +14,10 @@
 	// gens is ordered from the newest.
 	gens []Generation
 	// ids holds, for each generation's members, a number for the member's backend
-	// server. seeds holds maxWeight seeds for each number.
-	ids       [][]int32
-	seeds     []uint64
-	maxWeight int
+	// server. seeds holds units seeds for each number.
+	ids   [][]int32
+	seeds []uint64
+	units int
 
 	mu sync.Mutex
 	// owners caches the result of ownersOf by partition.
@@ -38,13 +38,13 @@
 				names = append(names, me.BackendServer)
 			}
 			ids[i] = id
-			oh.maxWeight = max(oh.maxWeight, int(me.Weight))
+			oh.units = max(oh.units, int(me.halves()+1)/2)
 		}
 		oh.ids = append(oh.ids, ids)
 	}
 	for _, name := range names {
 		base := xxhash.Sum64String(name)
-		for unit := range oh.maxWeight {
+		for unit := range oh.units {
 			oh.seeds = append(oh.seeds, seedOf(base, uint32(unit)))
 		}
 	}
@@ -67,12 +67,12 @@
 // computeOwners returns the owners of a partition under the newest count generations,
 // in the form of ownersOf.
 func (oh *ownerHistory) computeOwners(pt uint32, count int) []int32 {
-	// tops holds, for each server and weight, the highest score of the seeds up to
-	// that weight.
+	// tops holds, for each server and weight in whole units, the highest score of the
+	// seeds up to that weight.
 	tops := make([]uint64, len(oh.seeds))
 	for i, seed := range oh.seeds {
 		tops[i] = scoreOf(seed, pt)
-		if i%oh.maxWeight > 0 {
+		if i%oh.units > 0 {
 			tops[i] = max(tops[i], tops[i-1])
 		}
 	}
@@ -80,11 +80,17 @@
 	for i, ge := range oh.gens[:count] {
 		winner, top := int32(-1), uint64(0)
 		for j := range ge.Members {
-			weight := int(ge.Members[j].Weight)
-			if weight == 0 {
+			halves := int(ge.Members[j].halves())
+			if halves == 0 {
 				continue
 			}
-			score := tops[int(oh.ids[i][j])*oh.maxWeight+weight-1]
+			first, whole, score := int(oh.ids[i][j])*oh.units, halves/2, uint64(0)
+			if whole > 0 {
+				score = tops[first+whole-1]
+			}
+			if halves%2 != 0 {
+				score = max(score, halfScore(scoreOf(oh.seeds[first+whole], pt)))
+			}
 			if winner < 0 || score > top {
 				winner, top = int32(j), score
 			}
--- a/core/placer/history_test.go
+++ b/core/placer/history_test.go
@@ -82,6 +82,7 @@
 					present = Member{BackendServer: name, Incarnation: incarnation}
 				}
 				present.Weight = uint32(rapid.IntRange(0, FullWeight).Draw(t, "weight"))
+				present.Speed = uint32(rapid.IntRange(0, MaxSpeed).Draw(t, "speed"))
 				ma = ma.WithMember(present)
 			}
 		}
--- a/core/placer/map.go
+++ b/core/placer/map.go
@@ -29,6 +29,13 @@
 // FullWeight is the weight of a member that takes a full share of keys.
 const FullWeight = 4
 
+const (
+	// FullSpeed is the speed of a member as fast as is usual in its service, and
+	// MaxSpeed the highest one.
+	FullSpeed = 8
+	MaxSpeed  = 2 * FullSpeed
+)
+
 // Member is the instance beside a backend server, in one incarnation.
 type Member struct {
 	BackendServer string
@@ -40,6 +47,18 @@
 	// Weight is the member's relative share of partitions, from 0 for none to
 	// FullWeight.
 	Weight uint32
+	// Speed scales the share given by Weight, in units of 1/FullSpeed up to MaxSpeed. It
+	// is 0 if the speed is not measured, which counts as FullSpeed.
+	Speed uint32
+}
+
+// halves returns the member's relative share of partitions, in halves of a unit of
+// weight.
+func (me Member) halves() uint32 {
+	if me.Speed == 0 || me.Weight == 0 {
+		return 2 * me.Weight
+	}
+	return max(1, 2*me.Weight*min(me.Speed, MaxSpeed)/FullSpeed)
 }
 
 // WeightChange records that one map version added, removed or changed one member.
--- a/core/placer/table.go
+++ b/core/placer/table.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math/bits"
 	"slices"
 	"strconv"
 	"sync"
@@ -21,9 +22,15 @@
 
 // memberSeeds holds one seed for each unit of a member's weight. A member's score is
 // the highest of its seeds' scores. The highest of n independent scores wins with a
-// probability proportional to n, so shares are proportional to weights.
+// probability proportional to n, so shares are proportional to weights. A half unit
+// counts with the square of its seed's score, as a fraction of 1: of two independent
+// such scores, the higher one is distributed like the score of a whole unit. A raised
+// weight only adds partitions to the member and a lowered one only removes some.
 type memberSeeds struct {
 	seeds []uint64
+	// half is the seed of the half unit, if hasHalf is set.
+	half    uint64
+	hasHalf bool
 }
 
 // NewTable computes the owners of ma.
@@ -37,9 +44,11 @@
 	all := make([]memberSeeds, len(members))
 	for i, me := range members {
 		base := xxhash.Sum64String(me.BackendServer)
-		for unit := range me.Weight {
+		halves := me.halves()
+		for unit := range halves / 2 {
 			all[i].seeds = append(all[i].seeds, seedOf(base, unit))
 		}
+		all[i].half, all[i].hasHalf = seedOf(base, halves/2), halves%2 != 0
 	}
 	return all
 }
@@ -71,7 +80,16 @@
 	for _, seed := range ms.seeds {
 		top = max(top, scoreOf(seed, pt))
 	}
-	return top, len(ms.seeds) > 0
+	if ms.hasHalf {
+		top = max(top, halfScore(scoreOf(ms.half, pt)))
+	}
+	return top, len(ms.seeds) > 0 || ms.hasHalf
+}
+
+// halfScore returns the score of half a unit from that of the whole unit.
+func halfScore(score uint64) uint64 {
+	high, _ := bits.Mul64(score, score)
+	return high
 }
 
 // seedOf returns the seed of one unit of a member's weight.
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -24,6 +24,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/freshener"
 	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/core/warner"
@@ -123,7 +124,15 @@
 	// refuseAt is from when a draining server gets no new requests.
 	refuseAt timer.Instant
 	// writtenWeight is the weight in the latest write of this instance's row.
-	writtenWeight   uint32
+	writtenWeight uint32
+	// speed returns the speed of the backend server relative to the median of its
+	// service, or false if it is not known. It is nil without WithSpeed.
+	speed func() (float64, bool)
+	// share is the share of keys by the speed, and writtenSpeed what the latest write of
+	// this instance's row says of it, 0 for a full share.
+	share           *pacer.Share
+	writtenSpeed    uint32
+	nextSpeedAt     timer.Instant
 	nextRowUpdateAt timer.Instant
 	// storedLeaving lists the leaving runs of the backend server in the row as last
 	// committed, and deregistrations the calls that wait until it lists all.
@@ -210,6 +219,7 @@
 		ackClocks: map[uint64]uint32{}, reported: map[string]uint64{}, settleChanges: settleChanges, settleSpread: settleSpread,
 		isSyncing: map[uint64]bool{}, avoidUntil: map[uint64]timer.Instant{},
 		takeovers: map[uint64]bool{}, nextTakeover: map[uint64]timer.Instant{}, lo: hclog.NewNullLogger(),
+		share:          pacer.NewShare(),
 		suspectHandler: func(uint64) {}, quarantineHandler: func([]admitter.Suspect) {},
 		quarantine: quarantine{unstored: map[uint64]admitter.Suspect{}},
 	}
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -73,7 +73,11 @@
 	// isWeightChange is set if the write changed the weight from formerWeight.
 	isWeightChange bool
 	formerWeight   uint32
-	err            error
+	// formerSpeed is the speed in the row before the write, and foldDelay how long the
+	// fold into the maps is delayed.
+	formerSpeed uint32
+	foldDelay   timer.Span
+	err         error
 }
 
 // orphansFound carries the holders whose rows name a former incarnation on this
--- a/instance/controller/folds.go
+++ b/instance/controller/folds.go
@@ -60,7 +60,7 @@
 			return false
 		}
 		me, ok := tb.Map.ByIncarnation(co.self.Incarnation)
-		if !ok || me.Weight != folder.Weight(service, ir, co.ds.config) {
+		if !ok || me.Weight != folder.Weight(service, ir, co.ds.config) || me.Speed != folder.Speed(service, ir) {
 			return false
 		}
 	}
--- a/instance/controller/join.go
+++ b/instance/controller/join.go
@@ -35,7 +35,7 @@
 func (co *Controller) instanceRow(weight uint32) folder.InstanceRow {
 	return folder.InstanceRow{
 		BackendServer: co.self.BackendServer, Service: co.self.Service, DataCentre: co.self.DataCentre,
-		Region: co.self.Region, Address: co.self.Address, Weight: weight, State: folder.Active,
+		Region: co.self.Region, Address: co.self.Address, Weight: weight, Speed: co.writtenSpeed, State: folder.Active,
 		Settled: co.reported, Leaving: co.leavingRuns(),
 	}
 }
@@ -60,7 +60,7 @@
 		co.lo.Warn("failed to write member row", "error", ev.err)
 		co.nextJoinAt = now.Add(joinBackoff)
 		if ev.isWeightChange {
-			co.writtenWeight = ev.formerWeight
+			co.writtenWeight, co.writtenSpeed = ev.formerWeight, ev.formerSpeed
 		}
 		return
 	}
@@ -80,6 +80,9 @@
 	// watched holders.
 	co.hasCheckedOrphans = co.hasCheckedOrphans || ev.isFirst
 	co.needsOwnFold = co.needsOwnFold || ev.affectsMaps
+	if ev.foldDelay > 0 && !co.needsFold {
+		co.nextFoldAt = max(co.nextFoldAt, now.Add(ev.foldDelay))
+	}
 	co.nextRenewAt = now
 }
 
--- a/instance/controller/options.go
+++ b/instance/controller/options.go
@@ -77,6 +77,13 @@
 	return func(co *Controller) { co.isFreshnessStrict = isStrict }
 }
 
+// WithSpeed makes this instance's share of keys follow the speed of the backend server
+// relative to the median of its service, if the service is split by key. The function
+// returns false if the speed is not known, and is called in the event loop.
+func WithSpeed(speed func() (float64, bool)) Option {
+	return func(co *Controller) { co.speed = speed }
+}
+
 // WithFirstFoldDelay sets how long an instance that finds no partition map waits before
 // it may create the maps, in addition to a random delay.
 func WithFirstFoldDelay(span timer.Span) Option {
@@ -134,6 +141,7 @@
 		if former != nil {
 			co.ds = former.ds
 			co.fr = former.fr
+			co.share, co.writtenSpeed = former.share, former.writtenSpeed
 			co.quarantine.unstored = former.quarantine.unstored
 			co.quarantine.seenAt = former.quarantine.seenAt
 		}
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -274,7 +274,7 @@
 func writeOutcome(written, found folder.InstanceRow, cause error) error {
 	isSame := found.Lease.Version > written.Lease.Version &&
 		found.Lease.Incarnation == written.Lease.Incarnation &&
-		found.State == written.State && found.Weight == written.Weight && found.IsStopping == written.IsStopping &&
+		found.State == written.State && found.Weight == written.Weight && found.Speed == written.Speed && found.IsStopping == written.IsStopping &&
 		slices.Equal(found.Lease.Watchers, written.Lease.Watchers) && slices.Equal(found.Leaving, written.Leaving)
 	if isSame {
 		return nil
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -261,23 +261,31 @@
 func (co *Controller) updateRow(now timer.Instant) {
 	isReady := co.isJoined && !co.isWritingRow && !co.isJoining && (co.stopping == nil || co.stopping.takesWrites())
 	weight := co.weight()
-	isDue := co.stopping == nil && weight != co.writtenWeight || !co.isLeavingStored()
+	isWeightDue := co.stopping == nil && weight != co.writtenWeight || !co.isLeavingStored()
+	isSpeedDue := co.isSpeedDue(now)
+	isDue := isWeightDue || isSpeedDue
 	if co.re == nil || !isReady || !isDue || now.Before(co.nextRowUpdateAt) {
 		return
 	}
 	co.nextRowUpdateAt = now.Add(joinBackoff)
 	co.isWritingRow = true
-	former := co.writtenWeight
+	former, formerSpeed, delay := co.writtenWeight, co.writtenSpeed, timer.Span(0)
 	co.writtenWeight = weight
+	if isSpeedDue {
+		co.writtenSpeed, co.nextSpeedAt = co.wantedSpeed(), now.Add(speedInterval)
+	}
+	if !isWeightDue {
+		delay = co.speedFoldDelay()
+	}
 	ir := co.instanceRow(weight)
 	ir.IsStopping = co.stopping != nil
 	ir.Lease = co.ho.Committed()
-	co.lo.Info("updating member row", "weight", weight, "server", co.server.String(), "leaving", len(ir.Leaving))
+	co.lo.Info("updating member row", "weight", weight, "speed", co.writtenSpeed, "server", co.server.String(), "leaving", len(ir.Leaving))
 	co.spawn(func(ctx context.Context) event {
 		found, err := co.tableStore.writeRow(ctx, ir)
 		return rowCommitted{
 			row: found.Lease, leaving: found.Leaving, err: err, affectsMaps: true, isWeightChange: true, formerWeight: former,
-			isEnded: hasEnded(found),
+			formerSpeed: formerSpeed, foldDelay: delay, isEnded: hasEnded(found),
 		}
 	})
 }
--- a/instance/controller/status.go
+++ b/instance/controller/status.go
@@ -82,6 +82,7 @@
 
 // observe updates all warnings.
 func (co *Controller) observe(now timer.Instant) {
+	co.updateShare(now)
 	self := co.self.BackendServer
 	watchers := len(co.ho.Committed().Watchers)
 	pending := 0
--- a/instance/gatekeeper/condition.go
+++ b/instance/gatekeeper/condition.go
@@ -106,6 +106,9 @@
 		return
 	}
 	ga.condition = observedCondition{serverID: bs.ID}
+	if ga.cm != nil {
+		ga.cm.ForgetRuns()
+	}
 	if ga.gate != nil {
 		ga.gate.AwaitAnswer()
 	}
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -22,6 +22,7 @@
 
 	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/shaper"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/assembler"
@@ -153,6 +154,8 @@
 	// isStartScheduled means that a timer will start queued requests on a cold
 	// server.
 	isStartScheduled bool
+	// cm is nil without WithPacing.
+	cm *pacer.Comparer
 }
 
 // New returns a Gatekeeper for the backend server at address, an IP:port. It returns
@@ -229,6 +232,7 @@
 	answer.RequestId = rq.GetRequestId()
 	running, waiting, _ := ga.Load()
 	answer.Running, answer.Waiting = uint32(running), uint32(waiting)
+	answer.TypicalRun = ga.typicalRun(rq.GetRoute())
 	ga.log(rq, answer, took)
 	return answer
 }
@@ -372,6 +376,7 @@
 	startedAt := ga.pu.Now()
 	answer, isOverloaded := ga.start(ctx, jo)
 	ga.observeLink(jo, answer)
+	ga.observeRun(jo, answer, startedAt)
 	ga.finish(admitter.Completion{Route: jo.rq.GetRoute(), Latency: ga.pu.Now().Sub(startedAt), Overloaded: isOverloaded})
 	return answer
 }
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -378,6 +378,9 @@
 	if last := ro.current.Load(); last != nil {
 		gateOptions = append(gateOptions, gatekeeper.WithFormerCondition(last.ga.Condition()))
 	}
+	if ro.se.Features.Pacing {
+		gateOptions = append(gateOptions, gatekeeper.WithPacing())
+	}
 	if ro.codec != nil {
 		gateOptions = append(gateOptions, gatekeeper.WithCodec(ro.codec))
 	}
@@ -389,6 +392,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if ro.se.Features.Pacing {
+		controlOptions = append(controlOptions, controller.WithSpeed(in.ga.Speed))
+	}
 	in.gr = granter.New(in.pu)
 	in.co, err = controller.New(append(controlOptions,
 		controller.WithTable(ro.table), controller.WithObjects(ro.objects), controller.WithPeers(ro.pe),
@@ -488,7 +494,11 @@
 	if in := lp.ro.current.Load(); rq.GetTo() == in.pu.Self().Incarnation {
 		return in.ga.Forward(ctx, rq), true, nil
 	}
-	return lp.ro.pe.Forward(ctx, address, rq)
+	answer, wasSent, err := lp.ro.pe.Forward(ctx, address, rq)
+	if in := lp.ro.current.Load(); err == nil && rq.GetService() == in.pu.Self().Service {
+		in.ga.ObservePeer(rq.GetRoute(), rq.GetTo(), answer)
+	}
+	return answer, wasSent, err
 }
 
 // Grant implements forwarder.Homes.
--- a/wire/encoder/document.go
+++ b/wire/encoder/document.go
@@ -52,6 +52,7 @@
 	DataCentre    string `json:"dataCentre"`
 	Address       string `json:"address"`
 	Weight        uint32 `json:"weight"`
+	Speed         uint32 `json:"speed,omitempty"`
 }
 
 type wireChange struct {
@@ -124,6 +125,7 @@
 	Region        string            `json:"region"`
 	Address       string            `json:"address"`
 	Weight        uint32            `json:"weight"`
+	Speed         uint32            `json:"speed,omitempty"`
 	IsStopping    bool              `json:"isStopping,omitempty"`
 	State         string            `json:"state"`
 	Incarnation   uint64            `json:"incarnation"`
@@ -137,7 +139,7 @@
 func EncodeInstanceRow(ir folder.InstanceRow) ([]byte, error) {
 	wr := wireRow{
 		BackendServer: ir.BackendServer, Service: ir.Service, DataCentre: ir.DataCentre, Region: ir.Region,
-		Address: ir.Address, Weight: ir.Weight, State: string(ir.State), Incarnation: ir.Lease.Incarnation,
+		Address: ir.Address, Weight: ir.Weight, Speed: ir.Speed, State: string(ir.State), Incarnation: ir.Lease.Incarnation,
 		IsStopping: ir.IsStopping, Settled: ir.Settled,
 	}
 	for _, wt := range ir.Lease.Watchers {
@@ -158,7 +160,7 @@
 	}
 	ir := folder.InstanceRow{
 		BackendServer: wr.BackendServer, Service: wr.Service, DataCentre: wr.DataCentre, Region: wr.Region,
-		Address: wr.Address, Weight: wr.Weight, IsStopping: wr.IsStopping, State: folder.State(wr.State),
+		Address: wr.Address, Weight: wr.Weight, Speed: wr.Speed, IsStopping: wr.IsStopping, State: folder.State(wr.State),
 		Lease: leaser.Row{Incarnation: wr.Incarnation, Version: version}, Settled: wr.Settled,
 	}
 	for _, wt := range wr.Watchers {
--- a/wire/encoder/encoder_test.go
+++ b/wire/encoder/encoder_test.go
@@ -18,7 +18,7 @@
 func TestRoundTrips(t *testing.T) {
 	is := is.New(t)
 	ma := placer.NewMap("counter", 16).NextVersion(5).WithMember(placer.Member{
-		BackendServer: "a", Incarnation: 1 << 60, DataCentre: "x", Address: "127.0.0.1:1", Weight: 4,
+		BackendServer: "a", Incarnation: 1 << 60, DataCentre: "x", Address: "127.0.0.1:1", Weight: 4, Speed: 5,
 	})
 	content, err := EncodeMap(ma)
 	is.NoErr(err)
@@ -28,7 +28,7 @@
 	is.Equal(gotMap.Changes, ma.Changes)
 
 	an := folder.InstanceRow{
-		BackendServer: "a", Service: "counter", DataCentre: "x", Region: "r", Address: "127.0.0.1:1", Weight: 4,
+		BackendServer: "a", Service: "counter", DataCentre: "x", Region: "r", Address: "127.0.0.1:1", Weight: 4, Speed: 5,
 		State: folder.Active, Lease: leaser.Row{Incarnation: 9, Version: 3, Watchers: []leaser.WatcherID{{BackendServer: "b", Incarnation: 2}}},
 		Leaving: []registrar.ServerRun{{ID: "i-1", StartedAt: 1700000000000}, {ID: "i-2"}},
 	}
