Keys by load: a server with far more work than the mean lowers its share

Cause: hashing gives some servers twice the keys of others. Change: each gate measures the work that arrives, refused requests included, and reports it in answers between instances (demand).

--- a/core/pacer/comparer.go
+++ b/core/pacer/comparer.go
@@ -37,6 +37,7 @@
 // other services is part of its latency, on every server alike.
 type Comparer struct {
 	routes map[string]*routeRuns
+	de     demandMeter
 }
 
 // routeRuns holds the latest runs of one route, and the peers' medians.
@@ -63,7 +64,9 @@
 }
 
 // NewComparer returns a Comparer without runs.
-func NewComparer() *Comparer { return &Comparer{routes: map[string]*routeRuns{}} }
+func NewComparer() *Comparer {
+	return &Comparer{routes: map[string]*routeRuns{}, de: demandMeter{peers: map[uint64]peerDemand{}}}
+}
 
 // of returns the record of a route, or nil if there are too many routes.
 func (cm *Comparer) of(route string) *routeRuns {
@@ -145,7 +148,7 @@
 // on them. It returns false if no route can be compared.
 func (cm *Comparer) Speed(servers int, now timer.Instant) (float64, bool) {
 	sum, weights := 0.0, 0.0
-	needed := max(minPeers, min((servers-1)/2, enoughPeers))
+	needed := neededPeers(servers)
 	for _, rr := range cm.routes {
 		rr.refresh(now)
 		usual, ok := rr.usual(needed, now)
@@ -162,6 +165,9 @@
 	return sum / weights, true
 }
 
+// neededPeers returns how many peers must have reported for a comparison.
+func neededPeers(servers int) int { return max(minPeers, min((servers-1)/2, enoughPeers)) }
+
 // usual returns the median over the servers of the service, this one included, of their
 // median latencies, or false if fewer peers than needed have reported theirs. It drops
 // reports that are too old.
--- a/core/pacer/comparer_test.go
+++ b/core/pacer/comparer_test.go
@@ -90,7 +90,7 @@
 	for server, cm := range si.comparers {
 		speed, ok := cm.Speed(len(si.speeds), si.now)
 		former := si.shares[server].Units()
-		if ok && si.shares[server].Update(speed, si.now) != former {
+		if ok && si.shares[server].Update(Standing{Speed: speed}, si.now) != former {
 			si.changes[server]++
 		}
 		si.weights[server] = float64(si.shares[server].Units())
@@ -177,7 +177,7 @@
 	sh, changes := NewShare(), 0
 	for second := range 60 {
 		former := sh.Units()
-		if sh.Update(float64(second%2)*9, timer.Instant(second)*timer.Instant(timer.Second)) != former {
+		if sh.Update(Standing{Speed: float64(second%2) * 9}, timer.Instant(second)*timer.Instant(timer.Second)) != former {
 			changes++
 		}
 		is.True(sh.Units() >= minShare && sh.Units() <= maxShare)
--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -17,7 +17,7 @@
 //	cm := pacer.NewComparer()
 //	cm.ObserveRun(route, latency, now)
 //	cm.ObservePeer(route, incarnation, typical, now)
-//	speed, ok := cm.Speed(servers, now)
+//	standing, ok := cm.Standing(servers, now)
 //	sh := pacer.NewShare()
-//	eighths := sh.Update(speed, now)
+//	eighths := sh.Update(standing, now)
 package pacer
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -125,10 +125,9 @@
 	refuseAt timer.Instant
 	// writtenWeight is the weight in the latest write of this instance's row.
 	writtenWeight uint32
-	// speed returns the speed of the backend server relative to the median of its
-	// service, or false if it is not known. It is nil without WithSpeed.
-	speed func() (float64, bool)
-	// share is the share of keys by the speed, and writtenSpeed what the latest write of
+	// standing is nil without WithStanding.
+	standing func() (pacer.Standing, bool)
+	// share is the share of keys by the standing, and writtenSpeed what the latest write of
 	// this instance's row says of it, 0 for a full share.
 	share           *pacer.Share
 	writtenSpeed    uint32
--- a/instance/controller/options.go
+++ b/instance/controller/options.go
@@ -7,6 +7,7 @@
 
 	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
@@ -77,11 +78,12 @@
 	return func(co *Controller) { co.isFreshnessStrict = isStrict }
 }
 
-// WithSpeed makes this instance's share of keys follow the speed of the backend server
-// relative to the median of its service, if the service is split by key. The function
-// returns false if the speed is not known, and is called in the event loop.
-func WithSpeed(speed func() (float64, bool)) Option {
-	return func(co *Controller) { co.speed = speed }
+// WithStanding makes this instance's share of keys follow the speed of the backend server
+// and the work that arrives there, if the service is split by key. The function returns
+// how the server compares with the others of its service, or false if that is not known.
+// It is called in the event loop.
+func WithStanding(standing func() (pacer.Standing, bool)) Option {
+	return func(co *Controller) { co.standing = standing }
 }
 
 // WithFirstFoldDelay sets how long an instance that finds no partition map waits before
--- a/instance/controller/speed.go
+++ b/instance/controller/speed.go
@@ -21,23 +21,23 @@
 	maxSpeedFoldDelay  = 2 * timer.Second
 )
 
-// updateShare updates the share of keys from the measured speed of the backend server.
+// updateShare updates the share of keys from the standing of the backend server.
 func (co *Controller) updateShare(now timer.Instant) {
 	if !co.isSplitByKey() || co.re == nil || co.re.State(now) != registrar.Ready {
 		return
 	}
-	if speed, ok := co.speed(); ok {
+	if st, ok := co.standing(); ok {
 		former := co.share.Units()
-		if units := co.share.Update(speed, now); units != former {
-			co.lo.Info("share of keys changes with the server's speed", "from", former, "to", units, "of", pacer.FullShare, "speed", speed)
+		if units := co.share.Update(st, now); units != former {
+			co.lo.Info("share of keys changes with the server's speed", "from", former, "to", units, "of", pacer.FullShare, "speed", st.Speed, "load", st.Load)
 		}
 	}
 }
 
-// isSplitByKey reports whether shares follow speeds and this instance's service has keys
+// isSplitByKey reports whether shares follow the standing and this instance's service has keys
 // with owners.
 func (co *Controller) isSplitByKey() bool {
-	return co.speed != nil && co.pu.View().Services[co.self.Service].Class == cataloguer.Exclusive
+	return co.standing != nil && co.pu.View().Services[co.self.Service].Class == cataloguer.Exclusive
 }
 
 // wantedSpeed returns the speed that the row is to give: 0 for a full share that no row
--- a/instance/controller/speed_test.go
+++ b/instance/controller/speed_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
 	"github.com/matryer/is"
@@ -11,7 +12,7 @@
 
 // withSpeed makes an instance that has joined measure the given speed.
 func (sc *sidecar) withSpeed(speed *float64) *sidecar {
-	sc.Controller.speed = func() (float64, bool) { return *speed, *speed > 0 }
+	sc.standing = func() (pacer.Standing, bool) { return pacer.Standing{Speed: *speed}, *speed > 0 }
 	sc.ds.config.Catalogue.Services = []cataloguer.Service{{Name: "counter", Class: cataloguer.Exclusive, Partitions: 32}}
 	sc.pu.Publish(sc.ds.view())
 	return sc
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -232,7 +232,7 @@
 	answer.RequestId = rq.GetRequestId()
 	running, waiting, _ := ga.Load()
 	answer.Running, answer.Waiting = uint32(running), uint32(waiting)
-	answer.TypicalRun = ga.typicalRun(rq.GetRoute())
+	ga.report(rq.GetRoute(), answer)
 	ga.log(rq, answer, took)
 	return answer
 }
@@ -388,6 +388,7 @@
 		ga.mu.Unlock()
 		return refuse(admitter.CodeDraining, "this instance is stopping")
 	}
+	ga.observeArrival(jo)
 	ga.applyLimits(jo.sv.Limits)
 	if refusal := ga.applyServerState(); refusal != nil {
 		ga.mu.Unlock()
--- a/instance/gatekeeper/pace.go
+++ b/instance/gatekeeper/pace.go
@@ -9,8 +9,11 @@
 	"cornellanding.example/wire/peerproto"
 )
 
-// WithPacing measures the latency of the backend server's runs, reports its median in
-// answers and compares it with that of the other servers of the service.
+// demandUnit is the divisor of the demand in answers.
+const demandUnit = 100
+
+// WithPacing measures the latency of the backend server's runs and the work that arrives,
+// reports both in answers and compares them with the other servers of the service.
 func WithPacing() Option { return func(ga *Gatekeeper) { ga.cm = pacer.NewComparer() } }
 
 // observeRun records the latency of a run that ended well.
@@ -24,34 +27,51 @@
 	ga.cm.ObserveRun(jo.rq.GetRoute(), now.Sub(startedAt), now)
 }
 
-// typicalRun returns the median time of the latest runs of a route in microseconds, 0 if
-// it is not known.
-func (ga *Gatekeeper) typicalRun(route string) uint32 {
+// observeArrival records a request that arrives, also if it is refused. The lock must be
+// held.
+func (ga *Gatekeeper) observeArrival(jo *job) {
+	if ga.cm != nil {
+		ga.cm.ObserveArrival(jo.rq.GetRoute(), ga.pu.Now())
+	}
+}
+
+// report adds to an answer what is measured of the backend server.
+func (ga *Gatekeeper) report(route string, answer *peerproto.ForwardResponse) {
 	if ga.cm == nil {
-		return 0
+		return
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	median, _ := ga.cm.Typical(route, ga.pu.Now())
-	return uint32(min(median/timer.Microsecond, math.MaxUint32))
+	now := ga.pu.Now()
+	median, _ := ga.cm.Typical(route, now)
+	answer.TypicalRun = uint32(min(median/timer.Microsecond, math.MaxUint32))
+	if demand, ok := ga.cm.Demand(now); ok {
+		answer.Demand = uint32(max(1, min(demand*demandUnit, math.MaxUint32)))
+	}
 }
 
 // ObservePeer records what an answer of another instance of the same service reports of
 // its backend server.
 func (ga *Gatekeeper) ObservePeer(route string, incarnation uint64, answer *peerproto.ForwardResponse) {
-	if ga.cm == nil || answer.GetTypicalRun() == 0 {
+	if ga.cm == nil {
 		return
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.cm.ObservePeer(route, incarnation, timer.Span(answer.GetTypicalRun())*timer.Microsecond, ga.pu.Now())
+	now := ga.pu.Now()
+	if answer.GetTypicalRun() != 0 {
+		ga.cm.ObservePeer(route, incarnation, timer.Span(answer.GetTypicalRun())*timer.Microsecond, now)
+	}
+	if answer.GetDemand() != 0 {
+		ga.cm.ObservePeerDemand(incarnation, float64(answer.GetDemand())/demandUnit, now)
+	}
 }
 
-// Speed returns the speed of the backend server relative to the median of its service, or
-// false if it is not known.
-func (ga *Gatekeeper) Speed() (float64, bool) {
+// Standing returns how the backend server compares with the others of its service, or
+// false if that is not known.
+func (ga *Gatekeeper) Standing() (pacer.Standing, bool) {
 	if ga.cm == nil {
-		return 0, false
+		return pacer.Standing{}, false
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
@@ -59,5 +79,5 @@
 	if tb := ga.pu.View().Tables[ga.pu.Self().Service]; tb != nil {
 		servers = len(tb.Map.Members)
 	}
-	return ga.cm.Speed(servers, ga.pu.Now())
+	return ga.cm.Standing(servers, ga.pu.Now())
 }
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -393,7 +393,7 @@
 		return nil, err
 	}
 	if ro.se.Features.Pacing {
-		controlOptions = append(controlOptions, controller.WithSpeed(in.ga.Speed))
+		controlOptions = append(controlOptions, controller.WithStanding(in.ga.Standing))
 	}
 	in.gr = granter.New(in.pu)
 	in.co, err = controller.New(append(controlOptions,
