Choice of a server by the queues and speeds that gates report

Cause: an entry has few requests of its own to each server of a shared service, so that its own outstanding requests and latencies don't tell which one is full. Change: with the feature pacing, the balancer draws its two candidates by the speed that gates report and compares them by queue and own outstanding requests; a report counts with its age. Without reports, choices are as before.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -6,6 +6,10 @@
 // trickle of requests until its latency is close to its peers' again. At most a
 // quarter of the servers may be on probation.
 //
+// If the gates of the servers report how fast these are and how many requests of all
+// entries they hold, candidates are drawn by speed and compared by their queues too, see
+// Report. An entry with few requests of its own then avoids full servers.
+//
 // Balancer is a state machine without a clock or goroutines, and callers must
 // serialize access to it.
 //
@@ -16,6 +20,11 @@
 //	chosen, ok := ba.Choose(random, excluded)
 //	ba.Start(chosen)
 //	ba.Finish(chosen, latency, isFailed)
+//
+// With reports of the gates:
+//
+//	chosen, ok := ba.ChooseAt(random, excluded, now)
+//	ba.Report(chosen, balancer.Load{Running: running, Waiting: waiting, Speed: speed}, now)
 package balancer
 
 import (
@@ -58,6 +67,7 @@
 	latency     float64
 	samples     int
 	isProbation bool
+	reported    reportedLoad
 }
 
 // Balancer is the load balancing state of one shared service.
@@ -65,6 +75,9 @@
 	servers   []*server
 	choices   uint64
 	preferred map[uint64]bool
+	// now is the time of the latest choice, and usual what is usual of all servers.
+	now   timer.Instant
+	usual usualLoad
 }
 
 // New returns a Balancer without servers.
@@ -105,6 +118,12 @@
 // Choose returns the incarnation of a server that is not excluded. Random is 64
 // random bits. It returns false if no server is left.
 func (ba *Balancer) Choose(random uint64, excluded []uint64) (uint64, bool) {
+	return ba.ChooseAt(random, excluded, 0)
+}
+
+// ChooseAt is Choose at now, which gives the ages of the gates' reports.
+func (ba *Balancer) ChooseAt(random uint64, excluded []uint64, now timer.Instant) (uint64, bool) {
+	ba.now = now
 	ba.choices++
 	usable := ba.usable(excluded, false)
 	trickle := ba.usable(excluded, true)
@@ -115,12 +134,11 @@
 	if len(usable) == 0 {
 		return 0, false
 	}
-	first := usable[random%uint64(len(usable))]
-	second := usable[(random>>32)%uint64(len(usable))]
-	if second.cost() < first.cost()*similarCost {
+	first, second := ba.draw(usable, random, 0), ba.draw(usable, random, 32)
+	if ba.cost(second) < ba.cost(first)*similarCost {
 		first = second
 	}
-	if preferred := ba.choosePreferred(usable, random); preferred != nil && preferred.cost()*preferredCostShare <= first.cost() {
+	if preferred := ba.choosePreferred(usable, random); preferred != nil && ba.cost(preferred)*preferredCostShare <= ba.cost(first) {
 		first = preferred
 	}
 	return first.incarnation, true
@@ -138,9 +156,8 @@
 	if len(preferred) == 0 {
 		return nil
 	}
-	first := preferred[(random>>16)%uint64(len(preferred))]
-	second := preferred[(random>>48)%uint64(len(preferred))]
-	if second.cost() < first.cost() {
+	first, second := ba.draw(preferred, random, 16), ba.draw(preferred, random, 48)
+	if ba.cost(second) < ba.cost(first) {
 		return second
 	}
 	return first
@@ -157,7 +174,12 @@
 }
 
 // cost is the expected latency of one more request on the server.
-func (se *server) cost() float64 { return float64(se.outstanding+1) * se.latency }
+func (ba *Balancer) cost(se *server) float64 {
+	if ba.usual.hasReports {
+		return ba.reportedCost(se)
+	}
+	return float64(se.outstanding+1) * se.latency
+}
 
 // Start records the start of a request.
 func (ba *Balancer) Start(incarnation uint64) {
@@ -176,6 +198,7 @@
 	if isFailed {
 		latency = max(latency, failureCost)
 	}
+	ba.usual.latency += usualWeight * (float64(latency) - ba.usual.latency)
 	se.samples++
 	se.latency += latencyWeight * (float64(latency) - se.latency)
 	ba.review(se)
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -108,6 +108,10 @@
 // WithObserver sets the observer of answers and refusals.
 func WithObserver(ob Observer) Option { return func(fo *Forwarder) { fo.observer = ob } }
 
+// WithGateReports makes the choice of a server of a shared service use what the gates say in
+// their answers of the servers' queues and speeds. All instances must report speeds.
+func WithGateReports() Option { return func(fo *Forwarder) { fo.usesReports = true } }
+
 // WithoutHedging disables the second copy of slow idempotent reads.
 func WithoutHedging() Option { return func(fo *Forwarder) { fo.isHedging = false } }
 
@@ -128,6 +132,7 @@
 	index       routeIndex
 	shares      *shares
 	balancers   *balancers
+	usesReports bool
 	lo          hclog.Logger
 	sampleEvery uint64
 	observer    Observer
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -44,6 +44,9 @@
 	he *retrier.Hedger
 	// mean is the smoothed latency in nanoseconds, 0 before the first sample.
 	mean float64
+	// typical is the smoothed run time that gates report, in microseconds, 0 before the
+	// first report.
+	typical float64
 }
 
 const (
@@ -93,16 +96,32 @@
 	sb.ba.SetPreferred(near)
 }
 
-func (sb *serviceBalancer) choose(excluded []uint64) (uint64, bool) {
+func (sb *serviceBalancer) choose(excluded []uint64, now timer.Instant) (uint64, bool) {
 	sb.mu.Lock()
 	defer sb.mu.Unlock()
-	incarnation, ok := sb.ba.Choose(rand.Uint64(), excluded)
+	incarnation, ok := sb.ba.ChooseAt(rand.Uint64(), excluded, now)
 	if ok {
 		sb.ba.Start(incarnation)
 	}
 	return incarnation, ok
 }
 
+// report records what an answer says of the server's queue and speed.
+func (sb *serviceBalancer) report(incarnation uint64, route string, answer *peerproto.ForwardResponse, now timer.Instant) {
+	sb.mu.Lock()
+	defer sb.mu.Unlock()
+	lo := balancer.Load{Running: int(answer.GetRunning()), Waiting: int(answer.GetWaiting())}
+	if typical := float64(answer.GetTypicalRun()); typical > 0 {
+		rl := sb.of(route)
+		if rl.typical == 0 {
+			rl.typical = typical
+		}
+		rl.typical += meanWeight * (typical - rl.typical)
+		lo.Speed = rl.typical / typical
+	}
+	sb.ba.Report(incarnation, lo, now)
+}
+
 // finish records an attempt that ended without being cancelled.
 func (sb *serviceBalancer) finish(incarnation uint64, route string, latency timer.Span, isFailed bool) {
 	sb.mu.Lock()
@@ -240,7 +259,7 @@
 // launch sends one copy to a server that has not been tried yet. It returns false if
 // there is none.
 func (fo *Forwarder) launch(ctx context.Context, ca *call, tb *placer.Table, sb *serviceBalancer, tried *[]uint64, results chan<- attempt) bool {
-	incarnation, ok := sb.choose(*tried)
+	incarnation, ok := sb.choose(*tried, fo.so.Now())
 	if !ok {
 		return false
 	}
@@ -254,7 +273,11 @@
 	go func() {
 		startedAt := fo.so.Now()
 		at := send(ctx)
-		latency := fo.so.Now().Sub(startedAt)
+		now := fo.so.Now()
+		latency := now.Sub(startedAt)
+		if fo.usesReports && at.err == nil && !at.isTooLate {
+			sb.report(incarnation, route, at.answer, now)
+		}
 		if at.err != nil && ctx.Err() != nil {
 			sb.cancel(incarnation, route, latency)
 		} else {
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -142,6 +142,9 @@
 		forwarder.WithLogger(ro.lo), forwarder.WithLogSampling(se.Log.SampleEvery), forwarder.WithObserver(ro.meter),
 		forwarder.WithCallerRepeats(func() float64 { return ro.current.Load().ga.RepeatShare() }),
 	}, ro.forwarderOptions...)
+	if ro.se.Features.Pacing {
+		forwarderOptions = append(forwarderOptions, forwarder.WithGateReports())
+	}
 	ro.fo, err = forwarder.New(&source{ro: ro}, local, local, forwarderOptions...)
 	if err != nil {
 		ro.close()
