Starts on a cold server: burst and rate up to the bound, while responses keep pace

Cause: the token bucket of the gate keeps a cold server to coldPerS, although the platform's bound allows a burst and coldOvershoot times that rate. Change: with the feature pacing, core/pacer's Pacer limits the starts on a cold server.

--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -207,6 +207,8 @@
 	isDraining bool
 	// awaitsAnswer is as in AwaitAnswer.
 	awaitsAnswer bool
+	// pace is as in SetPace, nil if there is none.
+	pace Pace
 }
 
 // New returns a Gate without requests, by default with one slot and no queue.
@@ -289,7 +291,7 @@
 	rq.Priority = min(rq.Priority, cataloguer.PriorityCount-1)
 	ga.lastTicket++
 	if ga.running < ga.Limit() && ga.Waiting() == 0 && !ga.isRateExhausted(now) {
-		ga.startRun()
+		ga.startRun(now)
 		return Run{Ticket: ga.lastTicket}
 	}
 	queue, isWorthWaiting := ga.queueFor(rq, now)
@@ -364,7 +366,7 @@
 				ga.queues[lateQueueOf(next.request.Priority)].push(next)
 				continue
 			}
-			ga.startRun()
+			ga.startRun(now)
 			started = append(started, next.ticket)
 		}
 	}
--- a/core/admitter/rate.go
+++ b/core/admitter/rate.go
@@ -16,6 +16,21 @@
 	unheardSlots = 4
 )
 
+// Pace limits the starts on a cold server, in place of the rate of SetColdRate.
+type Pace interface {
+	// Allows reports whether a request may start on the cold server at now.
+	Allows(now timer.Instant) bool
+	// NextAt returns when the next request may start on the cold server.
+	NextAt(now timer.Instant) timer.Instant
+	// Rate returns the starts a second in force on the cold server, above 0.
+	Rate() float64
+	// Start records a start on the server, cold or not.
+	Start(now timer.Instant)
+}
+
+// SetPace sets what limits the starts on a cold server if SetColdRate sets a rate.
+func (ga *Gate) SetPace(pa Pace) { ga.pace = pa }
+
 // SetColdRate limits how many requests per second start on a cold server. At 0,
 // the default, only the concurrency is limited.
 func (ga *Gate) SetColdRate(perSecond float64) { ga.coldRate = perSecond }
@@ -59,21 +74,33 @@
 // startRate returns how many requests per second may start at now, or false if only the
 // concurrency is limited.
 func (ga *Gate) startRate(now timer.Instant) (float64, bool) {
-	isCold := ga.coldRate > 0 && now.Before(ga.coldUntil)
+	coldRate := ga.coldRate
+	if ga.pace != nil {
+		coldRate = ga.pace.Rate()
+	}
 	switch {
-	case isCold && ga.isServerLimited:
-		return min(ga.coldRate, ga.serverRate), true
-	case isCold:
-		return ga.coldRate, true
+	case ga.isCold(now) && ga.isServerLimited:
+		return min(coldRate, ga.serverRate), true
+	case ga.isCold(now):
+		return coldRate, true
 	default:
 		return ga.serverRate, ga.isServerLimited
 	}
 }
 
+// isCold reports whether the rate of starts is limited since the server is cold.
+func (ga *Gate) isCold(now timer.Instant) bool { return ga.coldRate > 0 && now.Before(ga.coldUntil) }
+
 // isRateExhausted refills the token bucket of the start rate and reports whether it has no
-// token for another start at now.
+// token for another start at now, or the pace allows none.
 func (ga *Gate) isRateExhausted(now timer.Instant) bool {
 	rate, isLimited := ga.startRate(now)
+	if ga.pace != nil && ga.isCold(now) {
+		if !ga.pace.Allows(now) {
+			return true
+		}
+		rate, isLimited = ga.serverRate, ga.isServerLimited
+	}
 	if !isLimited {
 		return false
 	}
@@ -84,9 +111,12 @@
 }
 
 // startRun counts a run and takes a token for it.
-func (ga *Gate) startRun() {
+func (ga *Gate) startRun(now timer.Instant) {
 	ga.running++
 	ga.startTokens = max(0, ga.startTokens-1)
+	if ga.pace != nil {
+		ga.pace.Start(now)
+	}
 }
 
 // NextStartAt returns when the next queued request may start even if no run ends
@@ -95,10 +125,22 @@
 	if ga.Waiting() == 0 || ga.running >= ga.Limit() || !ga.isRateExhausted(now) {
 		return 0, false
 	}
-	rate, _ := ga.startRate(now)
-	at := now.Add(timer.Span((1-ga.startTokens)/rate*float64(timer.Second)) + 1)
+	at := ga.nextTokenAt(now)
 	if now.Before(ga.coldUntil) {
 		at = min(at, ga.coldUntil)
 	}
 	return at, true
 }
+
+// nextTokenAt returns when the limits on the rate of starts allow the next one.
+func (ga *Gate) nextTokenAt(now timer.Instant) timer.Instant {
+	rate, _ := ga.startRate(now)
+	if ga.pace == nil || !ga.isCold(now) {
+		return now.Add(timer.Span((1-ga.startTokens)/rate*float64(timer.Second)) + 1)
+	}
+	at := ga.pace.NextAt(now).Add(1)
+	if ga.isServerLimited {
+		at = max(at, now.Add(timer.Span(max(0, 1-ga.startTokens)/ga.serverRate*float64(timer.Second))+1))
+	}
+	return at
+}
--- a/core/pacer/comparer.go
+++ b/core/pacer/comparer.go
@@ -183,6 +183,25 @@
 	return medianOf(medians), len(medians) > needed
 }
 
+// PeersTypical returns the median over the peers of their median latencies of a route, or
+// false if fewer than minPeers have reported theirs.
+func (cm *Comparer) PeersTypical(route string, now timer.Instant) (timer.Span, bool) {
+	rr := cm.routes[route]
+	if rr == nil {
+		return 0, false
+	}
+	var medians []timer.Span
+	for _, pm := range rr.peers {
+		if now.Sub(pm.at) <= peerSpan {
+			medians = append(medians, pm.median)
+		}
+	}
+	if len(medians) < minPeers {
+		return 0, false
+	}
+	return medianOf(medians), true
+}
+
 // medianOf sorts the spans and returns their median.
 func medianOf(spans []timer.Span) timer.Span {
 	slices.Sort(spans)
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -154,8 +154,9 @@
 	// isStartScheduled means that a timer will start queued requests on a cold
 	// server.
 	isStartScheduled bool
-	// cm is nil without WithPacing.
+	// cm and pa are nil without WithPacing.
 	cm *pacer.Comparer
+	pa *pacer.Pacer
 }
 
 // New returns a Gatekeeper for the backend server at address, an IP:port. It returns
@@ -509,6 +510,9 @@
 	defer ga.mu.Unlock()
 	if co.Overloaded {
 		ga.overloadedAt = ga.pu.Now()
+		if ga.pa != nil {
+			ga.pa.Overload()
+		}
 	}
 	ga.wakeAll(ga.gate.Finish(co, ga.pu.Now()))
 	ga.scheduleStart()
--- a/instance/gatekeeper/pace.go
+++ b/instance/gatekeeper/pace.go
@@ -13,8 +13,23 @@
 const demandUnit = 100
 
 // WithPacing measures the latency of the backend server's runs and the work that arrives,
-// reports both in answers and compares them with the other servers of the service.
-func WithPacing() Option { return func(ga *Gatekeeper) { ga.cm = pacer.NewComparer() } }
+// reports both in answers and compares them with the other servers of the service. While
+// the server is cold, no more requests than the bound allows start in any second, at the
+// rate that the catalogue gives.
+func WithPacing(bound pacer.Bound) Option {
+	return func(ga *Gatekeeper) {
+		ga.cm = pacer.NewComparer()
+		ga.pa = pacer.NewPacer(bound, ga.pu.Now())
+	}
+}
+
+// paceGate lets the pacer limit the starts on a cold server. The lock must be held.
+func (ga *Gatekeeper) paceGate(coldRate float64) {
+	if ga.pa != nil {
+		ga.pa.SetRate(coldRate)
+		ga.gate.SetPace(ga.pa)
+	}
+}
 
 // observeRun records the latency of a run that ended well.
 func (ga *Gatekeeper) observeRun(jo *job, answer *peerproto.ForwardResponse, startedAt timer.Instant) {
@@ -24,7 +39,10 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	now := ga.pu.Now()
-	ga.cm.ObserveRun(jo.rq.GetRoute(), now.Sub(startedAt), now)
+	route, latency := jo.rq.GetRoute(), now.Sub(startedAt)
+	ga.cm.ObserveRun(route, latency, now)
+	usual, _ := ga.cm.PeersTypical(route, now)
+	ga.pa.Finish(latency, usual)
 }
 
 // observeArrival records a request that arrives, also if it is refused. The lock must be
--- a/instance/gatekeeper/server.go
+++ b/instance/gatekeeper/server.go
@@ -79,6 +79,7 @@
 	if ga.gate != nil {
 		ga.gate.SetLimits(li.Slots, li.ColdStartSlots, li.Queue)
 		ga.gate.SetColdRate(li.ColdRate)
+		ga.paceGate(li.ColdRate)
 		return
 	}
 	ga.bs.setConnections(li.Connections)
@@ -94,5 +95,6 @@
 		gate.AwaitAnswer()
 	}
 	ga.gate = gate
+	ga.paceGate(li.ColdRate)
 	ga.applyServerLimit()
 }
--- a/instance/router/options.go
+++ b/instance/router/options.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/controller"
 	"cornellanding.example/instance/forwarder"
@@ -59,6 +60,13 @@
 	return func(ro *Router) { ro.firstFoldDelay = span }
 }
 
+// WithColdBound sets how many requests may start in any second on a cold backend server:
+// its rate in the catalogue times overshoot, plus slack. It is used with the feature pacing
+// only. The default is an overshoot of 1 and a slack of 2.
+func WithColdBound(overshoot, slack float64) Option {
+	return func(ro *Router) { ro.coldBound = pacer.Bound{Overshoot: overshoot, Slack: slack} }
+}
+
 // WithServerCodec sets the codec for requests to the backend server.
 func WithServerCodec(cd gatekeeper.Codec) Option { return func(ro *Router) { ro.codec = cd } }
 
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"cornellanding.example/core/admitter"
+	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
@@ -53,6 +54,9 @@
 	// rejoinDelay separates a revoked incarnation from the next one.
 	rejoinDelay    = 100 * time.Millisecond
 	incarnationMin = uint64(1)
+	// defaultColdSlack is how many requests may start at once on a cold server beyond its
+	// rate if no bound is set, as without the feature pacing.
+	defaultColdSlack = 2
 )
 
 // Router is an instance. It runs one incarnation after another.
@@ -79,6 +83,7 @@
 	granter           controller.KeyGranter
 	isFreshnessStrict bool
 	firstFoldDelay    timer.Span
+	coldBound         pacer.Bound
 	codec             gatekeeper.Codec
 	// caller handles callers' requests.
 	caller           http.Handler
@@ -106,7 +111,7 @@
 // running yet. It returns an error if an address is in use or the settings are
 // invalid.
 func New(se parser.Settings, opts ...Option) (*Router, error) {
-	ro := &Router{se: se, clock: timer.BootClock{}, meter: meter.New(), stopTimeout: defaultStopTimeout, quietPeriod: quietPeriod}
+	ro := &Router{se: se, clock: timer.BootClock{}, meter: meter.New(), coldBound: pacer.Bound{Overshoot: 1, Slack: defaultColdSlack}, stopTimeout: defaultStopTimeout, quietPeriod: quietPeriod}
 	ro.isReachable = func(string) bool { return true }
 	for _, opt := range opts {
 		opt(ro)
@@ -382,7 +387,7 @@
 		gateOptions = append(gateOptions, gatekeeper.WithFormerCondition(last.ga.Condition()))
 	}
 	if ro.se.Features.Pacing {
-		gateOptions = append(gateOptions, gatekeeper.WithPacing())
+		gateOptions = append(gateOptions, gatekeeper.WithPacing(ro.coldBound))
 	}
 	if ro.codec != nil {
 		gateOptions = append(gateOptions, gatekeeper.WithCodec(ro.codec))
