A busy server that turns cold is noticed by health checks

Cause: a server that turns cold without a start says so in its next heartbeat only, up to 1.5 s later; ordinary answers don't tell. Change: with the feature pacing, a gate on which requests start at more than half of the rate that the cold bound allows asks the server's health path every 150 ms; the codec of the platform reads the rest of the cold period. Starts before the notice count against the bound. The entry stays for deployments without the feature.

--- a/core/admitter/rate.go
+++ b/core/admitter/rate.go
@@ -79,23 +79,23 @@
 		coldRate = ga.pace.Rate()
 	}
 	switch {
-	case ga.isCold(now) && ga.isServerLimited:
+	case ga.IsCold(now) && ga.isServerLimited:
 		return min(coldRate, ga.serverRate), true
-	case ga.isCold(now):
+	case ga.IsCold(now):
 		return coldRate, true
 	default:
 		return ga.serverRate, ga.isServerLimited
 	}
 }
 
-// isCold reports whether the rate of starts is limited since the server is cold.
-func (ga *Gate) isCold(now timer.Instant) bool { return ga.coldRate > 0 && now.Before(ga.coldUntil) }
+// IsCold reports whether the rate of starts is limited since the server is cold.
+func (ga *Gate) IsCold(now timer.Instant) bool { return ga.coldRate > 0 && now.Before(ga.coldUntil) }
 
 // isRateExhausted refills the token bucket of the start rate and reports whether it has no
 // token for another start at now, or the pace allows none.
 func (ga *Gate) isRateExhausted(now timer.Instant) bool {
 	rate, isLimited := ga.startRate(now)
-	if ga.pace != nil && ga.isCold(now) {
+	if ga.pace != nil && ga.IsCold(now) {
 		if !ga.pace.Allows(now) {
 			return true
 		}
@@ -135,7 +135,7 @@
 // nextTokenAt returns when the limits on the rate of starts allow the next one.
 func (ga *Gate) nextTokenAt(now timer.Instant) timer.Instant {
 	rate, _ := ga.startRate(now)
-	if ga.pace == nil || !ga.isCold(now) {
+	if ga.pace == nil || !ga.IsCold(now) {
 		return now.Add(timer.Span((1-ga.startTokens)/rate*float64(timer.Second)) + 1)
 	}
 	at := ga.pace.NextAt(now).Add(1)
--- a/core/cataloguer/catalogue.go
+++ b/core/cataloguer/catalogue.go
@@ -90,7 +90,10 @@
 	// KeySpace is the number of keys if keys are integers from 0. It is 0 for string
 	// keys.
 	KeySpace uint32
-	Limits   ServiceLimits
+	// HealthPath is the path at which the backend servers answer health checks, "" if
+	// there is none.
+	HealthPath string
+	Limits     ServiceLimits
 }
 
 // Workspace is a tenant with its rate limit.
--- a/core/pacer/cold.go
+++ b/core/pacer/cold.go
@@ -56,6 +56,14 @@
 	return &Pacer{bound: bound, blockedUntil: now.Add(coldWindow)}
 }
 
+// IsBusy reports whether requests have lately started on the server at more than half of
+// the rate that the bound allows on a cold one, so that a server that turns cold must be
+// noticed at once.
+func (pa *Pacer) IsBusy(now timer.Instant) bool {
+	needed := max(1, pa.bound.most()/2)
+	return len(pa.starts) >= needed && now.Sub(pa.starts[len(pa.starts)-needed]) <= coldWindow
+}
+
 // SetRate applies a changed rate of the configuration.
 func (pa *Pacer) SetRate(perS float64) {
 	if perS != pa.bound.PerS {
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -341,6 +341,9 @@
 	defer cancel()
 	done := make(chan error, 1)
 	go func() { done <- in.co.Run(runCtx) }()
+	if ro.se.Features.Pacing {
+		go in.ga.CheckCold(runCtx)
+	}
 	select {
 	case err := <-done:
 		return err
--- a/wire/encoder/document.go
+++ b/wire/encoder/document.go
@@ -227,6 +227,7 @@
 	ColdStartNs    int64   `json:"coldStartNs"`
 	ColdRate       float64 `json:"coldRate,omitempty"`
 	KeySpace       uint32  `json:"keySpace,omitempty"`
+	HealthPath     string  `json:"healthPath,omitempty"`
 }
 
 type wireWorkspace struct {
@@ -358,7 +359,7 @@
 		Name: sv.Name, Owner: sv.Owner, Class: string(sv.Class), Partitions: sv.Partitions, Fenced: sv.Fenced,
 		Slots: sv.Limits.Slots, Connections: sv.Limits.Connections,
 		Queue: sv.Limits.Queue, ColdStartSlots: sv.Limits.ColdStartSlots, ColdStartNs: int64(sv.Limits.ColdStart),
-		ColdRate: sv.Limits.ColdRate, KeySpace: sv.KeySpace,
+		ColdRate: sv.Limits.ColdRate, KeySpace: sv.KeySpace, HealthPath: sv.HealthPath,
 	}
 }
 
@@ -369,7 +370,7 @@
 	}
 	return cataloguer.Service{
 		Name: ws.Name, Owner: ws.Owner, Class: cataloguer.ServiceClass(ws.Class),
-		Partitions: ws.Partitions, Fenced: ws.Fenced, KeySpace: ws.KeySpace, Limits: limits,
+		Partitions: ws.Partitions, Fenced: ws.Fenced, KeySpace: ws.KeySpace, HealthPath: ws.HealthPath, Limits: limits,
 	}
 }
 
