Keys of a server that starts are held back until it is warm

Cause: an instance whose server has just started takes its share of keys while the server is cold, and refuses most requests for them, which the other members served just before. Gauges server_speed, server_load. Result: TestColdServerTakesKeysOnceWarm; not measured on a deployment.

--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -129,9 +129,13 @@
 	standing func() (pacer.Standing, bool)
 	// share is the share of keys by the standing, and writtenSpeed what the latest write of
 	// this instance's row says of it, 0 for a full share.
-	share           *pacer.Share
-	writtenSpeed    uint32
-	nextSpeedAt     timer.Instant
+	share        *pacer.Share
+	writtenSpeed uint32
+	nextSpeedAt  timer.Instant
+	// heldBackRun is the run of the backend server whose keys are held back until
+	// heldBackUntil at the latest, see isHeldBack.
+	heldBackRun     string
+	heldBackUntil   timer.Instant
 	nextRowUpdateAt timer.Instant
 	// storedLeaving lists the leaving runs of the backend server in the row as last
 	// committed, and deregistrations the calls that wait until it lists all.
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -253,9 +253,13 @@
 	})
 }
 
-// weight returns this instance's placement weight: 0 during a planned stop or while
-// a backend server that sends heartbeats is not ready, else the full weight.
+// weight returns this instance's placement weight: 0 during a planned stop, while a
+// backend server that sends heartbeats is not ready, or while its keys are held back, else
+// the full weight.
 func (co *Controller) weight() uint32 {
+	if co.isHeldBack(co.pu.Now()) {
+		return 0
+	}
 	if co.stopping != nil || co.re != nil && co.re.State(co.pu.Now()) != registrar.Ready {
 		return 0
 	}
--- a/instance/controller/speed.go
+++ b/instance/controller/speed.go
@@ -19,6 +19,14 @@
 	// start, and one fold covers the rows of many.
 	speedFoldPerMember = 30 * timer.Millisecond
 	maxSpeedFoldDelay  = 2 * timer.Second
+	// coldLead is how long before its server is warm an instance takes its keys: writing
+	// the row, the fold and the moves take some 0.5 s.
+	coldLead = 600 * timer.Millisecond
+	// maxHeldBack bounds how long a server that says that it is cold gets no keys.
+	maxHeldBack = 10 * timer.Second
+	// enoughOthers is the share of a service's members that must have keys for a cold one
+	// to get none.
+	enoughOthers = 0.6
 )
 
 // updateShare updates the share of keys from the standing of the backend server.
@@ -60,3 +68,36 @@
 	spread := min(speedFoldPerMember*timer.Span(1+len(co.ds.members())), maxSpeedFoldDelay)
 	return 1 + timer.Span(rand.Int64N(int64(spread)))
 }
+
+// isHeldBack reports whether this instance takes no keys yet, since its server has just
+// started and is cold: it would refuse most of the requests for them, which the other
+// members serve meanwhile. An instance that has keys keeps them, and one takes its keys at
+// once if too few others have any.
+func (co *Controller) isHeldBack(now timer.Instant) bool {
+	if co.re == nil || !co.isSplitByKey() {
+		return false
+	}
+	hb, heardAt := co.re.LatestHeartbeat()
+	isCold := hb.ColdRemaining > 0 && heardAt.Add(hb.ColdRemaining).Sub(now) > coldLead
+	tb := co.ds.tables[co.self.Service]
+	if !isCold || tb == nil {
+		return false
+	}
+	if own, ok := tb.Map.ByIncarnation(co.self.Incarnation); ok && own.Weight > 0 {
+		return false
+	}
+	weighted := 0
+	for _, me := range tb.Map.Members {
+		if me.Weight > 0 {
+			weighted++
+		}
+	}
+	if float64(weighted) < enoughOthers*float64(len(tb.Map.Members)) || weighted == 0 {
+		return false
+	}
+	if co.heldBackRun != hb.ID {
+		co.heldBackRun, co.heldBackUntil = hb.ID, now.Add(maxHeldBack)
+		co.lo.Info("keys held back until the backend server is warm", "server", hb.ID, "coldFor", hb.ColdRemaining.Duration().String(), "othersWithKeys", weighted)
+	}
+	return now.Before(co.heldBackUntil)
+}
--- a/instance/controller/speed_test.go
+++ b/instance/controller/speed_test.go
@@ -6,6 +6,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"github.com/matryer/is"
 )
@@ -73,3 +74,51 @@
 	sc.settleRow()
 	is.Equal(sc.storedSpeed(), uint32(placer.FullSpeed/2))
 }
+
+// TestColdServerTakesKeysOnceWarm guards against keys that move to a server that has just
+// started and refuses most of their requests, and against keys without an owner when most
+// servers are cold.
+func TestColdServerTakesKeysOnceWarm(t *testing.T) {
+	cases := map[string]struct {
+		others, cold int
+		isHeldBack   bool
+	}{
+		"others have the keys":  {others: 3, cold: 1, isHeldBack: true},
+		"most servers are cold": {others: 1, cold: 3},
+		"no others":             {},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			speed := 0.0
+			sc := newSidecar(t, 1).joined().withSpeed(&speed)
+			ma := numbered(32).NextVersion(0)
+			for i := range tc.others + tc.cold {
+				me := placer.Member{BackendServer: "x" + string(rune('a'+i)), Incarnation: uint64(100 + i)}
+				if i < tc.others {
+					me.Weight = placer.FullWeight
+				}
+				ma = ma.WithMember(me)
+			}
+			sc.apply(t, ma)
+			cold := func(left timer.Span) {
+				sc.seq++
+				sc.handle(heartbeatReceived{reply: make(chan registrar.Reply, 1), heartbeat: registrar.Heartbeat{
+					ID: "s1", StartedAt: 1, Sequence: sc.seq, Slots: 4, ColdRemaining: left,
+				}})
+			}
+			cold(3 * timer.Second)
+			is.Equal(sc.weight() == 0, tc.isHeldBack)
+			sc.clk.Advance(1500 * timer.Millisecond)
+			cold(1500 * timer.Millisecond)
+			is.Equal(sc.weight() == 0, tc.isHeldBack)
+			sc.clk.Advance(timer.Second)
+			is.Equal(sc.weight(), uint32(placer.FullWeight)) // warm by the time that keys arrive
+			for range 9 {
+				sc.clk.Advance(timer.Second)
+				cold(3 * timer.Second)
+			}
+			is.Equal(sc.weight(), uint32(placer.FullWeight)) // not held back for ever
+		})
+	}
+}
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -242,6 +242,9 @@
 		}
 		return float64(in.pu.View().Config.Version)
 	})
+	if ro.se.Features.Pacing {
+		ro.registerStanding()
+	}
 	ro.meter.Gauge("control_sent_bytes", "Payload of control datagrams sent.", func() float64 {
 		return float64(ro.me.Counts().SentBytes)
 	})
@@ -280,6 +283,20 @@
 	})
 }
 
+// registerStanding registers the gauges of how the backend server compares with the others
+// of its service.
+func (ro *Router) registerStanding() {
+	standing := func() pacer.Standing {
+		if in := ro.current.Load(); in != nil {
+			st, _ := in.ga.Standing()
+			return st
+		}
+		return pacer.Standing{}
+	}
+	ro.meter.Gauge("server_speed", "Speed of the backend server relative to the median of its service, 0 if it is not known.", func() float64 { return standing().Speed })
+	ro.meter.Gauge("server_load", "Work that arrives at the backend server relative to the mean of its service, 0 if it is not known.", func() float64 { return standing().Load })
+}
+
 // Counts returns the totals of the control datagrams.
 func (ro *Router) Counts() messenger.Counts { return ro.me.Counts() }
 
