Starting servers of shared services wait until warm; recovered ones leave probation

Cause: a shared service's server that has just started gets requests of every entry while it is cold; one that was slow stays on probation for long, since few requests of one entry tell that it has recovered. Change: with the feature pacing, a cold server's weight is held back for shared services too; probation ends once the gate reports a usual speed in an answer.

--- a/core/balancer/report.go
+++ b/core/balancer/report.go
@@ -31,7 +31,7 @@
 	// Running and Waiting are the requests of all entries.
 	Running, Waiting int
 	// Speed is relative to the other servers, above 1 if the server is faster, or 0 if it
-	// is not known.
+	// is not known. It is reported only with answers of the server, not with refusals.
 	Speed float64
 }
 
@@ -76,6 +76,17 @@
 			rl.speed = speed
 		}
 		rl.speed += ownWeight * (speed - rl.speed)
+		ba.endProbation(se, speed)
+	}
+}
+
+// endProbation ends the probation of a server whose gate reports that it is as fast as the
+// others again. The gate sees the requests of all entries, while the few that this entry
+// sends to a server on probation take a minute to tell.
+func (ba *Balancer) endProbation(se *server, speed float64) {
+	if se.isProbation && speed*recoveredFactor >= 1 {
+		se.isProbation = false
+		se.latency = min(se.latency, recoveredFactor*ba.usual.latency)
 	}
 }
 
--- a/core/balancer/report_test.go
+++ b/core/balancer/report_test.go
@@ -154,4 +154,33 @@
 	}
 }
 
+// TestReportEndsProbation guards against a server that is left idle after it has recovered.
+func TestReportEndsProbation(t *testing.T) {
+	is := is.New(t)
+	choices := func(speed float64) int {
+		random := rand.New(rand.NewPCG(1, 1))
+		ba := New()
+		ba.SetMembers([]uint64{1, 2, 3, 4})
+		for range 100 {
+			for server := range uint64(4) {
+				ba.Finish(server+1, timer.Span(4+30*((3-server)/3))*timer.Millisecond, false)
+			}
+		}
+		is.Equal(ba.Probation(), []uint64{1})
+		for count := range 5000 {
+			chosen, _ := ba.ChooseAt(random.Uint64(), nil, timer.Instant(timer.Second))
+			ba.Start(chosen)
+			ba.Finish(chosen, 4*timer.Millisecond, false)
+			ba.Report(chosen, Load{Running: 1, Speed: speed}, timer.Instant(timer.Second))
+			if len(ba.Probation()) == 0 {
+				return count
+			}
+		}
+		return 5000
+	}
+	is.True(choices(1) <= probationInterval)    // at the first report
+	is.True(choices(0) > 5*probationInterval)   // as without a known speed
+	is.True(choices(0.3) > 5*probationInterval) // the gate reports that it is slow still
+}
+
 func share(po *pool) float64 { return 100 * float64(po.late) / float64(po.total) }
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -132,7 +132,7 @@
 	share        *pacer.Share
 	writtenSpeed uint32
 	nextSpeedAt  timer.Instant
-	// heldBackRun is the run of the backend server whose keys are held back until
+	// heldBackRun is the run of the backend server whose weight is held back until
 	// heldBackUntil at the latest, see isHeldBack.
 	heldBackRun     string
 	heldBackUntil   timer.Instant
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -254,7 +254,7 @@
 }
 
 // weight returns this instance's placement weight: 0 during a planned stop, while a
-// backend server that sends heartbeats is not ready, or while its keys are held back, else
+// backend server that sends heartbeats is not ready, or while it is held back as cold, else
 // the full weight.
 func (co *Controller) weight() uint32 {
 	if co.isHeldBack(co.pu.Now()) {
--- a/instance/controller/speed.go
+++ b/instance/controller/speed.go
@@ -22,10 +22,10 @@
 	// coldLead is how long before its server is warm an instance takes its keys: writing
 	// the row, the fold and the moves take some 0.5 s.
 	coldLead = 600 * timer.Millisecond
-	// maxHeldBack bounds how long a server that says that it is cold gets no keys.
+	// maxHeldBack bounds how long a server that says that it is cold gets no weight.
 	maxHeldBack = 10 * timer.Second
-	// enoughOthers is the share of a service's members that must have keys for a cold one
-	// to get none.
+	// enoughOthers is the share of a service's members that must have a weight for a cold
+	// one to get none.
 	enoughOthers = 0.6
 )
 
@@ -69,12 +69,12 @@
 	return 1 + timer.Span(rand.Int64N(int64(spread)))
 }
 
-// isHeldBack reports whether this instance takes no keys yet, since its server has just
-// started and is cold: it would refuse most of the requests for them, which the other
-// members serve meanwhile. An instance that has keys keeps them, and one takes its keys at
-// once if too few others have any.
+// isHeldBack reports whether this instance takes no keys or, for a shared service, no
+// requests yet, since its server has just started and is cold: it would refuse most of the
+// requests, which the other members serve meanwhile. An instance that has a weight keeps
+// it, and one takes it at once if too few others have any.
 func (co *Controller) isHeldBack(now timer.Instant) bool {
-	if co.re == nil || !co.isSplitByKey() {
+	if co.re == nil || co.standing == nil {
 		return false
 	}
 	hb, heardAt := co.re.LatestHeartbeat()
@@ -97,7 +97,7 @@
 	}
 	if co.heldBackRun != hb.ID {
 		co.heldBackRun, co.heldBackUntil = hb.ID, now.Add(maxHeldBack)
-		co.lo.Info("keys held back until the backend server is warm", "server", hb.ID, "coldFor", hb.ColdRemaining.Duration().String(), "othersWithKeys", weighted)
+		co.lo.Info("requests held back until the backend server is warm", "server", hb.ID, "coldFor", hb.ColdRemaining.Duration().String(), "others", weighted)
 	}
 	return now.Before(co.heldBackUntil)
 }
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -111,7 +111,7 @@
 	sb.mu.Lock()
 	defer sb.mu.Unlock()
 	lo := balancer.Load{Running: int(answer.GetRunning()), Waiting: int(answer.GetWaiting())}
-	if typical := float64(answer.GetTypicalRun()); typical > 0 {
+	if typical := float64(answer.GetTypicalRun()); typical > 0 && answer.GetOutcome() == gatekeeper.OutcomeAnswered {
 		rl := sb.of(route)
 		if rl.typical == 0 {
 			rl.typical = typical
