Only folds for a changed speed are delayed; runs on a cold server don't tell its speed

Cause: the delay of a fold for a changed speed also held up a later fold for a configuration. The latency of a cold server counted as its speed. Change: a time of its own for folds of the own row; runs on a cold server are left out.

--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -190,7 +190,9 @@
 	// of other instances.
 	needsFold bool
 	// needsOwnFold is set while the maps don't reflect this instance's row.
-	needsOwnFold  bool
+	needsOwnFold bool
+	// ownFoldAt is the earliest time of a fold for this instance's row only.
+	ownFoldAt     timer.Instant
 	takeovers     map[uint64]bool
 	nextTakeover  map[uint64]timer.Instant
 	nextJoinAt    timer.Instant
--- a/instance/controller/folds.go
+++ b/instance/controller/folds.go
@@ -21,6 +21,9 @@
 	if !co.needsFold && !co.needsOwnFold || co.isFolding || now.Before(co.nextFoldAt) {
 		return
 	}
+	if !co.needsFold && now.Before(co.ownFoldAt) {
+		return
+	}
 	co.isFolding = true
 	known := co.ds.members()
 	isForOthers := co.needsFold
--- a/instance/controller/join.go
+++ b/instance/controller/join.go
@@ -80,8 +80,8 @@
 	// watched holders.
 	co.hasCheckedOrphans = co.hasCheckedOrphans || ev.isFirst
 	co.needsOwnFold = co.needsOwnFold || ev.affectsMaps
-	if ev.foldDelay > 0 && !co.needsFold {
-		co.nextFoldAt = max(co.nextFoldAt, now.Add(ev.foldDelay))
+	if ev.affectsMaps {
+		co.ownFoldAt = now.Add(ev.foldDelay)
 	}
 	co.nextRenewAt = now
 }
--- a/instance/controller/speed_test.go
+++ b/instance/controller/speed_test.go
@@ -43,7 +43,14 @@
 	sc.updateShare(sc.clk.Now())
 	sc.settleRow()
 	is.Equal(sc.storedSpeed(), uint32(placer.FullSpeed/2))
-	is.True(sc.needsOwnFold && sc.nextFoldAt > sc.clk.Now().Add(-joinBackoff)) // the maps follow
+	is.True(sc.needsOwnFold && sc.ownFoldAt > sc.clk.Now().Add(-joinBackoff)) // the maps follow
+	sc.foldIfNeeded(sc.ownFoldAt.Add(-1))
+	is.True(!sc.isFolding) // later
+	sc.needsFold = true
+	sc.foldIfNeeded(sc.ownFoldAt.Add(-1))
+	is.True(sc.isFolding) // at once for a takeover or a configuration
+	sc.handle(<-sc.events)
+	sc.handle(<-sc.events)
 	for range 7 {
 		speed = 1.5 - speed
 		sc.clk.Advance(timer.Second)
--- a/instance/gatekeeper/pace.go
+++ b/instance/gatekeeper/pace.go
@@ -40,11 +40,13 @@
 	defer ga.mu.Unlock()
 	now := ga.pu.Now()
 	route, latency := jo.rq.GetRoute(), now.Sub(startedAt)
-	ga.cm.ObserveRun(route, latency, now)
 	if ga.gate.IsCold(now) {
+		// What a cold server takes doesn't tell its speed.
 		usual, _ := ga.cm.PeersTypical(route, now)
 		ga.pa.Finish(latency, usual)
+		return
 	}
+	ga.cm.ObserveRun(route, latency, now)
 }
 
 // observeArrival records a request that arrives, also if it is refused. The lock must be
