--- a/instance/gatekeeper/coldcheck.go
+++ b/instance/gatekeeper/coldcheck.go
@@ -55,7 +55,8 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	now := ga.pu.Now()
-	isDue = ga.gate != nil && !ga.gate.IsCold(now) && ga.pa.IsBusy(now)
+	isBounded := ga.gate != nil && ga.limits.ColdRate > 0
+	isDue = isBounded && !ga.gate.IsCold(now) && ga.pa.IsBusy(now)
 	return sv.HealthPath, bs.ID, isDue
 }
 
