Shares wait for the map to settle

Cause: the record of changes of a map is dropped only once the map has rested for 10 to 40 s. Result: TestSpeedWaitsForSettledMap.

--- a/instance/controller/speed.go
+++ b/instance/controller/speed.go
@@ -58,9 +58,15 @@
 	return units
 }
 
-// isSpeedDue reports whether this instance's row is to be written for a changed speed.
+// isSpeedDue reports whether this instance's row is to be written for a changed speed. It
+// is not while the map's record of changes is long: the record is dropped only once the map
+// has rested, and would grow without bound under a steady stream of changes.
 func (co *Controller) isSpeedDue(now timer.Instant) bool {
-	return co.stopping == nil && co.isSplitByKey() && co.wantedSpeed() != co.writtenSpeed && !now.Before(co.nextSpeedAt)
+	if co.stopping != nil || !co.isSplitByKey() || co.wantedSpeed() == co.writtenSpeed || now.Before(co.nextSpeedAt) {
+		return false
+	}
+	tb := co.ds.tables[co.self.Service]
+	return tb == nil || len(tb.Map.Changes) < co.settleChanges+len(tb.Map.Members)
 }
 
 // speedFoldDelay returns a random delay before a changed speed is folded into the maps.
--- a/instance/controller/speed_test.go
+++ b/instance/controller/speed_test.go
@@ -46,7 +46,7 @@
 	is.True(sc.needsOwnFold && sc.ownFoldAt > sc.clk.Now().Add(-joinBackoff)) // the maps follow
 	sc.foldIfNeeded(sc.ownFoldAt.Add(-1))
 	is.True(!sc.isFolding) // later
-	sc.needsFold = true
+	sc.needsFold, sc.nextFoldAt = true, 0
 	sc.foldIfNeeded(sc.ownFoldAt.Add(-1))
 	is.True(sc.isFolding) // at once for a takeover or a configuration
 	sc.handle(<-sc.events)
@@ -82,6 +82,30 @@
 	is.Equal(sc.storedSpeed(), uint32(placer.FullSpeed/2))
 }
 
+// TestSpeedWaitsForSettledMap guards against a record of changes of the map that is never
+// dropped, since the map never rests.
+func TestSpeedWaitsForSettledMap(t *testing.T) {
+	is := is.New(t)
+	speed := 0.5
+	sc := newSidecar(t, 1).joined().withSpeed(&speed)
+	sc.beat(nil, nil)
+	sc.settleRow()
+	ma := mapWith(numbered(32), 1, 2)
+	for i := range settleChanges {
+		me, _ := ma.Member(name(2))
+		me.Speed = uint32(placer.FullSpeed + i%2)
+		ma = ma.NextVersion(0).WithMember(me)
+	}
+	sc.apply(t, ma)
+	sc.updateShare(sc.clk.Now())
+	sc.settleRow()
+	is.Equal(sc.storedSpeed(), uint32(0))
+	sc.apply(t, ma.NextVersion(0).WithSettled(ma.Version))
+	sc.beat(nil, nil)
+	sc.settleRow()
+	is.Equal(sc.storedSpeed(), uint32(placer.FullSpeed/2))
+}
+
 // TestColdServerTakesKeysOnceWarm guards against keys that move to a server that has just
 // started and refuses most of their requests, and against keys without an owner when most
 // servers are cold.
