--- a/instance/router/transfer.go
+++ b/instance/router/transfer.go
@@ -23,7 +23,7 @@
 const (
 	// bodyPath is the path of requests whose body follows once the owner admits it, by
 	// HTTP's Expect: 100-continue.
-	bodyPath = "/cornellanding/forward"
+	bodyPath = "/forward/body"
 	// wholeBodyMax is the size in bytes from which bodies follow their heads although
 	// the link is not limited. It leaves room for the rest of the request in
 	// signer.MaxBody.
