Order of calls at the gate: before other requests of their priority

Cause: where calls of running requests and outside requests fill a server, the calls failed and with them runs elsewhere that hold slots. Change: Request.IsCall; each priority has queues for calls before the others. Every kind that waits gets a tenth of the starts, unless it is served more than 5 in 100 more often than a more urgent one. Nothing sets IsCall yet, so that the order is unchanged.

--- a/core/admitter/estimate.go
+++ b/core/admitter/estimate.go
@@ -22,7 +22,7 @@
 // target goes behind all others, as it would only make them late too, unless it is of
 // the highest priority.
 func (ga *Gate) queueFor(rq Request, now timer.Instant) (int, bool) {
-	queue := queueOf(rq.Priority)
+	queue := queueOf(rq)
 	if ga.latency == 0 {
 		return queue, true
 	}
@@ -30,7 +30,7 @@
 	if ga.estimateStart(rq, queue, now).Add(own) <= rq.finishBy() {
 		return queue, true
 	}
-	late := lateQueueOf(rq.Priority)
+	late := lateQueueOf(rq)
 	return late, ga.estimateStart(rq, late, now).Add(own) <= rq.DeadlineAt
 }
 
@@ -52,7 +52,12 @@
 	qu := &ga.queues[queue]
 	own := qu.position(qu.tagOf(rq, ga.costOf(rq)))
 	cost, count := ga.queuedBefore(queue)
-	return now.Add(ga.spanOf(cost+qu.costOf(own), count+own, now))
+	span := ga.spanOf(cost+qu.costOf(own), count+own, now)
+	if !isLateQueue(queue) && ga.kinds.isEntitled(kindOf(rq)) {
+		// Every owedEvery-th start, while others are served before it.
+		span = min(span, ga.spanOf(owedEvery*(qu.costOf(own)+ga.latency), owedEvery*(own+1), now))
+	}
+	return now.Add(span)
 }
 
 // queuedBefore returns the cost and the number of the requests in the queues before the
--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -41,35 +41,54 @@
 	// CodeServerMemory means that the backend server holds as many bytes of requests as it
 	// has sustained so far, see ByteLimit.
 	CodeServerMemory = "serverMemory"
+	// CodeCallsRefused means that the calls which the request would make are expected to
+	// fail.
+	CodeCallsRefused = "callsRefused"
 )
 
-// There is one queue for each priority, and behind them one for requests that are
-// expected to miss their target latency. Such requests of the highest priority, which
-// are mostly calls of requests that already run, have a queue behind their own.
+// Queues of one priority, in the order in which they are served. Behind those of all
+// priorities there is one for requests that are expected to miss their target latency.
 const (
-	urgentQueue     = 0
-	urgentLateQueue = 1
-	lateQueue       = cataloguer.PriorityCount + 1
-	queueCount      = lateQueue + 1
+	// callQueue holds calls of requests that already run, and lateCallQueue those of
+	// them that are expected to miss their target.
+	callQueue = iota
+	lateCallQueue
+	otherQueue
+	// lateUrgentQueue holds late requests of the highest priority, which are mostly
+	// calls too.
+	lateUrgentQueue
+	queuesPerPriority
 )
 
-// queueOf returns the queue of a priority.
-func queueOf(priority cataloguer.Priority) int {
-	if priority == 0 {
-		return urgentQueue
+const (
+	lateQueue  = cataloguer.PriorityCount * queuesPerPriority
+	queueCount = lateQueue + 1
+)
+
+// queueOf returns the queue of a request.
+func queueOf(rq Request) int {
+	if rq.IsCall {
+		return int(rq.Priority)*queuesPerPriority + callQueue
 	}
-	return int(priority) + 1
+	return int(rq.Priority)*queuesPerPriority + otherQueue
 }
 
-// lateQueueOf returns the queue of late requests of a priority.
-func lateQueueOf(priority cataloguer.Priority) int {
-	if priority == 0 {
-		return urgentLateQueue
+// lateQueueOf returns the queue of a request that is expected to miss its target.
+func lateQueueOf(rq Request) int {
+	switch {
+	case rq.IsCall:
+		return int(rq.Priority)*queuesPerPriority + lateCallQueue
+	case rq.Priority == 0:
+		return lateUrgentQueue
+	default:
+		return lateQueue
 	}
-	return lateQueue
 }
 
-func isLateQueue(queue int) bool { return queue == urgentLateQueue || queue == lateQueue }
+func isLateQueue(queue int) bool {
+	kind := queue % queuesPerPriority
+	return queue == lateQueue || kind == lateCallQueue || kind == lateUrgentQueue
+}
 
 // Ticket identifies a request at one Gate, from its arrival until it ends.
 type Ticket uint64
@@ -85,6 +104,9 @@
 	// TargetAt is the time by which the answer is wanted, or 0 if only the
 	// deadline counts.
 	TargetAt timer.Instant
+	// IsCall means that a request that already runs on another server made it. It is
+	// served before other requests of the same or a lower priority, see kinds.
+	IsCall bool
 }
 
 // finishBy returns the time by which the request should finish to be worth
@@ -204,6 +226,7 @@
 	running    int
 	lastTicket Ticket
 	queues     [queueCount]fairQueue
+	kinds      kinds
 	isDraining bool
 	// awaitsAnswer is as in AwaitAnswer.
 	awaitsAnswer bool
@@ -290,8 +313,10 @@
 	}
 	rq.Priority = min(rq.Priority, cataloguer.PriorityCount-1)
 	ga.lastTicket++
+	ga.kinds.arrive(rq)
 	if ga.running < ga.Limit() && ga.Waiting() == 0 && !ga.isRateExhausted(now) {
 		ga.startRun(now)
+		ga.kinds.start(rq)
 		return Run{Ticket: ga.lastTicket}
 	}
 	queue, isWorthWaiting := ga.queueFor(rq, now)
@@ -325,6 +350,9 @@
 		return nil, true
 	}
 	for pr := queueCount - 1; pr > queue; pr-- {
+		if ga.kinds.hasCalls() && !isLateQueue(pr) && len(ga.queues[pr].items) == 1 {
+			continue // each kind keeps a request for the starts that it is owed
+		}
 		if dropped, ok := ga.queues[pr].dropLongest(); ok {
 			return []Ticket{dropped.ticket}, true
 		}
@@ -348,31 +376,45 @@
 }
 
 // StartQueued returns the queued tickets that start at now, within the limits. It
-// moves requests that would miss their target to the last queue while others
+// moves requests that would miss their target to a late queue while others
 // wait, and drops those too close to their deadline, see TakeExpired.
 func (ga *Gate) StartQueued(now timer.Instant) []Ticket {
 	var started []Ticket
-	for pr := range ga.queues {
-		for ga.running < ga.Limit() && !ga.isRateExhausted(now) {
-			next, ok := ga.queues[pr].pop()
-			if !ok {
-				break
-			}
-			if !now.Before(ga.LatestStart(next.request)) {
-				ga.expired = append(ga.expired, next.ticket)
-				continue
-			}
-			if !isLateQueue(pr) && ga.isLate(next.request, now) && ga.Waiting() > 0 {
-				ga.queues[lateQueueOf(next.request.Priority)].push(next)
-				continue
-			}
-			ga.startRun(now)
-			started = append(started, next.ticket)
+	for ga.running < ga.Limit() && !ga.isRateExhausted(now) {
+		queue, ok := ga.nextQueue()
+		if !ok {
+			break
+		}
+		next, _ := ga.queues[queue].pop()
+		if !now.Before(ga.LatestStart(next.request)) {
+			ga.expired = append(ga.expired, next.ticket)
+			continue
 		}
+		if !isLateQueue(queue) && ga.isLate(next.request, now) && ga.Waiting() > 0 {
+			ga.queues[lateQueueOf(next.request)].push(next)
+			continue
+		}
+		ga.startRun(now)
+		ga.kinds.pass(&ga.queues)
+		ga.kinds.start(next.request)
+		started = append(started, next.ticket)
 	}
 	return started
 }
 
+// nextQueue returns the queue whose first request is next, or false if all are empty.
+func (ga *Gate) nextQueue() (int, bool) {
+	if queue, ok := ga.kinds.owed(&ga.queues); ok {
+		return queue, true
+	}
+	for queue := range ga.queues {
+		if len(ga.queues[queue].items) > 0 {
+			return queue, true
+		}
+	}
+	return 0, false
+}
+
 // adaptLimit raises the limit of a warm server by one after as many successes as
 // the limit, and resets it to the cold limit on an overload.
 func (ga *Gate) adaptLimit(co Completion, now timer.Instant) {
