Throttling of routes whose calls fail

Cause: runs begin although the calls that they make will fail, hold slots and end with an error. Change: core/throttler learns which calls make runs of a route end badly, and admits as many runs as get their calls; the entry observes the calls of its own server, and the gate refuses with callsRefused before its queue. Gates say in their answers which routes are routes of calls, and mark calls for the order of their queue. No refusal of a route with another cause of failures.

--- a/instance/forwarder/answer.go
+++ b/instance/forwarder/answer.go
@@ -69,6 +69,7 @@
 }
 
 func (fo *Forwarder) observe(ca *call, code string, status int) {
+	fo.observeCall(ca, code, status)
 	if fo.observer == nil {
 		return
 	}
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -259,7 +259,7 @@
 		return true
 	}
 	switch at.answer.GetCode() {
-	case admitter.CodeOverloaded, admitter.CodeServerLimit, admitter.CodeLinkFull, admitter.CodeServerMemory, admitter.CodeDeadline, admitter.CodeQuarantined, admitter.CodeDuplicate,
+	case admitter.CodeOverloaded, admitter.CodeServerLimit, admitter.CodeCallsRefused, admitter.CodeLinkFull, admitter.CodeServerMemory, admitter.CodeDeadline, admitter.CodeQuarantined, admitter.CodeDuplicate,
 		gatekeeper.CodeIdempotencyKeyReused, gatekeeper.CodeDeduperFull, gatekeeper.CodeBadTarget:
 		return true
 	case gatekeeper.CodeLost, gatekeeper.CodeCrashed:
@@ -406,6 +406,7 @@
 		RepeatShare: ca.repeatShare, Refused: ca.wasRefused.Load(),
 	}
 	answer, wasSent, err := fo.gates.Forward(ctx, to.Address, rq)
+	fo.learnCallRoute(ca, answer)
 	if answer.GetCode() == gatekeeper.CodeCrashed {
 		ca.crashes.Add(1)
 	}
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -147,6 +147,7 @@
 	retries *budgets
 	// callerRepeats is as in WithCallerRepeats.
 	callerRepeats func() float64
+	calls         calls
 
 	muxMu      sync.Mutex
 	mux        atomic.Pointer[http.ServeMux]
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -157,6 +157,7 @@
 	// cm and pa are nil without WithPacing.
 	cm *pacer.Comparer
 	pa *pacer.Pacer
+	calls            calls
 }
 
 // New returns a Gatekeeper for the backend server at address, an IP:port. It returns
@@ -167,7 +168,7 @@
 	}
 	ga := &Gatekeeper{
 		pu: pu, bs: newBackend(address, pu.Now), lo: hclog.NewNullLogger(),
-		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan turn{},
+		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan turn{}, calls: newCalls(),
 		notifyCrash: func(uint64) {}, notifyQuarantine: func(admitter.Suspect) {}, connectionRefused: func() {}, serverLeaving: func(string) {}, observe: func(string, string, timer.Span) {},
 	}
 	for _, opt := range opts {
@@ -231,6 +232,7 @@
 	took := ga.pu.Now().Sub(startedAt)
 	ga.observe(OutcomeName(answer.GetOutcome()), answer.GetCode(), took)
 	answer.RequestId = rq.GetRequestId()
+	answer.CallRoute = ga.isCallRoute(rq)
 	running, waiting, _ := ga.Load()
 	answer.Running, answer.Waiting = uint32(running), uint32(waiting)
 	ga.report(rq.GetRoute(), answer)
@@ -375,9 +377,11 @@
 		return refusal
 	}
 	startedAt := ga.pu.Now()
+	ru := ga.beginRun(jo, startedAt)
 	answer, isOverloaded := ga.start(ctx, jo)
 	ga.observeLink(jo, answer)
 	ga.observeRun(jo, answer, startedAt)
+	ga.endRun(ru, answer)
 	ga.finish(admitter.Completion{Route: jo.rq.GetRoute(), Latency: ga.pu.Now().Sub(startedAt), Overloaded: isOverloaded})
 	return answer
 }
@@ -408,6 +412,11 @@
 		ga.mu.Unlock()
 		return refusal
 	}
+	request.IsCall = ga.observeCaller(jo.rq)
+	if refusal := ga.throttle(jo); refusal != nil {
+		ga.mu.Unlock()
+		return refusal
+	}
 	decision := ga.gate.Arrive(request, ga.pu.Now())
 	switch de := decision.(type) {
 	case admitter.Run:
@@ -424,6 +433,7 @@
 		ga.mu.Unlock()
 		return ga.await(ctx, de.Ticket, turns, maxWait.Duration())
 	case admitter.Refuse:
+		ga.calls.cancel(jo)
 		ga.mu.Unlock()
 		answer := refuse(de.Code, de.Reason)
 		answer.RetryAfter = int64(de.RetryAfter)
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -21,6 +21,7 @@
 	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
+	"cornellanding.example/core/throttler"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/administrator"
 	"cornellanding.example/instance/controller"
@@ -146,6 +147,7 @@
 	forwarderOptions := append([]forwarder.Option{
 		forwarder.WithLogger(ro.lo), forwarder.WithLogSampling(se.Log.SampleEvery), forwarder.WithObserver(ro.meter),
 		forwarder.WithCallerRepeats(func() float64 { return ro.current.Load().ga.RepeatShare() }),
+		forwarder.WithCallObserver(func(ca throttler.Call) { ro.current.Load().ga.ObserveCall(ca) }),
 	}, ro.forwarderOptions...)
 	if ro.se.Features.Pacing {
 		forwarderOptions = append(forwarderOptions, forwarder.WithGateReports())
@@ -245,6 +247,13 @@
 	if ro.se.Features.Pacing {
 		ro.registerStanding()
 	}
+	ro.meter.Gauge("throttled_routes", "Routes of the own backend server that are throttled because their calls fail.", func() float64 {
+		in := ro.current.Load()
+		if in == nil {
+			return 0
+		}
+		return float64(in.ga.ThrottledRoutes())
+	})
 	ro.meter.Gauge("control_sent_bytes", "Payload of control datagrams sent.", func() float64 {
 		return float64(ro.me.Counts().SentBytes)
 	})
