Return of refused callers at a reserved time

Cause: all requests refused for load were told when the queues are expected to be empty, returned together or too late to be of use, and were refused again. A throttled route has its own schedule.

--- a/core/admitter/estimate.go
+++ b/core/admitter/estimate.go
@@ -53,6 +53,11 @@
 	own := qu.position(qu.tagOf(rq, ga.costOf(rq)))
 	cost, count := ga.queuedBefore(queue)
 	span := ga.spanOf(cost+qu.costOf(own), count+own, now)
+	if ga.keepsPlaces && !rq.isReturn {
+		// Those that return before the start go first.
+		reserved := ga.places.Reserved(kindOf(rq), now, now.Add(span))
+		span = ga.spanOf(cost+qu.costOf(own)+reserved, count+own+int(reserved/max(1, ga.latency)), now)
+	}
 	if !isLateQueue(queue) && ga.kinds.isEntitled(kindOf(rq)) {
 		// Every owedEvery-th start, while others are served before it.
 		span = min(span, ga.spanOf(owedEvery*(qu.costOf(own)+ga.latency), owedEvery*(own+1), now))
--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -23,6 +23,7 @@
 	"fmt"
 
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/scheduler"
 	"cornellanding.example/core/timer"
 )
 
@@ -107,6 +108,10 @@
 	// IsCall means that a request that already runs on another server made it. It is
 	// served before other requests of the same or a lower priority, see kinds.
 	IsCall bool
+	// Fingerprint is equal for the request and its return after a refusal, see KeepPlaces.
+	Fingerprint uint64
+	// isReturn means that it returns at the time that its refusal named.
+	isReturn bool
 }
 
 // finishBy returns the time by which the request should finish to be worth
@@ -227,7 +232,10 @@
 	lastTicket Ticket
 	queues     [queueCount]fairQueue
 	kinds      kinds
-	isDraining bool
+	// places holds the times named in refusals, if keepsPlaces is set.
+	places      scheduler.Schedule
+	keepsPlaces bool
+	isDraining  bool
 	// awaitsAnswer is as in AwaitAnswer.
 	awaitsAnswer bool
 	// pace is as in SetPace, nil if there is none.
@@ -314,6 +322,7 @@
 	rq.Priority = min(rq.Priority, cataloguer.PriorityCount-1)
 	ga.lastTicket++
 	ga.kinds.arrive(rq)
+	rq.isReturn = ga.keepsPlaces && ga.places.Take(rq.Fingerprint, now)
 	if ga.running < ga.Limit() && ga.Waiting() == 0 && !ga.isRateExhausted(now) {
 		ga.startRun(now)
 		ga.kinds.start(rq)
@@ -321,28 +330,32 @@
 	}
 	queue, isWorthWaiting := ga.queueFor(rq, now)
 	if !isWorthWaiting {
-		return ga.refuseQueueing("the queue is too long for the deadline", now)
+		return ga.refuseQueueing(rq, "the queue is too long for the deadline", now)
 	}
 	shed, ok := ga.makeRoom(rq, queue)
 	if !ok {
-		return ga.refuseQueueing("the queue is full", now)
+		return ga.refuseQueueing(rq, "the queue is full", now)
 	}
 	ga.queues[queue].push(queued{ticket: ga.lastTicket, request: rq, cost: ga.costOf(rq)})
 	return Wait{Ticket: ga.lastTicket, Shed: shed}
 }
 
 // refuseQueueing refuses a request that can't wait.
-func (ga *Gate) refuseQueueing(reason string, now timer.Instant) Refuse {
+func (ga *Gate) refuseQueueing(rq Request, reason string, now timer.Instant) Refuse {
 	code := CodeOverloaded
 	if ga.isServerLimited {
 		code = CodeServerLimit
 	}
+	if ga.keepsPlaces {
+		return Refuse{Code: code, Reason: reason, RetryAfter: ga.Reserve(rq, now)}
+	}
 	return Refuse{Code: code, Reason: reason, RetryAfter: ga.RetryAfter(now)}
 }
 
 // makeRoom reports whether there is room for the request. If the queues are full, it
 // drops a request from the last non-empty queue behind the given one. If there is
-// none, it drops one from the workspace with the most requests in the given queue,
+// none, a request that returns at its place replaces the newest of the given queue, and
+// for any other it drops one from the workspace with the most requests in the given queue,
 // if that has at least two more than the request's own workspace. It returns the
 // dropped ticket.
 func (ga *Gate) makeRoom(rq Request, queue int) ([]Ticket, bool) {
@@ -358,6 +371,10 @@
 		}
 	}
 	qu := &ga.queues[queue]
+	if rq.isReturn {
+		dropped, ok := qu.dropNewest()
+		return []Ticket{dropped.ticket}, ok
+	}
 	if _, longest := qu.longestWorkspace(); longest > qu.lengthOf(rq.Workspace)+1 {
 		dropped, ok := qu.dropLongest()
 		return []Ticket{dropped.ticket}, ok
--- a/core/admitter/queue.go
+++ b/core/admitter/queue.go
@@ -28,6 +28,9 @@
 // requests of its flow. Cost is the expected time on the server, in any unit.
 func (qu *fairQueue) tagOf(rq Request, cost float64) float64 {
 	before, of := qu.virtual, flowOf(rq)
+	if rq.isReturn {
+		return before // before all new ones, behind earlier returns
+	}
 	for i := len(qu.items) - 1; i >= 0; i-- {
 		if flowOf(qu.items[i].request) == of {
 			before = qu.items[i].tag // not below virtual, which left before it
@@ -120,6 +123,22 @@
 	return dropped, true
 }
 
+// dropNewest removes the newest request that is no return.
+func (qu *fairQueue) dropNewest() (queued, bool) {
+	newest := -1
+	for i, wa := range qu.items {
+		if !wa.request.isReturn && (newest < 0 || wa.ticket > qu.items[newest].ticket) {
+			newest = i
+		}
+	}
+	if newest < 0 {
+		return queued{}, false
+	}
+	dropped := qu.items[newest]
+	qu.removeAt(newest)
+	return dropped, true
+}
+
 func (qu *fairQueue) remove(ticket Ticket) bool {
 	i := slices.IndexFunc(qu.items, func(wa queued) bool { return wa.ticket == ticket })
 	if i < 0 {
--- a/core/throttler/control.go
+++ b/core/throttler/control.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"cornellanding.example/core/scheduler"
 	"cornellanding.example/core/timer"
 )
 
@@ -50,8 +51,9 @@
 	// and minCallsPerRun the least number of calls per run that is assumed.
 	runDecay       = 0.99
 	minCallsPerRun = 0.1
-	// maxRetryAfter bounds the advised retry delay.
-	maxRetryAfter = 2 * timer.Second
+	// returnWaitShare is the share of the time to its deadline that a refused caller waits
+	// before it returns.
+	returnWaitShare = 3
 	// burstSpan is the time whose admissions may be saved up.
 	burstSpan = 100 * timer.Millisecond
 )
@@ -60,11 +62,11 @@
 type control struct {
 	isThrottled bool
 	// rate is the runs per second that are admitted, with a bucket of tokens as of
-	// filledAt. placeAt is the time of the latest place named in a refusal.
+	// filledAt. Places are the times named in refusals.
 	rate     float64
 	tokens   float64
 	filledAt timer.Instant
-	placeAt  timer.Instant
+	places   scheduler.Schedule
 	// streak is the number of calls since the last failure.
 	streak int
 	cutAt  timer.Instant
@@ -90,7 +92,7 @@
 	calls, failed int
 }
 
-func (co *control) arrive(now timer.Instant) Decision {
+func (co *control) arrive(rq Request, now timer.Instant) Decision {
 	co.offered.add(now)
 	if !co.isThrottled {
 		return Admit{}
@@ -103,19 +105,25 @@
 	earned := now.Sub(co.filledAt).Duration().Seconds() * co.rate
 	co.tokens = min(max(1, co.rate*burstSpan.Duration().Seconds()), co.tokens+earned)
 	co.filledAt = now
-	if co.tokens >= 1 {
-		co.tokens--
+	if isReturn := co.places.Take(rq.Fingerprint, now); isReturn || co.tokens >= 1 {
+		co.tokens = max(co.tokens-1, -1)
 		return Admit{}
 	}
-	return Refuse{RetryAfter: co.reserve(now)}
+	return Refuse{RetryAfter: co.reserve(rq, now)}
 }
 
-// reserve returns the time until the next place that no earlier refusal has named.
-func (co *control) reserve(now timer.Instant) timer.Span {
-	first := now.Add(timer.Span((1 - co.tokens) / co.rate * float64(timer.Second)))
-	co.placeAt = max(first, co.placeAt.Add(timer.Span(float64(timer.Second)/co.rate)))
-	co.placeAt = min(co.placeAt, now.Add(maxRetryAfter))
-	return co.placeAt.Sub(now)
+// reserve returns the time until the place of a refused request.
+func (co *control) reserve(rq Request, now timer.Instant) timer.Span {
+	window := scheduler.Window{
+		From:  now.Add(timer.Span((1 - co.tokens) / co.rate * float64(timer.Second))),
+		Until: now.Add(rq.DeadlineAt.Sub(now) / returnWaitShare),
+	}
+	place := scheduler.Place{Fingerprint: rq.Fingerprint, Rank: rq.Priority, Cost: 1}
+	at, ok := co.places.Reserve(place, window, co.rate, now)
+	if !ok {
+		return scheduler.Horizon
+	}
+	return at.Sub(now)
 }
 
 // start records the start of a run.
@@ -189,7 +197,7 @@
 	co.isThrottled = true
 	co.formerRate = co.started.perSecond(now)
 	co.rate = co.formerRate
-	co.tokens, co.filledAt, co.placeAt = 0, now, now
+	co.tokens, co.filledAt, co.places = 0, now, scheduler.Schedule{}
 	co.trial = trial{}
 }
 
--- a/core/throttler/sim_test.go
+++ b/core/throttler/sim_test.go
@@ -230,7 +230,7 @@
 	se, arrivedAt := callers[chosen], si.now
 	re.requests++
 	if lo.isThrottled && chosen >= lo.unthrottled {
-		if _, isRefused := se.th.Arrive("caller", si.now).(Refuse); isRefused {
+		if _, isRefused := se.th.Arrive(Request{Route: "caller", DeadlineAt: si.now.Add(lo.deadline)}, si.now).(Refuse); isRefused {
 			re.refused++
 			return
 		}
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	th := throttler.New()
-//	if de, isRefused := th.Arrive("place-order", now).(throttler.Refuse); isRefused { ... }
+//	if de, isRefused := th.Arrive(throttler.Request{Route: "place-order"}, now).(throttler.Refuse); isRefused { ... }
 //	ru := th.Start("place-order", now)
 //	th.Call(throttler.Call{Route: "photo-info", StartedAt: at, IsFailed: true}, now)
 //	th.Finish(ru, isBad, now)
@@ -48,7 +48,7 @@
 type Admit struct{}
 
 // Refuse means that the request must not run, as its calls are expected to fail.
-// RetryAfter is the time until there is room for it.
+// RetryAfter is the time until a place that is reserved for it.
 type Refuse struct{ RetryAfter timer.Span }
 
 func (Admit) isDecision()  {}
@@ -113,15 +113,26 @@
 	return ro
 }
 
-// Arrive decides whether a request on a route of the server may run.
-func (th *Throttler) Arrive(name string, now timer.Instant) Decision {
-	ro := th.of(name)
+// Request is a request that arrives at the server's gate.
+type Request struct {
+	Route string
+	// Fingerprint is equal for the request and its return after a refusal.
+	Fingerprint uint64
+	// Priority is lower for more urgent requests.
+	Priority int
+	// DeadlineAt is the time at which the caller gives up.
+	DeadlineAt timer.Instant
+}
+
+// Arrive decides whether a request may run.
+func (th *Throttler) Arrive(rq Request, now timer.Instant) Decision {
+	ro := th.of(rq.Route)
 	if ro == nil {
 		return Admit{}
 	}
 	wasThrottled := ro.isThrottled
-	de := ro.arrive(now)
-	th.noteChange(name, ro, wasThrottled)
+	de := ro.arrive(rq, now)
+	th.noteChange(rq.Route, ro, wasThrottled)
 	return de
 }
 
--- a/core/throttler/throttler_test.go
+++ b/core/throttler/throttler_test.go
@@ -110,7 +110,7 @@
 				si := &sim{rn: rand.New(rand.NewPCG(seed, 2)), now: 1}
 				th := New()
 				si.repeat(func() float64 { return 15 }, func() {
-					if _, isRefused := th.Arrive("plain", si.now).(Refuse); isRefused {
+					if _, isRefused := th.Arrive(Request{Route: "plain", DeadlineAt: si.now.Add(timer.Second)}, si.now).(Refuse); isRefused {
 						refused++
 						return
 					}
--- a/instance/gatekeeper/calls.go
+++ b/instance/gatekeeper/calls.go
@@ -44,7 +44,10 @@
 	if !ga.calls.isActive.Load() {
 		return nil
 	}
-	de := ga.calls.th.Arrive(jo.rq.GetRoute(), ga.pu.Now())
+	request := throttler.Request{
+		Route: jo.rq.GetRoute(), Fingerprint: jo.fingerprint, Priority: int(jo.rq.GetPriority()), DeadlineAt: jo.deadlineAt,
+	}
+	de := ga.calls.th.Arrive(request, ga.pu.Now())
 	ga.logThrottling()
 	re, isRefused := de.(throttler.Refuse)
 	if !isRefused {
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -155,9 +155,9 @@
 	// server.
 	isStartScheduled bool
 	// cm and pa are nil without WithPacing.
-	cm *pacer.Comparer
-	pa *pacer.Pacer
-	calls            calls
+	cm    *pacer.Comparer
+	pa    *pacer.Pacer
+	calls calls
 }
 
 // New returns a Gatekeeper for the backend server at address, an IP:port. It returns
@@ -309,6 +309,7 @@
 func (jo *job) admissionRequest() admitter.Request {
 	rq := admitter.Request{
 		Route: jo.rq.GetRoute(), Workspace: jo.rq.GetWorkspace(), Priority: cataloguer.Priority(jo.rq.GetPriority()), DeadlineAt: jo.deadlineAt,
+		Fingerprint: jo.fingerprint,
 	}
 	if left := jo.rq.GetTargetRemaining(); left != 0 {
 		rq.TargetAt = jo.deadlineAt.Add(timer.Span(left - jo.rq.GetRemaining()))
@@ -413,6 +414,7 @@
 		return refusal
 	}
 	request.IsCall = ga.observeCaller(jo.rq)
+	ga.gate.KeepPlaces(ga.seesCallers(jo.rq))
 	if refusal := ga.throttle(jo); refusal != nil {
 		ga.mu.Unlock()
 		return refusal
@@ -431,7 +433,7 @@
 		ga.scheduleStart()
 		maxWait := ga.gate.LatestStart(request).Sub(ga.pu.Now())
 		ga.mu.Unlock()
-		return ga.await(ctx, de.Ticket, turns, maxWait.Duration())
+		return ga.await(ctx, de.Ticket, turns, request, maxWait.Duration())
 	case admitter.Refuse:
 		ga.calls.cancel(jo)
 		ga.mu.Unlock()
@@ -468,7 +470,7 @@
 
 // await waits for the turn of the request, at most for maxWait, after which
 // there is too little time left to start it.
-func (ga *Gatekeeper) await(ctx context.Context, ticket admitter.Ticket, turns <-chan turn, maxWait time.Duration) *peerproto.ForwardResponse {
+func (ga *Gatekeeper) await(ctx context.Context, ticket admitter.Ticket, turns <-chan turn, request admitter.Request, maxWait time.Duration) *peerproto.ForwardResponse {
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
 	select {
@@ -477,7 +479,7 @@
 		case turnRun:
 			return nil
 		case turnShed:
-			return refuse(admitter.CodeOverloaded, "shed for more important work")
+			return ga.refuseShed(request)
 		case turnLimited:
 			return ga.refuseLimited()
 		}
@@ -503,6 +505,15 @@
 	return answer
 }
 
+// refuseShed refuses a queued request that made room for another.
+func (ga *Gatekeeper) refuseShed(request admitter.Request) *peerproto.ForwardResponse {
+	answer := refuse(admitter.CodeOverloaded, "shed for more important work")
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	answer.RetryAfter = int64(ga.gate.Reserve(request, ga.pu.Now()))
+	return answer
+}
+
 // releaseSlot frees a slot that was assigned while the request stopped waiting.
 func (ga *Gatekeeper) releaseSlot(turns <-chan turn) {
 	select {
