Throttling follows the share of calls that succeed, and ends where it is of no use

Change: the rate follows the runs and the share of failed calls; it is halved at first, and throttling ends, for 5 s and more, if that changes nothing in 40 calls.

--- a/core/throttler/control.go
+++ b/core/throttler/control.go
@@ -10,6 +10,8 @@
 const (
 	// shareWeight is the weight of a new call in the smoothed share of failed calls.
 	shareWeight = 0.05
+	// formerWeight is the same for the share before throttling began.
+	formerWeight = 0.02
 	// Throttling begins when more than onsetShare of at least onsetCalls calls fail. Three
 	// failures in a row are needed, so that single ones change nothing.
 	onsetShare = 0.15
@@ -22,35 +24,36 @@
 	// minAdmitted times the share of calls that succeed is the least share of requests that
 	// is admitted, so that an instance keeps a part if others don't throttle.
 	minAdmitted = 0.2
-	// minCut is the least share by which a failure reduces the rate, once in a run's
-	// latency. growth and growthScale give the increase with the number of calls without
-	// a failure: a reduction by minCut is made up for after about 25 calls, so that fewer
-	// than 3 in 100 runs are begun for nothing, and the rate has doubled after 40.
+	// A failure reduces the rate by minCut, at most once in a run's latency and
+	// minReaction, and to maxExcess times the rate of runs whose calls succeed. growth and
+	// growthScale give the increase with the number of calls without a failure: a
+	// reduction by minCut is made up for after about 20 of them, and the rate has doubled
+	// after 40. After an outage it grows by rampGrowth with each. At first the rate is cut
+	// by firstCut, which shows soon whether throttling has an effect.
 	minCut      = 0.1
 	maxExcess   = 1.2
 	minReaction = 100 * timer.Millisecond
 	growth      = 0.002
 	growthScale = 8
+	firstCut    = 0.5
 	rampGrowth  = 0.2
 	// Throttling ends when the rate has been above releaseFactor times the demand for
 	// releaseSpan after the last reduction.
 	releaseFactor = 1.5
 	releaseSpan   = timer.Second
-	// If the rate is below futileRateShare of the demand and still from futileShare to
-	// outageShare of the calls fail, over futileCalls and futileSpan, the failures don't
-	// follow the load, and throttling would only add refusals. It ends for a time that
-	// doubles from minPause to maxPause. Above outageShare only probes are worth it.
+	// If the rate is below futileRateShare of the demand and still futileShare of the calls
+	// fail, and futileRatio times as many as before, over futileCalls and futileSpan, the
+	// failures don't follow the load, and throttling would only add refusals. It ends for
+	// a time that doubles from minPause to maxPause. Above outageShare only probes are
+	// worth it.
 	futileRateShare = 0.5
-	futileShare     = 0.25
+	futileRatio     = 0.7
+	futileShare     = 0.15
 	outageShare     = 0.8
-	futileCalls     = 25
+	futileCalls     = 40
 	futileSpan      = 5 * timer.Second
 	minPause        = 5 * timer.Second
-	maxPause        = 60 * timer.Second
-	// runDecay is the weight that the counts of runs and their calls keep at the next run,
-	// and minCallsPerRun the least number of calls per run that is assumed.
-	runDecay       = 0.99
-	minCallsPerRun = 0.1
+	maxPause        = 160 * timer.Second
 	// returnWaitShare is the share of the time to its deadline that a refused caller waits
 	// before it returns.
 	returnWaitShare = 3
@@ -70,14 +73,12 @@
 	// streak is the number of calls since the last failure.
 	streak int
 	cutAt  timer.Instant
-	// offered and started measure the requests, and succeeded the calls.
-	offered, started, succeeded meter
-	// calls and runs are decaying counts since the first call was observed.
-	calls, runs float64
-	isObserved  bool
-	// formerRate is the rate of runs when throttling began. IsProbing means that nearly all
-	// calls fail, and isRamping that none has since then.
-	formerRate           float64
+	// offered and started measure the requests.
+	offered, started meter
+	// formerRate and formerShare are the rate of runs and the smoothed share of failed
+	// calls before throttling began.
+	formerRate, formerShare float64
+	// isProbing means that nearly all calls fail, and isRamping that none has since then.
 	isProbing, isRamping bool
 	trial                trial
 	// pausedUntil is until when throttling doesn't begin again, and pause how long the
@@ -126,16 +127,6 @@
 	return at.Sub(now)
 }
 
-// start records the start of a run.
-func (co *control) start(now timer.Instant) {
-	co.started.add(now)
-	if !co.isObserved {
-		return
-	}
-	co.runs = co.runs*runDecay + 1
-	co.calls *= runDecay
-}
-
 func (co *control) cancel() {
 	if co.isThrottled {
 		co.tokens++
@@ -166,12 +157,12 @@
 // observeCall records the outcome of a call that runs of the route depend on. Shares are
 // those of the call's route.
 func (co *control) observeCall(ca Call, shares *callShares, now timer.Instant, latency timer.Span) {
-	co.isObserved = true
-	co.calls++
+	if !co.isThrottled {
+		co.formerShare += formerWeight * (indicator(ca.IsFailed) - co.formerShare)
+	}
 	co.observeTrial(ca.IsFailed, now)
 	if !ca.IsFailed {
 		co.streak++
-		co.succeeded.add(now)
 		co.grow()
 		return
 	}
@@ -196,7 +187,7 @@
 func (co *control) begin(now timer.Instant) {
 	co.isThrottled = true
 	co.formerRate = co.started.perSecond(now)
-	co.rate = co.formerRate
+	co.rate = co.formerRate * firstCut
 	co.tokens, co.filledAt, co.places = 0, now, scheduler.Schedule{}
 	co.trial = trial{}
 }
@@ -207,13 +198,10 @@
 	co.isRamping = false
 	co.isProbing = shares.isOutage()
 	least := max(probeRate, minAdmitted*(1-shares.failed)*co.offered.perSecond(now))
-	sustained := co.succeeded.perSecond(now) / co.callsPerRun()
+	sustained := (1 - shares.failed) * co.started.perSecond(now)
 	co.rate = max(least, min(co.rate*(1-minCut), sustained*maxExcess))
 }
 
-// callsPerRun returns the number of calls that a run makes on average.
-func (co *control) callsPerRun() float64 { return max(minCallsPerRun, co.calls/max(1, co.runs)) }
-
 // grow raises the rate after a call that succeeded.
 func (co *control) grow() {
 	switch {
@@ -249,7 +237,10 @@
 	}
 	share := float64(tr.failed) / float64(tr.calls)
 	co.trial = trial{}
-	if share >= futileShare && share < outageShare {
+	switch {
+	case share < futileShare/2:
+		co.pause = 0
+	case share >= max(futileShare, futileRatio*co.formerShare) && share < outageShare:
 		co.isThrottled = false
 		co.pause = min(maxPause, max(minPause, 2*co.pause))
 		co.pausedUntil = now.Add(co.pause)
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -146,7 +146,7 @@
 // Start records the start of a request.
 func (th *Throttler) Start(name string, now timer.Instant) Run {
 	if ro := th.of(name); ro != nil {
-		ro.start(now)
+		ro.started.add(now)
 	}
 	return Run{route: name, startedAt: now}
 }
