Refusals for the link and the server's memory count as overload of a call

Cause: the codes linkFull and serverMemory are new. Change: a call that is refused with them counts as failed for load. Result: TestObservedCalls, no other change.

--- a/instance/forwarder/calls.go
+++ b/instance/forwarder/calls.go
@@ -70,7 +70,8 @@
 // isOverload reports whether a refusal code says that the called service had too much to do.
 func isOverload(code string) bool {
 	switch code {
-	case admitter.CodeOverloaded, admitter.CodeDeadline, admitter.CodeServerLimit, admitter.CodeCallsRefused, gatekeeper.CodeShed:
+	case admitter.CodeOverloaded, admitter.CodeDeadline, admitter.CodeServerLimit, admitter.CodeCallsRefused, admitter.CodeLinkFull,
+		admitter.CodeServerMemory, gatekeeper.CodeShed:
 		return true
 	default:
 		return false
