Places for returns only at services split by key

Cause: a request to a shared service may return to another server, so that its place stays empty and turns new requests away. Change: only gates of exclusive services keep places. Result: TestPlacesAreKept.

--- a/instance/gatekeeper/calls.go
+++ b/instance/gatekeeper/calls.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"cornellanding.example/core/admitter"
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/throttler"
 	"cornellanding.example/core/timer"
@@ -99,6 +100,13 @@
 	return rq.GetCallerService() != "" && len(ga.pu.View().Config.Catalogue.Workspaces) == 0
 }
 
+// keepsPlaces reports whether refusals reserve times for requests to return. Requests to a
+// shared service may return to another server, where they are new, and would leave their
+// places empty.
+func (ga *Gatekeeper) keepsPlaces(jo *job) bool {
+	return ga.seesCallers(jo.rq) && jo.sv.Class == cataloguer.Exclusive
+}
+
 // observeCaller records where a request entered, and reports whether it is a call. The lock
 // must be held.
 func (ga *Gatekeeper) observeCaller(rq *peerproto.ForwardRequest) bool {
--- a/instance/gatekeeper/calls_test.go
+++ b/instance/gatekeeper/calls_test.go
@@ -99,6 +99,22 @@
 	is.Equal(ga.ThrottledRoutes(), 1)
 }
 
+// TestPlacesAreKept guards against places where the entry doesn't name its service, as in a
+// deployment that doesn't have this part.
+func TestPlacesAreKept(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(t)
+	place := func(callerService string) timer.Span {
+		rq := request(callerService, "body")
+		rq.CallerService = callerService
+		ga.Forward(context.Background(), rq)
+		now := ga.pu.Now()
+		return ga.gate.Reserve(admitter.Request{DeadlineAt: now.Add(timer.Second)}, now)
+	}
+	is.Equal(place(""), timer.Span(0))
+	is.True(place("orders") > 0)
+}
+
 // TestCallRoutes guards against outside callers' requests that pass for calls.
 func TestCallRoutes(t *testing.T) {
 	is := is.New(t)
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -414,7 +414,7 @@
 		return refusal
 	}
 	request.IsCall = ga.observeCaller(jo.rq)
-	ga.gate.KeepPlaces(ga.seesCallers(jo.rq))
+	ga.gate.KeepPlaces(ga.keepsPlaces(jo))
 	if refusal := ga.throttle(jo); refusal != nil {
 		ga.mu.Unlock()
 		return refusal
