Bodies of requests go before responses on the entry's link

Cause: the owner admitted bodies that the entry's own link could not send beside its responses. The places that the owner kept for them were wasted.

Change: bodies go before responses in the outbound queue, and the entry refuses a body that its own link can't send in time (linkFull).

--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -99,12 +99,17 @@
 	return func(de *Deployment) { de.backendOptions = opts }
 }
 
+// WithLinkRate sets the rate of each VM's link that its instance keeps to, in bytes a second.
+// The default, 0, means that it has none.
+func WithLinkRate(rate float64) Option { return func(de *Deployment) { de.linkRate = rate } }
+
 // Deployment is a running deployment.
 type Deployment struct {
 	example        string
 	lo             hclog.Logger
 	sampleEvery    int
 	backendOptions []emulator.BackendServerOption
+	linkRate       float64
 
 	Catalogue cataloguer.Catalogue
 	Platform  *emulator.Platform
@@ -257,6 +262,7 @@
 		BackendServer:     parser.BackendServerSettings{Name: vm.Name, Service: sv.Name, Address: listener.Addr().String()},
 		Log:               parser.LogSettings{Level: "info", SampleEvery: de.sampleEvery},
 		LeaseTerm:         leaser.DefaultTerm, FreshnessLimit: parser.DefaultFreshnessLimit,
+		Limits: parser.ResourceLimits{LinkRate: de.linkRate},
 	}
 	de.mu.Lock()
 	de.vms = append(de.vms, vm)
--- a/instance/router/connection.go
+++ b/instance/router/connection.go
@@ -8,9 +8,17 @@
 	"sync"
 	"time"
 
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/shaper"
 )
 
+// Bodies of requests go before responses: the owner keeps a place on its link for each, and
+// ends a transfer that makes no progress.
+const (
+	requestPriority  cataloguer.Priority = 0
+	responsePriority cataloguer.Priority = 1
+)
+
 // buffers holds the buffers of ReadFrom.
 var buffers = sync.Pool{New: func() any { return new([shaper.Bulk]byte) }}
 
@@ -20,6 +28,7 @@
 type connection struct {
 	net.Conn
 	li        *link
+	priority  cataloguer.Priority
 	closed    chan struct{}
 	closeOnce sync.Once
 	// changed wakes a waiting write after a change of the deadline.
@@ -34,13 +43,13 @@
 	isExempt bool
 }
 
-func newConnection(conn net.Conn, li *link) *connection {
+func newConnection(conn net.Conn, li *link, priority cataloguer.Priority) *connection {
 	if tcp, ok := conn.(*net.TCPConn); ok && li.socketBuffer > 0 {
 		// Without these buffer sizes the connection still works.
 		_ = tcp.SetWriteBuffer(li.socketBuffer)
 		_ = tcp.SetReadBuffer(li.socketBuffer)
 	}
-	return &connection{Conn: conn, li: li, closed: make(chan struct{}), changed: make(chan struct{}, 1)}
+	return &connection{Conn: conn, li: li, priority: priority, closed: make(chan struct{}), changed: make(chan struct{}, 1)}
 }
 
 // begin notes the request that the connection serves next.
@@ -98,7 +107,7 @@
 // send sends a message of size bytes by calls of write, each with the number of bytes
 // that it may write. It ends early if write wrote fewer.
 func (cn *connection) send(size int64, write func(limit int64) (int64, error)) (int64, error) {
-	ticket, turns := cn.li.arrive(size, 0)
+	ticket, turns := cn.li.arrive(size, cn.priority)
 	defer cn.li.leave(ticket)
 	sent := int64(0)
 	for sent < size {
@@ -193,7 +202,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConnection(conn, sl.li), nil
+	return newConnection(conn, sl.li, responsePriority), nil
 }
 
 type connectionKey struct{}
--- a/instance/router/link_test.go
+++ b/instance/router/link_test.go
@@ -230,7 +230,7 @@
 	write := func(end func(cn *connection, cancel context.CancelFunc)) error {
 		ours, theirs := net.Pipe()
 		defer theirs.Close()
-		cn := newConnection(ours, li)
+		cn := newConnection(ours, li, responsePriority)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		cn.begin(ctx, false)
--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -25,6 +25,8 @@
 // peers is the RPC client of all other instances.
 type peers struct {
 	si *signer.Signer
+	// li is nil if the rate of the VM's link is not limited.
+	li *link
 	// bodyMin is the size in bytes from which bodies follow their heads.
 	bodyMin int64
 	// requests carries callers' requests, and control all other calls.
@@ -79,9 +81,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return newConnection(conn, li), nil
+		return newConnection(conn, li, requestPriority), nil
 	})
-	return &peers{si: si, bodyMin: shaper.Bulk, requests: requests, control: control}
+	return &peers{si: si, li: li, bodyMin: shaper.Bulk, requests: requests, control: control}
 }
 
 // dialFunc is the type of net.Dialer.DialContext.
--- a/instance/router/transfer.go
+++ b/instance/router/transfer.go
@@ -63,14 +63,15 @@
 // request can't have run before all of the body was sent.
 func (pe *peers) forwardInSteps(ctx context.Context, address string, rq *peerproto.ForwardRequest, body *assembler.Body) (*peerproto.ForwardResponse, bool, error) {
 	rq.Body = nil
+	if refusal := pe.refuseOnOwnLink(rq, body.Len()); refusal != nil {
+		return refusal, false, nil
+	}
 	head, err := proto.Marshal(rq)
 	if err != nil {
 		return nil, false, err
 	}
 	if len(head) > maxHead {
-		return &peerproto.ForwardResponse{
-			RequestId: rq.GetRequestId(), Outcome: gatekeeper.OutcomeNotRun, Code: gatekeeper.CodeBadTarget, Reason: "the headers are too large for a request with a large body",
-		}, true, nil
+		return refuseTransfer(rq, gatekeeper.CodeBadTarget, "the headers are too large for a request with a large body"), false, nil
 	}
 	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+bodyPath, http.NoBody)
 	if err != nil {
@@ -94,6 +95,34 @@
 	return fr, wasSent.Load(), err
 }
 
+// refuseOnOwnLink returns a refusal if this VM's link can't send the body in time.
+func (pe *peers) refuseOnOwnLink(rq *peerproto.ForwardRequest, size int64) *peerproto.ForwardResponse {
+	if pe.li == nil {
+		return nil
+	}
+	now := pe.li.clock.Now()
+	retryAfter, ok := pe.li.fits(size, wishOf(rq, now), now)
+	if ok {
+		return nil
+	}
+	refusal := refuseTransfer(rq, admitter.CodeLinkFull, "the link of the VM where the request arrived can't send the body in time")
+	refusal.RetryAfter = int64(retryAfter)
+	return refusal
+}
+
+func refuseTransfer(rq *peerproto.ForwardRequest, code, reason string) *peerproto.ForwardResponse {
+	return &peerproto.ForwardResponse{RequestId: rq.GetRequestId(), Outcome: gatekeeper.OutcomeNotRun, Code: code, Reason: reason}
+}
+
+// wishOf returns the times of a request whose remaining times count from startedAt.
+func wishOf(rq *peerproto.ForwardRequest, startedAt timer.Instant) shaper.Wish {
+	wi := shaper.Wish{DeadlineAt: startedAt.Add(timer.Span(rq.GetRemaining()))}
+	if left := rq.GetTargetRemaining(); left != 0 {
+		wi.TargetAt = startedAt.Add(timer.Span(left))
+	}
+	return wi
+}
+
 func readForwardResponse(answer *http.Response) (*peerproto.ForwardResponse, error) {
 	defer answer.Body.Close()
 	content, err := io.ReadAll(answer.Body)
@@ -216,11 +245,7 @@
 	if tr.bs.inlet == nil {
 		return tr.read(tr.head.Length, bh)
 	}
-	wi := shaper.Wish{DeadlineAt: startedAt.Add(timer.Span(tr.rq.GetRemaining()))}
-	if left := tr.rq.GetTargetRemaining(); left != 0 {
-		wi.TargetAt = startedAt.Add(timer.Span(left))
-	}
-	if retryAfter, ok := tr.bs.inlet.fits(tr.head.Length, wi, startedAt); !ok {
+	if retryAfter, ok := tr.bs.inlet.fits(tr.head.Length, wishOf(tr.rq, startedAt), startedAt); !ok {
 		return &bodyRefusal{code: admitter.CodeLinkFull, reason: "the VM's link can't receive the body in time", retryAfter: retryAfter}
 	}
 	priority := min(cataloguer.Priority(tr.rq.GetPriority()), cataloguer.PriorityCount-1)
