Late timers don't cost the link's rate; half-closing of wrapped connections

Cause: the bucket of 30 ms is smaller than the delay of timers on a VM with a sixth of a core, so that the link stood idle beside a backlog. A wrapped connection hid CloseWrite, by which net/http keeps a response from being lost with a reset.

Change: while messages wait the bucket holds 80 ms. Wrapped connections have CloseWrite and NetConn.

--- a/core/shaper/shaper.go
+++ b/core/shaper/shaper.go
@@ -41,10 +41,12 @@
 	// would finish late rather than some in time.
 	maxTurns = 2
 	// burstSpan is the content of a full bucket, as time at the usable rate, and
-	// minBurst its lower bound in bytes. Timers of a VM with a sixth of a core are tens
-	// of milliseconds late; a smaller bucket loses that time.
+	// minBurst its lower bound in bytes. lateSpan is its content while messages wait:
+	// timers of a VM with a sixth of a core are tens of milliseconds late, and a smaller
+	// bucket loses that time.
 	burstSpan = 30 * timer.Millisecond
 	minBurst  = 4 * pieceSize
+	lateSpan  = 80 * timer.Millisecond
 	// maxDebtSpan bounds the debt that small messages leave to bulk ones, as time at the
 	// usable rate. Otherwise small traffic just above the usable share would stop bulk
 	// messages for as long as it lasts and longer.
@@ -139,7 +141,11 @@
 	if now.Before(sh.filledAt) {
 		return
 	}
-	sh.tokens = min(sh.burst, sh.tokens+sh.bytesIn(now.Sub(sh.filledAt)))
+	limit := sh.burst
+	if len(sh.messages) > 0 {
+		limit = max(limit, sh.bytesIn(lateSpan))
+	}
+	sh.tokens = min(limit, sh.tokens+sh.bytesIn(now.Sub(sh.filledAt)))
 	sh.filledAt = now
 }
 
--- a/core/shaper/shaper_test.go
+++ b/core/shaper/shaper_test.go
@@ -140,6 +140,8 @@
 // scan-vault of H.
 type simulation struct {
 	isShaped bool
+	// wakeEvery is the interval at which the link gives out turns.
+	wakeEvery timer.Span
 	rand     *rand.Rand
 	sh       *Shaper
 	ad       *Admission
@@ -215,18 +217,27 @@
 }
 
 func (si *simulation) shape(now timer.Instant) {
-	grants, _ := si.sh.Start(now)
-	for _, gr := range grants {
-		ru := si.bulk[gr.Ticket]
-		sentAt := si.write(gr.Bytes, now)
-		si.sh.Written(gr.Ticket, now)
-		if ru.written += gr.Bytes; ru.written == ru.size {
-			si.end(ru, sentAt)
-			delete(si.bulk, gr.Ticket)
+	for {
+		grants, _ := si.sh.Start(now)
+		if len(grants) == 0 {
+			return
+		}
+		for _, gr := range grants {
+			si.send(gr, now)
 		}
 	}
 }
 
+func (si *simulation) send(gr Grant, now timer.Instant) {
+	ru := si.bulk[gr.Ticket]
+	sentAt := si.write(gr.Bytes, now)
+	si.sh.Written(gr.Ticket, now)
+	if ru.written += gr.Bytes; ru.written == ru.size {
+		si.end(ru, sentAt)
+		delete(si.bulk, gr.Ticket)
+	}
+}
+
 func (si *simulation) run(span timer.Span) {
 	const step = timer.Millisecond
 	for now := timer.Instant(0); now < timer.Instant(span); now = now.Add(step) {
@@ -243,7 +254,7 @@
 			si.respond(ru, now)
 			return true
 		})
-		if si.isShaped {
+		if si.isShaped && timer.Span(now)%si.wakeEvery == 0 {
 			si.shape(now)
 		}
 	}
@@ -253,11 +264,11 @@
 // behind them, on 7 links at 1.25 times their rate.
 func TestSaturatedLinks(t *testing.T) {
 	const links, span = 7, 20 * timer.Second
-	shares := func(isShaped bool) (inTime, smallInTime float64) {
+	shares := func(isShaped bool, wakeEvery timer.Span) (inTime, smallInTime float64) {
 		total := simulation{}
 		for seed := range uint64(links) {
 			si := &simulation{
-				isShaped: isShaped, rand: rand.New(rand.NewPCG(seed, 1)), sh: newTestShaper(t), ad: NewAdmission(),
+				isShaped: isShaped, wakeEvery: wakeEvery, rand: rand.New(rand.NewPCG(seed, 1)), sh: newTestShaper(t), ad: NewAdmission(),
 				bulk: map[Ticket]*simulatedRun{},
 			}
 			si.run(span)
@@ -265,15 +276,18 @@
 			total.small, total.smallInTime = total.small+si.small, total.smallInTime+si.smallInTime
 		}
 		inTime, smallInTime = float64(total.inTime)/float64(total.offered), float64(total.smallInTime)/float64(total.small)
-		t.Logf("shaped %v: downloads in time %.3f of %d, refused %d; small calls in time %.3f", isShaped, inTime, total.offered, total.refused, smallInTime)
+		t.Logf("shaped %v, wakes every %v: downloads in time %.3f of %d, refused %d; small calls in time %.3f", isShaped, wakeEvery.Duration(), inTime, total.offered, total.refused, smallInTime)
 		return inTime, smallInTime
 	}
 	is := is.New(t)
-	before, smallBefore := shares(false)
-	after, smallAfter := shares(true)
+	before, smallBefore := shares(false, timer.Millisecond)
+	after, smallAfter := shares(true, timer.Millisecond)
+	late, smallLate := shares(true, 40*timer.Millisecond)
 	is.True(before < 0.2)
 	is.True(smallBefore < 0.2)
 	// The usable rate is 0.72 of what is offered.
 	is.True(after > 0.6)
 	is.True(smallAfter > 0.99)
+	is.True(late > 0.6) // timers that are late don't cost the link's rate
+	is.True(smallLate > 0.99)
 }
--- a/instance/router/connection.go
+++ b/instance/router/connection.go
@@ -44,7 +44,7 @@
 }
 
 func newConnection(conn net.Conn, li *link, priority cataloguer.Priority) *connection {
-	if tcp, ok := conn.(*net.TCPConn); ok && li.socketBuffer > 0 {
+	if tcp := tcpOf(conn); tcp != nil && li.socketBuffer > 0 {
 		// Without these buffer sizes the connection still works.
 		_ = tcp.SetWriteBuffer(li.socketBuffer)
 		_ = tcp.SetReadBuffer(li.socketBuffer)
@@ -52,6 +52,30 @@
 	return &connection{Conn: conn, li: li, priority: priority, closed: make(chan struct{}), changed: make(chan struct{}, 1)}
 }
 
+// tcpOf returns the TCP connection that a connection is or wraps, or nil.
+func tcpOf(conn net.Conn) *net.TCPConn {
+	switch cn := conn.(type) {
+	case *net.TCPConn:
+		return cn
+	case interface{ NetConn() net.Conn }:
+		return tcpOf(cn.NetConn())
+	default:
+		return nil
+	}
+}
+
+// NetConn returns the connection below.
+func (cn *connection) NetConn() net.Conn { return cn.Conn }
+
+// CloseWrite closes the writing side. net/http calls it before it closes a connection with
+// unread data, so that the response isn't lost with a reset.
+func (cn *connection) CloseWrite() error {
+	if closer, ok := cn.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
+	}
+	return nil
+}
+
 // begin notes the request that the connection serves next.
 func (cn *connection) begin(ctx context.Context, isExempt bool) {
 	cn.mu.Lock()
