--- a/core/shaper/shaper_test.go
+++ b/core/shaper/shaper_test.go
@@ -142,9 +142,9 @@
 	isShaped bool
 	// wakeEvery is the interval at which the link gives out turns.
 	wakeEvery timer.Span
-	rand     *rand.Rand
-	sh       *Shaper
-	ad       *Admission
+	rand      *rand.Rand
+	sh        *Shaper
+	ad        *Admission
 	// freeAt is when the link has sent all that was written to it.
 	freeAt timer.Instant
 	runs   []*simulatedRun
