--- a/core/admitter/bytes.go
+++ b/core/admitter/bytes.go
@@ -29,7 +29,12 @@
 	// crashedBytes is what the server held at its latest crash with large bodies, 0
 	// before the first.
 	crashedBytes float64
-	crashedAt    timer.Instant
+	// broken are the connections that broke since brokenAt, of brokenRuns requests with
+	// brokenBytes that ran then.
+	broken      int
+	brokenAt    timer.Instant
+	brokenRuns  int
+	brokenBytes int64
 	// admitted are the bytes of large bodies that wait for a slot or run, and running
 	// those that run. runs is the number of all running requests.
 	admitted int64
@@ -92,18 +97,23 @@
 	}
 }
 
-// Crash records that the server crashed while it ran a request, and halves the bound if large
-// bodies were running. It reports whether the request itself is suspect: no large bodies were
-// running, or it was alone.
+// Crash records that the connection of a request broke as in a crash of the server. It reports
+// whether the request itself is suspect: no large bodies were running, or it was alone. The
+// bound is halved once the connections of at least half of the requests broke: a server that
+// is merely full resets single ones.
 func (bl *ByteLimit) Crash(bytes int64, now timer.Instant) bool {
 	defer bl.End(bytes)
-	if bl.crashedAt != 0 && now.Sub(bl.crashedAt) < crashSpan {
-		return false // another request of the same crash
-	}
-	if bl.running == 0 {
+	isFurther := bl.broken > 0 && now.Sub(bl.brokenAt) < crashSpan
+	if !isFurther && bl.running == 0 {
 		return true
 	}
-	bl.crashedBytes, bl.crashedAt = float64(bl.running), now
-	bl.bound = max(minByteBound, min(bl.bound, bl.crashedBytes)/2)
-	return bl.runs == 1
+	if !isFurther {
+		bl.broken, bl.brokenAt, bl.brokenRuns, bl.brokenBytes = 0, now, bl.runs, bl.running
+	}
+	bl.broken++
+	if bl.broken == max(min(2, bl.brokenRuns), (bl.brokenRuns+1)/2) {
+		bl.crashedBytes = float64(bl.brokenBytes)
+		bl.bound = max(minByteBound, min(bl.bound, bl.crashedBytes)/2)
+	}
+	return !isFurther && bl.brokenRuns == 1
 }
