Tests of crowds that hold memory and descriptors, failing

Cause: what clients hold is not accounted for. Crowds whose requests are each within the configured limits make an instance hold several times the memory and descriptors that its settings give it.

The bounds are the limits themselves, measured in /proc. The stand-in of the platform writes these limits and pads responses on request.

--- /dev/null
+++ b/bench/crowder/crowder_test.go
@@ -0,0 +1,149 @@
+package crowder_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"cornellanding.example/bench/crowder"
+	"cornellanding.example/standin/platformer"
+	"github.com/matryer/is"
+)
+
+const (
+	memoryMB = 96
+	maxFDs   = 400
+	// vmMemoryMB and vmMaxFDs are the limits of a small VM.
+	vmMemoryMB = 184
+	vmMaxFDs   = 4100
+	// answerLimit bounds the wait for the answer to an ordinary request.
+	answerLimit = 20 * time.Second
+	sampleEvery = 20 * time.Millisecond
+	// settleSpan lets the instances read what the kernel holds of a crowd.
+	settleSpan = time.Second
+)
+
+// TestCrowd guards against processes that run out of memory or descriptors because of what
+// clients hold: each kind of crowd wants several times the limits of the settings.
+func TestCrowd(t *testing.T) {
+	program := build(t)
+	for _, cr := range crowder.Crowds() {
+		t.Run(cr.Name, func(t *testing.T) {
+			is := is.New(t)
+			fl, err := crowder.Start(t.Context(), crowder.Settings{
+				Program: program, Folder: t.TempDir(), MemoryMB: memoryMB, MaxFDs: maxFDs,
+				Limits: platformer.Limits{MaxHeaderBytes: crowder.MaxHeaderBytes, MaxBodyBytes: crowder.MaxBodyBytes, HeaderTimeoutS: 2, IdleTimeoutS: 10},
+			})
+			is.NoErr(err)
+			defer fl.Close()
+			wa := watch(fl)
+			held := cr.Send(fl.Entry())
+			defer held.Close()
+			time.Sleep(settleSpan)
+			ctx, cancel := context.WithTimeout(t.Context(), answerLimit)
+			defer cancel()
+			answerErr := errors.Join(fl.AwaitAnswer(ctx, "/read"), fl.AwaitAnswer(ctx, "/bind"))
+			peaks, err := wa.stop()
+			t.Logf("clients %d, broken %d, peaks %+v", cr.Clients, held.Broken, peaks)
+			is.NoErr(err)       // every process lives
+			is.NoErr(answerErr) // an ordinary request is answered
+			for _, us := range peaks {
+				is.True(us.PeakBytes <= memoryMB<<20) // resident memory stays within the limit
+				is.True(us.Descriptors <= maxFDs)     // descriptors stay within the limit
+			}
+		})
+	}
+}
+
+// build builds the program without the race detector, which multiplies the memory.
+func build(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "cornellanding")
+	out, err := exec.Command("go", "build", "-race=false", "-o", program, "cornellanding.example/cmd/cornellanding").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	return program
+}
+
+// TestSingleRequest guards against limits that keep out a request inside those of the
+// configuration when nothing else is held, and against copies of its body.
+func TestSingleRequest(t *testing.T) {
+	program := build(t)
+	for _, cas := range []struct {
+		name string
+		rq   crowder.Single
+	}{
+		{"length", crowder.Single{BodyBytes: 64 << 20}},
+		{"chunks", crowder.Single{BodyBytes: 64 << 20, IsChunked: true}},
+		{"lines", crowder.Single{Lines: 4096}},
+	} {
+		t.Run(cas.name, func(t *testing.T) {
+			is := is.New(t)
+			fl, err := crowder.Start(t.Context(), crowder.Settings{
+				Program: program, Folder: t.TempDir(), MemoryMB: vmMemoryMB, MaxFDs: vmMaxFDs,
+				Limits: platformer.Limits{MaxHeaderBytes: crowder.MaxHeaderBytes, MaxBodyBytes: 64 << 20, HeaderTimeoutS: 2, IdleTimeoutS: 10},
+			})
+			is.NoErr(err)
+			defer fl.Close()
+			wa := watch(fl)
+			status, err := fl.Send(cas.rq)
+			peaks, watchErr := wa.stop()
+			t.Logf("status %d, peaks %+v", status, peaks)
+			is.NoErr(err)
+			is.NoErr(watchErr)
+			is.Equal(status, http.StatusOK)
+			for _, us := range peaks {
+				is.True(us.PeakBytes <= vmMemoryMB<<20) // resident memory stays within the limit
+			}
+		})
+	}
+}
+
+// watcher measures a fleet until stop.
+type watcher struct {
+	fl   *crowder.Fleet
+	done chan struct{}
+	wg   sync.WaitGroup
+
+	peaks map[string]crowder.Usage
+	err   error
+}
+
+func watch(fl *crowder.Fleet) *watcher {
+	wa := &watcher{fl: fl, done: make(chan struct{}), peaks: map[string]crowder.Usage{}}
+	wa.wg.Go(func() {
+		for wa.err == nil {
+			wa.measure()
+			select {
+			case <-wa.done:
+				return
+			case <-time.After(sampleEvery):
+			}
+		}
+	})
+	return wa
+}
+
+func (wa *watcher) measure() {
+	usages, err := wa.fl.Usages()
+	wa.err = err
+	for _, us := range usages {
+		peak := wa.peaks[us.VM]
+		wa.peaks[us.VM] = crowder.Usage{VM: us.VM, PeakBytes: max(peak.PeakBytes, us.PeakBytes), Descriptors: max(peak.Descriptors, us.Descriptors)}
+	}
+}
+
+// stop returns the highest usage of each VM and an error if a process ended.
+func (wa *watcher) stop() (map[string]crowder.Usage, error) {
+	close(wa.done)
+	wa.wg.Wait()
+	if wa.err == nil {
+		wa.measure()
+	}
+	return wa.peaks, wa.err
+}
--- a/standin/platformer/caller.go
+++ b/standin/platformer/caller.go
@@ -46,6 +46,13 @@
 // request.
 func (rq Request) ExpectedBody() string { return "ran " + rq.ID }
 
+// Head returns the head of the request without the empty line that ends it, for clients that
+// send malformed or incomplete requests.
+func (rq Request) Head() string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Shard-Key: %d\r\nX-Deadline-Ms: %d\r\n",
+		rq.Path, rq.Host, rq.ID, rq.Key, rq.Deadline.Milliseconds())
+}
+
 // Send sends the request to the router at address, as IP:port, and reads the
 // response. The deadline is both a header and the limit on the exchange.
 func (rq Request) Send(ctx context.Context, client *http.Client, address string) Answer {
--- a/standin/platformer/operator.go
+++ b/standin/platformer/operator.go
@@ -48,6 +48,15 @@
 	ByCall      = "call"
 )
 
+// Limits bound what a caller may send. 0 means that a limit is not written, except that
+// MaxBodyBytes is then 1 MiB.
+type Limits struct {
+	MaxHeaderBytes int     `json:"maxHeaderBytes,omitempty"`
+	MaxBodyBytes   int     `json:"maxBodyBytes"`
+	HeaderTimeoutS float64 `json:"headerTimeoutS,omitempty"`
+	IdleTimeoutS   float64 `json:"idleTimeoutS,omitempty"`
+}
+
 // Config is a configuration as operators write it, with a single virtual host.
 type Config struct {
 	Version  int
@@ -55,6 +64,7 @@
 	Services []Service
 	Routes   []Route
 	Tenants  []Tenant
+	Limits   Limits
 }
 
 // The values of Route.Type. A request of a NonIdempotent route must not
@@ -67,13 +77,15 @@
 // ReadyPath is the path of an instance's readiness probe.
 const ReadyPath = "/cornellanding/ready"
 
-const maxBodyBytes = 1 << 20
+const defaultMaxBodyBytes = 1 << 20
 
 // Encode returns the JSON for the row config of the table op.
 func (co Config) Encode() []byte {
+	limits := co.Limits
+	limits.MaxBodyBytes = cmp.Or(limits.MaxBodyBytes, defaultMaxBodyBytes)
 	content, err := json.Marshal(map[string]any{
 		"version": co.Version, "services": co.Services, "tenants": co.Tenants,
-		"limits":       map[string]any{"maxBodyBytes": maxBodyBytes},
+		"limits":       limits,
 		"virtualHosts": []any{map[string]any{"host": co.Host, "paths": co.Routes}},
 	})
 	if err != nil {
@@ -96,6 +108,10 @@
 	AppAddress string
 	// Grants is how the backend server gets its keys, see Service.Grants.
 	Grants string
+	// MemoryMB and MaxFDs limit the instance, see limits of the settings. 0 means no
+	// limit.
+	MemoryMB int
+	MaxFDs   int
 }
 
 // The ports of every VM. Those for traffic between instances are from firstPort to
@@ -118,6 +134,10 @@
 	for _, zone := range slices.Compact(slices.Sorted(slices.Values(pl.Zones))) {
 		fmt.Fprintf(&zones, "  %s: region\n", zone)
 	}
+	limits := ""
+	if pl.MemoryMB > 0 || pl.MaxFDs > 0 {
+		limits = fmt.Sprintf("limits: {memoryMb: %d, maxFds: %d}\n", pl.MemoryMB, pl.MaxFDs)
+	}
 	return fmt.Appendf(nil, `node: %s
 ip: %s
 zone: %s
@@ -130,6 +150,6 @@
 service: %s
 grants: %s
 platform: {address: "%s"}
-`, pl.Name, pl.IP, pl.Zone, zones.String(), pl.Address(OutboundPort), pl.Address(InboundPort), pl.Address(ReadyPort), pl.Address(ControlPort),
-		firstPort, lastPort, pl.AppAddress, pl.Service, cmp.Or(pl.Grants, ByHeartbeat), pl.StoreAddress)
+%s`, pl.Name, pl.IP, pl.Zone, zones.String(), pl.Address(OutboundPort), pl.Address(InboundPort), pl.Address(ReadyPort), pl.Address(ControlPort),
+		firstPort, lastPort, pl.AppAddress, pl.Service, cmp.Or(pl.Grants, ByHeartbeat), pl.StoreAddress, limits)
 }
--- a/standin/platformer/server.go
+++ b/standin/platformer/server.go
@@ -22,6 +22,10 @@
 	// maxReplyBytes violates the protocol.
 	replyTimeout  = time.Second
 	maxReplyBytes = 4096
+	// paddingParameter of a request's query is the number of bytes that the server
+	// appends to its response, in pieces of paddingPiece bytes.
+	paddingParameter = "padding"
+	paddingPiece     = 64 << 10
 )
 
 // Hold is a range of keys that a server may serve until a time, with its fencing
@@ -359,6 +363,17 @@
 	wr.Header().Set("X-Server-Signature", bs.id+"."+id)
 	// A failed write means that the caller's connection broke.
 	_, _ = io.WriteString(wr, "ran "+id)
+	bs.pad(wr, re.URL.Query().Get(paddingParameter))
+}
+
+// pad appends as many zero bytes to a response as the parameter of the query says.
+func (bs *Server) pad(wr io.Writer, value string) {
+	piece := make([]byte, paddingPiece)
+	for left, _ := strconv.Atoi(value); left > 0; left -= len(piece) {
+		if _, err := wr.Write(piece[:min(left, len(piece))]); err != nil {
+			return
+		}
+	}
 }
 
 // beginRun records the start of a run and returns its index in runs, or false if the
