Account of what callers' connections hold

Cause: a connection's head and body took memory without a limit, and connections took descriptors without one. Crowds of requests inside the configured limits ended small processes.

Change: with limits.memoryMb or limits.maxFds in the settings, package core/reserver accounts for connections, heads (with the overhead of each line) and bodies, reserves a quarter for small requests and for responses, and drops holders that make no progress for those that need room. Package instance/accountant wraps accepted connections: it counts heads as they arrive, since net/http parses them before any handler runs, and enforces the limits of the configuration (maxHeaderBytes, headerTimeoutS, idleTimeoutS), which are read for each head. A body with a length is admitted or refused (503, noMemory, not run) before it is read; one without grows in pieces of at most 64 KiB, which go to a local backend server without being joined. Without the settings nothing is wrapped.

--- a/core/cataloguer/catalogue.go
+++ b/core/cataloguer/catalogue.go
@@ -199,6 +199,13 @@
 	// MaxBody is the maximum size of a request body in bytes, 0 for the forwarder's
 	// default.
 	MaxBody int64
+	// MaxHead is the maximum size of a request's head in bytes, HeadTimeout the time that
+	// a caller has to send it, and IdleTimeout how long a connection is kept without a
+	// request. 0 means the default. They are in force only where the settings limit the
+	// instance's memory or descriptors.
+	MaxHead     int64
+	HeadTimeout timer.Span
+	IdleTimeout timer.Span
 }
 
 // Config is the configuration of all instances at one version.
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -399,12 +399,17 @@
 	}
 	rq := &peerproto.ForwardRequest{
 		RequestId: ca.id, Route: ca.route.Name, Service: ca.service, Workspace: ca.workspace, Key: ca.key,
-		Method: ca.method, PathAndQuery: ca.target, Headers: ca.headers, Body: ca.body,
+		Method: ca.method, PathAndQuery: ca.target, Headers: ca.headers,
 		Remaining: int64(remaining), IdempotencyKey: ca.idemKey, Attempt: uint32(ca.attempts), To: to.Incarnation,
 		Idempotent: ca.idempotent, Priority: uint32(ca.priority), Crashes: ca.crashes.Load(),
 		Host: ca.host, CallerService: ca.callerService, TargetRemaining: int64(ca.targetLeft(fo.so.Now())),
 		RepeatShare: ca.repeatShare, Refused: ca.wasRefused.Load(),
 	}
+	if ca.body.Pieces() > 1 {
+		ctx = gatekeeper.WithBody(ctx, ca.body)
+	} else {
+		rq.Body = ca.body.Bytes()
+	}
 	answer, wasSent, err := fo.gates.Forward(ctx, to.Address, rq)
 	fo.learnCallRoute(ca, answer)
 	if answer.GetCode() == gatekeeper.CodeCrashed {
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/assembler"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/peerproto"
 	"github.com/hashicorp/go-hclog"
@@ -51,6 +52,7 @@
 	CodeLost              = "answerLost"
 	CodeStarting          = "starting"
 	CodeStopping          = "stopping"
+	CodeNoMemory          = "noMemory"
 )
 
 // Headers between callers and the instance, and the lengths of their values.
@@ -78,7 +80,8 @@
 // GateClient forwards requests to the admission control in front of the backend
 // servers, on this instance and on others.
 type GateClient interface {
-	// Forward sends a request to the instance at the address. It returns an error if
+	// Forward sends a request to the instance at the address. A body in several pieces
+	// is in ctx, see gatekeeper.WithBody. It returns an error if
 	// there is no authentic answer. WasSent is false only if the request is known
 	// not to have been sent.
 	Forward(ctx context.Context, address string, rq *peerproto.ForwardRequest) (answer *peerproto.ForwardResponse, wasSent bool, err error)
@@ -259,7 +262,7 @@
 	// giveUpAt is until when a request that has not run waits for a token and is
 	// retried, 0 for its deadline.
 	giveUpAt   timer.Instant
-	body       []byte
+	body       *assembler.Body
 	headers    []*peerproto.Header
 	target     string
 	idempotent bool
@@ -300,7 +303,7 @@
 	var id [requestIDBytes]byte
 	// Read of crypto/rand never fails.
 	_, _ = rand.Read(id[:])
-	return &call{id: hex.EncodeToString(id[:]), startedAt: now, crashes: &atomic.Uint32{}, arrivals: &atomic.Int32{}, wasRefused: &atomic.Bool{}}
+	return &call{id: hex.EncodeToString(id[:]), startedAt: now, body: &assembler.Body{}, crashes: &atomic.Uint32{}, arrivals: &atomic.Int32{}, wasRefused: &atomic.Bool{}}
 }
 
 // serve handles a request on a route by method and path.
@@ -347,7 +350,7 @@
 	case err != nil:
 		return &Refusal{Status: http.StatusBadRequest, Code: CodeBadRequest, Reason: "the body can't be read"}
 	}
-	ca.body = body
+	ca.body = assembler.New(body)
 	ca.target = re.URL.RequestURI()
 	ca.headers = ForwardedHeaders(re.Header, withheld)
 	if rf := ca.readKey(re); rf != nil {
--- a/instance/forwarder/request.go
+++ b/instance/forwarder/request.go
@@ -10,6 +10,7 @@
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/assembler"
 	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/peerproto"
@@ -26,7 +27,8 @@
 	Target  string
 	Method  string
 	Headers []*peerproto.Header
-	Body    []byte
+	// Body is nil for a request without a body.
+	Body *assembler.Body
 	// Authorization is the value of the Authorization header.
 	Authorization string
 	// Key is the entity key, or empty if there is none.
@@ -75,6 +77,16 @@
 	return absent
 }
 
+// CallerLimits returns the limits of callers' requests in force.
+func (fo *Forwarder) CallerLimits() cataloguer.CallerLimits { return fo.so.View().Config.Callers }
+
+// Priority returns the priority of the route for a host and path, or the most urgent one if
+// there is none.
+func (fo *Forwarder) Priority(host, path string) cataloguer.Priority {
+	rt, _ := fo.index.find(fo.so.View(), host, path)
+	return rt.Priority
+}
+
 // Do serves a request that a transport has read. It returns either an answer or a
 // refusal.
 func (fo *Forwarder) Do(ctx context.Context, rq Request) (*Answer, *Refusal) {
@@ -105,7 +117,10 @@
 		return nil, &Refusal{Status: http.StatusNotFound, Code: CodeUnknownRoute, Reason: "no route has this host and prefix"}
 	}
 	ca.setRoute(rt)
-	ca.key, ca.target, ca.host, ca.headers, ca.body = rq.Key, rq.Target, rq.Host, rq.Headers, rq.Body
+	ca.key, ca.target, ca.host, ca.headers = rq.Key, rq.Target, rq.Host, rq.Headers
+	if rq.Body != nil {
+		ca.body = rq.Body
+	}
 	ca.method, ca.callerService = rq.Method, fo.callerService
 	ca.setDeadline(rq.Timeout)
 	if rf := fo.applyContextDeadline(ctx, ca); rf != nil {
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -23,6 +23,7 @@
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/throttler"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/administrator"
 	"cornellanding.example/instance/controller"
 	"cornellanding.example/instance/forwarder"
@@ -68,15 +69,17 @@
 	si    *signer.Signer
 	pe    *peers
 	// li and inlet are nil if the rate of the VM's link is not limited.
-	li          *link
-	inlet       *link
-	me          *messenger.Messenger
-	table       tabler.Table
-	objects     storer.Objects
-	meter       *meter.Meter
-	fo          *forwarder.Forwarder
-	current     atomic.Pointer[incarnation]
-	servers     *servers
+	li      *link
+	inlet   *link
+	me      *messenger.Messenger
+	table   tabler.Table
+	objects storer.Objects
+	meter   *meter.Meter
+	fo      *forwarder.Forwarder
+	current atomic.Pointer[incarnation]
+	servers *servers
+	// ac is nil if the settings have no limits of memory and descriptors.
+	ac          *accountant.Accountant
 	isReachable func(address string) bool
 	configs     controller.ConfigSource
 	maxHold     timer.Span
@@ -139,6 +142,7 @@
 	if ro.me, err = messenger.Listen(se.PeerAddress, ro.si); err != nil {
 		return nil, err
 	}
+	ro.ac = newAccountant(ro)
 	if ro.servers, err = listen(ro); err != nil {
 		ro.me.Close()
 		return nil, err
@@ -271,6 +275,9 @@
 			return 0
 		})
 	}
+	if ro.ac != nil {
+		ro.registerAccountGauges()
+	}
 }
 
 func (ro *Router) registerLinkGauges() {
@@ -328,6 +335,9 @@
 	defer ro.close()
 	go ro.me.Receive(ro.onDatagram)
 	go ro.fo.Run(ro.killed)
+	if ro.ac != nil {
+		go ro.ac.Run(ro.killed)
+	}
 	ro.servers.start(func(err error) { ro.lo.Error("HTTP server failed", "error", err) })
 	for {
 		err := ro.runIncarnation(ctx)
--- a/instance/router/servers.go
+++ b/instance/router/servers.go
@@ -8,7 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"cornellanding.example/core/reserver"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/accountant"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 )
 
@@ -65,11 +67,11 @@
 		})
 	}
 	var err error
-	ss.caller, err = newServer(ro.se.CallerAddress, ss.track(pick(func(*incarnation) http.Handler { return ro.caller }), true), ro.li)
+	ss.caller, err = newChargedServer(ro.se.CallerAddress, ss.track(pick(func(*incarnation) http.Handler { return ro.caller }), true), ro.li, ro.ac, reserver.Caller)
 	if err != nil {
 		return nil, err
 	}
-	ss.peer, err = newServer(ro.se.PeerAddress, ss.track(pick(func(in *incarnation) http.Handler { return in.peer }), false), ro.li)
+	ss.peer, err = newChargedServer(ro.se.PeerAddress, ss.track(pick(func(in *incarnation) http.Handler { return in.peer }), false), ro.li, ro.ac, reserver.Peer)
 	if err != nil {
 		ss.close()
 		return nil, err
@@ -87,10 +89,19 @@
 // per-request time-out of kratos is disabled, since each route has its own. Large
 // responses wait for their turn on the link, unless it is nil.
 func newServer(address string, handler http.Handler, li *link) (*khttp.Server, error) {
+	return newChargedServer(address, handler, li, nil, reserver.Caller)
+}
+
+// newChargedServer returns a server whose connections of a kind are charged to the account,
+// which then also sets the time-outs. If ac is nil, there is none.
+func newChargedServer(address string, handler http.Handler, li *link, ac *accountant.Accountant, kind reserver.Kind) (*khttp.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("router: listen on %s: %w", address, err)
 	}
+	if ac != nil {
+		listener = ac.Listener(listener, kind)
+	}
 	if li != nil {
 		listener = &shapedListener{Listener: listener, li: li}
 	}
@@ -105,6 +116,9 @@
 	if li != nil {
 		server.ConnContext = withConnection
 	}
+	if ac != nil {
+		ac.Attach(server.Server)
+	}
 	return server, nil
 }
 
--- a/wire/encoder/document.go
+++ b/wire/encoder/document.go
@@ -279,14 +279,17 @@
 }
 
 type wireConfig struct {
-	Version     uint64           `json:"version"`
-	Origin      string           `json:"origin,omitempty"`
-	MaxBody     int64            `json:"maxBody,omitempty"`
-	DataCentres []wireDataCentre `json:"dataCentres"`
-	Services    []wireService    `json:"services"`
-	Workspaces  []wireWorkspace  `json:"workspaces"`
-	Routes      []wireRoute      `json:"routes"`
-	Keys        []wireKey        `json:"keys"`
+	Version       uint64           `json:"version"`
+	Origin        string           `json:"origin,omitempty"`
+	MaxBody       int64            `json:"maxBody,omitempty"`
+	MaxHead       int64            `json:"maxHead,omitempty"`
+	HeadTimeoutNs int64            `json:"headTimeoutNs,omitempty"`
+	IdleTimeoutNs int64            `json:"idleTimeoutNs,omitempty"`
+	DataCentres   []wireDataCentre `json:"dataCentres"`
+	Services      []wireService    `json:"services"`
+	Workspaces    []wireWorkspace  `json:"workspaces"`
+	Routes        []wireRoute      `json:"routes"`
+	Keys          []wireKey        `json:"keys"`
 	// Drained names backend servers and Out data centres.
 	Drained []string           `json:"drained,omitempty"`
 	Out     []string           `json:"out,omitempty"`
@@ -298,6 +301,7 @@
 func EncodeConfig(co cataloguer.Config) ([]byte, error) {
 	wc := wireConfig{
 		Version: co.Version, Origin: co.Origin, MaxBody: co.Callers.MaxBody, Drained: co.DrainedServers, Out: co.DrainedDataCentres,
+		MaxHead: co.Callers.MaxHead, HeadTimeoutNs: int64(co.Callers.HeadTimeout), IdleTimeoutNs: int64(co.Callers.IdleTimeout),
 	}
 	for _, dc := range co.Catalogue.DataCentres {
 		wc.DataCentres = append(wc.DataCentres, wireDataCentre(dc))
@@ -328,7 +332,9 @@
 		return cataloguer.Config{}, err
 	}
 	co := cataloguer.Config{
-		Version: wc.Version, Origin: wc.Origin, Callers: cataloguer.CallerLimits{MaxBody: wc.MaxBody},
+		Version: wc.Version, Origin: wc.Origin, Callers: cataloguer.CallerLimits{
+			MaxBody: wc.MaxBody, MaxHead: wc.MaxHead, HeadTimeout: timer.Span(wc.HeadTimeoutNs), IdleTimeout: timer.Span(wc.IdleTimeoutNs),
+		},
 		DrainedServers: wc.Drained, DrainedDataCentres: wc.Out,
 	}
 	for _, dc := range wc.DataCentres {
--- a/wire/encoder/encoder_test.go
+++ b/wire/encoder/encoder_test.go
@@ -47,7 +47,7 @@
 
 	yaml, err := examples.Catalogue("kadrs")
 	is.NoErr(err)
-	co := cataloguer.Config{Version: 4, DrainedServers: []string{"a"}, DrainedDataCentres: []string{"riga-1"}, WorkspaceKeys: []cataloguer.WorkspaceKey{{Digest: cataloguer.Digest{1}, Workspace: "klaps"}}}
+	co := cataloguer.Config{Version: 4, Callers: cataloguer.CallerLimits{MaxBody: 1, MaxHead: 2, HeadTimeout: 3, IdleTimeout: 4}, DrainedServers: []string{"a"}, DrainedDataCentres: []string{"riga-1"}, WorkspaceKeys: []cataloguer.WorkspaceKey{{Digest: cataloguer.Digest{1}, Workspace: "klaps"}}}
 	co.Catalogue, err = parser.ParseCatalogue("kadrs", yaml)
 	is.NoErr(err)
 	co.Changes = []cataloguer.Change{{ID: "1", Version: 4, Operator: "ana", Summary: "s", At: 1}}
