Account of requests and responses between instances

Cause: a body was copied up to seven times on its way to the owner, and responses were read without a limit on their sum. 80 complete bodies of 4 MiB made the entry hold 1.2 GB; 60 slow readers of 6 MiB made it hold 680 MB.

Change: a call of another instance is charged before its body is read, or refused as not run (noMemory) by a signed response, for which the body is verified but not kept. The signer reads bodies into one buffer of their length, doesn't copy a request that it can read twice, and drops a body once it was read. Responses wait for room while they are read from the backend server or an instance; those of unknown length take turns from 1 MiB on, since several that grow at once could wait for each other. Bodies of the project's own caller protocol are charged too.

--- a/bench/crowder/crowder_test.go
+++ b/bench/crowder/crowder_test.go
@@ -147,3 +147,30 @@
 	}
 	return wa.peaks, wa.err
 }
+
+// TestLargeResponse guards against responses that are cut or given up under the limits: one
+// from the owner behind the entry, of a length that the owner doesn't announce, and several at
+// once of clients that read.
+func TestLargeResponse(t *testing.T) {
+	is := is.New(t)
+	fl, err := crowder.Start(t.Context(), crowder.Settings{Program: build(t), Folder: t.TempDir(), MemoryMB: memoryMB, MaxFDs: maxFDs})
+	is.NoErr(err)
+	defer fl.Close()
+	var wg sync.WaitGroup
+	for _, count := range []int{1, 8} {
+		for i := range count {
+			wg.Go(func() {
+				if length, err := fl.ReadLarge(100*count + i); err != nil || length < crowder.LargeBytes {
+					t.Errorf("%d at once: %d bytes: %v", count, length, err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	usages, err := fl.Usages()
+	is.NoErr(err)
+	t.Logf("%+v", usages)
+	for _, us := range usages {
+		is.True(us.PeakBytes <= memoryMB<<20) // resident memory stays within the limit
+	}
+}
--- a/bench/crowder/crowds.go
+++ b/bench/crowder/crowds.go
@@ -275,3 +275,32 @@
 	}
 	return answer.StatusCode, answer.Body.Close()
 }
+
+// LargeBytes is the least length of the body that ReadLarge reads.
+const LargeBytes = 2 << 20
+
+// ReadLarge requests a large response of the owner of a key behind the entry, and returns how
+// long its body is.
+func (fl *Fleet) ReadLarge(index int) (int64, error) {
+	conn, err := net.DialTimeout("tcp", fl.Entry(), dialTimeout)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	path := fmt.Sprintf("%s?padding=%d", keyPath, LargeBytes)
+	if _, err := fmt.Fprintf(conn, "%sContent-Length: 0\r\n\r\n", head(index, path)); err != nil {
+		return 0, err
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("crowder: status %d", answer.StatusCode)
+	}
+	return io.Copy(io.Discard, answer.Body)
+}
--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -212,6 +212,14 @@
 	}
 }
 
+// Respond says that a response is being written. It puts a holder that runs into the phase
+// Response and leaves others as they are: an interim response precedes the body.
+func (ac *Account) Respond(id ID, now timer.Instant) {
+	if ho := ac.holders[id]; ho != nil && ho.phase == Run {
+		ac.Enter(id, Response, 0, now)
+	}
+}
+
 // Rank sets the rank of a holder's request; higher ones are dropped first.
 func (ac *Account) Rank(id ID, rank int) {
 	if ho := ac.holders[id]; ho != nil {
@@ -308,7 +316,7 @@
 // is for small holders and, since their requests have run, for responses.
 func (ac *Account) bound(ho *holder, bytes int64) int64 {
 	isSmall := ho == nil || ho.bytes+bytes <= SmallBytes
-	if isSmall || ho.phase == Run {
+	if isSmall || ho.phase == Run || ho.phase == Response {
 		return ac.capacity.Bytes
 	}
 	return ac.capacity.Bytes - ac.capacity.Bytes/reservedShare
--- a/instance/accountant/accountant.go
+++ b/instance/accountant/accountant.go
@@ -50,6 +50,8 @@
 	clock  timer.Clock
 	limits func(kind reserver.Kind) Limits
 	lo     hclog.Logger
+	// turn is taken by the one holder that may grow without a known end, see AwaitTurn.
+	turn chan struct{}
 
 	mu       sync.Mutex
 	account  *reserver.Account
@@ -60,7 +62,7 @@
 
 // New returns an accountant. Limits returns the limits in force for a kind of connection.
 func New(clock timer.Clock, capacity reserver.Capacity, limits func(kind reserver.Kind) Limits, lo hclog.Logger) *Accountant {
-	return &Accountant{clock: clock, limits: limits, lo: lo, account: reserver.New(capacity), conns: map[reserver.ID]*conn{}}
+	return &Accountant{clock: clock, limits: limits, lo: lo, turn: make(chan struct{}, 1), account: reserver.New(capacity), conns: map[reserver.ID]*conn{}}
 }
 
 // Run closes connections that must end, until ctx ends.
@@ -256,6 +258,27 @@
 	return nil
 }
 
+// AwaitTurn waits until no other request of the account grows without a known end. It returns
+// ErrNoRoom if ctx ends before. The caller must call end.
+func (ho Hold) AwaitTurn(ctx context.Context) (end func(), err error) {
+	if ho.co == nil {
+		return func() {}, nil
+	}
+	select {
+	case ho.co.ac.turn <- struct{}{}:
+		return func() { <-ho.co.ac.turn }, nil
+	case <-ctx.Done():
+		return nil, ErrNoRoom
+	}
+}
+
+// Force charges bytes whether there is room or not.
+func (ho Hold) Force(bytes int64) {
+	if ho.co != nil {
+		ho.co.ac.update(func(account *reserver.Account, _ timer.Instant) { account.Force(ho.co.id, bytes) })
+	}
+}
+
 // Give returns bytes. The rest is returned when the connection becomes idle or ends.
 func (ho Hold) Give(bytes int64) {
 	if ho.co != nil {
@@ -270,14 +293,10 @@
 	}
 }
 
-// PassOn says that the request may run from now on, so that its connection isn't closed.
-func (ho Hold) PassOn() { ho.enter(reserver.Run) }
-
-// Respond says that the response is written from now on.
-func (ho Hold) Respond() { ho.enter(reserver.Response) }
-
-func (ho Hold) enter(phase reserver.Phase) {
+// PassOn says that the request may run from now on, so that its connection isn't closed before
+// its response is written.
+func (ho Hold) PassOn() {
 	if ho.co != nil {
-		ho.co.ac.update(func(account *reserver.Account, now timer.Instant) { account.Enter(ho.co.id, phase, 0, now) })
+		ho.co.ac.update(func(account *reserver.Account, now timer.Instant) { account.Enter(ho.co.id, reserver.Run, 0, now) })
 	}
 }
--- a/instance/accountant/conn.go
+++ b/instance/accountant/conn.go
@@ -131,6 +131,7 @@
 // Write implements net.Conn. It writes in pieces, each of which counts as progress.
 func (co *conn) Write(content []byte) (int, error) {
 	written := 0
+	co.ac.update(func(account *reserver.Account, now timer.Instant) { account.Respond(co.id, now) })
 	for {
 		piece := content[written:min(len(content), written+pieceBytes)]
 		count, err := co.Conn.Write(piece)
--- a/instance/assembler/assembler.go
+++ b/instance/assembler/assembler.go
@@ -113,8 +113,12 @@
 	return io.MultiReader(readers...)
 }
 
-// Bytes returns the body as one slice, which is a copy if there are several pieces.
+// Bytes returns the body as one slice, which is a copy if there are several pieces. It is nil
+// for a nil body.
 func (bo *Body) Bytes() []byte {
+	if bo == nil {
+		return nil
+	}
 	if len(bo.pieces) == 1 {
 		return bo.pieces[0]
 	}
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -9,6 +9,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/wire/peerproto"
 )
@@ -74,6 +75,9 @@
 
 // dispatch forwards a request until it is answered or finally refused.
 func (fo *Forwarder) dispatch(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *Refusal) {
+	hold := accountant.From(ctx)
+	hold.PassOn()
+	defer hold.Give(ca.body.Len())
 	if ca.workspace == "" {
 		// Backend servers' calls carry no workspace key.
 		ca.repeatShare = fo.callerRepeats()
@@ -260,7 +264,7 @@
 	}
 	switch at.answer.GetCode() {
 	case admitter.CodeOverloaded, admitter.CodeServerLimit, admitter.CodeCallsRefused, admitter.CodeLinkFull, admitter.CodeServerMemory, admitter.CodeDeadline, admitter.CodeQuarantined, admitter.CodeDuplicate,
-		gatekeeper.CodeIdempotencyKeyReused, gatekeeper.CodeDeduperFull, gatekeeper.CodeBadTarget:
+		gatekeeper.CodeIdempotencyKeyReused, gatekeeper.CodeDeduperFull, gatekeeper.CodeBadTarget, gatekeeper.CodeNoMemory:
 		return true
 	case gatekeeper.CodeLost, gatekeeper.CodeCrashed:
 		return !ca.idempotent
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -20,7 +20,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -29,7 +28,9 @@
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/assembler"
+	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/peerproto"
 	"github.com/hashicorp/go-hclog"
@@ -52,7 +53,7 @@
 	CodeLost              = "answerLost"
 	CodeStarting          = "starting"
 	CodeStopping          = "stopping"
-	CodeNoMemory          = "noMemory"
+	CodeNoMemory          = gatekeeper.CodeNoMemory
 )
 
 // Headers between callers and the instance, and the lengths of their values.
@@ -314,7 +315,8 @@
 		fo.refuse(wr, ca, *rf)
 		return
 	}
-	if rf := fo.read(ca, re); rf != nil {
+	accountant.From(re.Context()).Rank(int(ca.priority))
+	if rf := fo.read(wr, ca, re); rf != nil {
 		fo.refuse(wr, ca, *rf)
 		return
 	}
@@ -341,16 +343,15 @@
 }
 
 // read reads the body, key, deadline and headers of the request.
-func (fo *Forwarder) read(ca *call, re *http.Request) *Refusal {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, re.Body, MaxRequest))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &Refusal{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Reason: "the body is larger than 1 MiB"}
-	case err != nil:
-		return &Refusal{Status: http.StatusBadRequest, Code: CodeBadRequest, Reason: "the body can't be read"}
+func (fo *Forwarder) read(wr http.ResponseWriter, ca *call, re *http.Request) *Refusal {
+	body, rf := ReadBody(wr, re, MaxRequest)
+	if rf != nil {
+		if rf.Code == CodeTooLarge {
+			rf.Reason = "the body is larger than 1 MiB"
+		}
+		return rf
 	}
-	ca.body = assembler.New(body)
+	ca.body = body
 	ca.target = re.URL.RequestURI()
 	ca.headers = ForwardedHeaders(re.Header, withheld)
 	if rf := ca.readKey(re); rf != nil {
--- a/instance/forwarder/request.go
+++ b/instance/forwarder/request.go
@@ -77,9 +77,6 @@
 	return absent
 }
 
-// CallerLimits returns the limits of callers' requests in force.
-func (fo *Forwarder) CallerLimits() cataloguer.CallerLimits { return fo.so.View().Config.Callers }
-
 // Priority returns the priority of the route for a host and path, or the most urgent one if
 // there is none.
 func (fo *Forwarder) Priority(host, path string) cataloguer.Priority {
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -209,7 +209,7 @@
 // isFullVM reports whether an attempt was refused for a limit of that VM alone, while its
 // server may have slots.
 func isFullVM(at attempt) bool {
-	return at.answer.GetCode() == admitter.CodeLinkFull || at.answer.GetCode() == admitter.CodeServerMemory
+	return at.answer.GetCode() == admitter.CodeLinkFull || at.answer.GetCode() == admitter.CodeServerMemory || at.answer.GetCode() == gatekeeper.CodeNoMemory
 }
 
 // isAnyUntried reports whether a member that may get requests has not been tried yet.
--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/assembler"
 	"cornellanding.example/wire/peerproto"
 )
@@ -296,7 +297,7 @@
 	if verdict != VerdictNotOwner { // such an answer may come from the server's successor
 		bs.observe(bs.codec.Condition(answer), ex.ServerID, sentAt)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, answer.Body, MaxAnswer))
+	body, err := readAnswer(ctx, answer)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -322,6 +323,74 @@
 	return fr, resultAnswered
 }
 
+// answerCopies is how often the body of an answer to another instance is held at once: as
+// read, encoded, and as kept for its tag.
+const answerCopies = 3
+
+// readAnswer reads the body of an answer. It waits until the account of the connection on
+// which the request arrived has room for it.
+func readAnswer(ctx context.Context, answer *http.Response) ([]byte, error) {
+	limited := http.MaxBytesReader(nil, answer.Body, MaxAnswer)
+	hold := accountant.From(ctx)
+	if !hold.IsLimited() {
+		return io.ReadAll(limited)
+	}
+	copies, length := int64(1), answer.ContentLength
+	if hold.IsPeer() {
+		copies = answerCopies
+	}
+	switch {
+	case answer.Body == http.NoBody:
+		return nil, nil
+	case length > MaxAnswer:
+		return nil, &http.MaxBytesError{Limit: MaxAnswer}
+	}
+	gr := &growth{hold: hold, copies: copies, isKnown: length >= 0}
+	defer gr.end()
+	body, err := assembler.Read(limited, length, func(bytes int64) bool { return gr.take(ctx, bytes) })
+	if err != nil || body.Pieces() <= 1 {
+		return body.Bytes(), err
+	}
+	if err := hold.Await(ctx, body.Len()); err != nil {
+		return nil, err
+	}
+	defer hold.Give(body.Len())
+	return body.Bytes(), nil
+}
+
+// largeAnswer is the size in bytes from which answers of unknown length are read one at a time.
+// Several that grow at once could each hold a part and wait for the rest until their deadlines.
+const largeAnswer = 1 << 20
+
+// growth charges an answer while it is read.
+type growth struct {
+	hold    accountant.Hold
+	copies  int64
+	isKnown bool
+	bytes   int64
+	// endTurn is nil until the answer is large.
+	endTurn func()
+}
+
+// take charges a further piece as soon as there is room. It returns false if ctx ends before.
+func (gr *growth) take(ctx context.Context, bytes int64) bool {
+	gr.bytes += bytes
+	if !gr.isKnown && gr.bytes > largeAnswer && gr.endTurn == nil {
+		endTurn, err := gr.hold.AwaitTurn(ctx)
+		if err != nil {
+			return false
+		}
+		gr.endTurn = endTurn
+	}
+	return gr.hold.Await(ctx, bytes*gr.copies) == nil
+}
+
+func (gr *growth) end() {
+	if gr.endTurn != nil {
+		gr.endTurn()
+	}
+}
+
 // isHopByHop reports whether a header applies to a single connection, RFC 9110
 // section 7.6.1.
 func isHopByHop(name string) bool {
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -53,6 +53,8 @@
 	CodeCrashed              = "backendServerCrashed"
 	CodeServerUnknown        = "backendServerUnknown"
 	CodeBadTarget            = "badTarget"
+	// CodeNoMemory means that an instance had no memory left for the request.
+	CodeNoMemory = "noMemory"
 	// CodeKeyRejected means that the backend server received the request and rejected
 	// it, because it does not hold the key or has been restarted.
 	CodeKeyRejected = "backendServerRejectedKey"
--- a/instance/router/account.go
+++ b/instance/router/account.go
@@ -14,7 +14,7 @@
 	// Of the instance's memory, heldPercent is for what lives, heapPercent bounds the heap
 	// with its garbage, and the rest is for the program's text and the collector's lag.
 	heldPercent = 60
-	heapPercent = 75
+	heapPercent = 70
 	// baseBytes is what an instance without clients holds on its heap and stacks.
 	baseBytes = 16 << 20
 	// minHeldShare is the divisor of the memory that clients may hold in any case.
--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cornellanding.example/core/shaper"
+	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/wire/peerproto"
 	"cornellanding.example/wire/signer"
@@ -71,18 +72,26 @@
 // calls have connections of their own then, which are not shaped. If li is nil, nothing
 // is shaped and all calls share their connections.
 func newPeers(si *signer.Signer, isReachable func(address string) bool, li *link) *peers {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	control := newPeerClients(si, isReachable, dialer.DialContext)
+	return newLimitedPeers(si, isReachable, li, 0)
+}
+
+// newLimitedPeers returns a client that has at most so many connections for requests, 0 for no
+// limit.
+func newLimitedPeers(si *signer.Signer, isReachable func(address string) bool, li *link, connections int) *peers {
+	dialer := &limitedDialer{dialer: net.Dialer{Timeout: peerDialTimeout}, limit: int64(connections)}
+	control := newPeerClients(si, isReachable, dialer.dial)
+	control.transport.MaxIdleConns = connections
 	if li == nil {
 		return &peers{si: si, bodyMin: wholeBodyMax, requests: control, control: control}
 	}
 	requests := newPeerClients(si, isReachable, func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dialer.dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		return newConnection(conn, li, requestPriority), nil
 	})
+	requests.transport.MaxIdleConns = connections
 	return &peers{si: si, li: li, bodyMin: shaper.Bulk, requests: requests, control: control}
 }
 
@@ -95,7 +104,7 @@
 		DialContext:            dial, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: peerIdle,
 		DisableCompression: true, ExpectContinueTimeout: maxContinueWait,
 	}
-	base := &reachTransport{base: transport, isReachable: isReachable}
+	base := &chargingTransport{base: &reachTransport{base: transport, isReachable: isReachable}}
 	return &peerClients{
 		transport: transport, base: base, client: &http.Client{Transport: si.Transport(base)},
 		clients: map[string]peerproto.Peer{},
@@ -147,12 +156,24 @@
 // large body.
 func (pe *peers) Forward(ctx context.Context, address string, re *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
 	body := gatekeeper.Body(ctx, re)
+	ch := &charge{hold: accountant.From(ctx)}
+	defer ch.giveAll()
+	ctx = context.WithValue(ctx, chargeKey{}, ch)
 	if body.Len() >= pe.bodyMin {
-		return pe.forwardInSteps(ctx, address, re, body)
+		answer, wasSent, err := pe.forwardInSteps(ctx, address, re, body)
+		ch.keep(int64(len(answer.GetBody())))
+		return answer, wasSent, err
+	}
+	if !ch.take(requestBytes(body)) {
+		return refuseNoMemory(re), false, nil
 	}
 	re.Body = body.Bytes()
 	var wasSent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wasSent.Store(true) }}
 	answer, err := pe.requests.at(address).Forward(httptrace.WithClientTrace(ctx, trace), re)
+	if isNoMemory(err) {
+		return refuseNoMemory(re), true, nil
+	}
+	ch.keep(int64(len(answer.GetBody())))
 	return answer, wasSent.Load(), err
 }
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -138,7 +138,7 @@
 	if ro.inlet, err = newInlet(se.Limits.LinkRate, ro.clock); err != nil {
 		return nil, err
 	}
-	ro.pe = newPeers(ro.si, ro.isReachable, ro.li)
+	ro.pe = newLimitedPeers(ro.si, ro.isReachable, ro.li, capacity(se.Limits).PeerConnections)
 	if ro.me, err = messenger.Listen(se.PeerAddress, ro.si); err != nil {
 		return nil, err
 	}
--- a/instance/router/transfer.go
+++ b/instance/router/transfer.go
@@ -13,6 +13,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/shaper"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/assembler"
 	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/wire/peerproto"
@@ -138,7 +139,7 @@
 
 // peerHandler returns the handler of other instances' calls.
 func (ro *Router) peerHandler(in *incarnation) http.Handler {
-	calls := ro.si.Handler(peerproto.NewPeerServer(&peerServer{in: in}), ro.meter.PeerCallRejected)
+	calls := ro.callHandler(in)
 	bodies := &bodyServer{ga: in.ga, si: ro.si, inlet: ro.inlet, clock: ro.clock, rejected: ro.meter.PeerCallRejected}
 	return http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
 		if re.URL.Path == bodyPath {
@@ -190,6 +191,10 @@
 	}
 	ctx, cancel := context.WithTimeout(re.Context(), time.Duration(rq.GetRemaining()))
 	defer cancel()
+	hold := accountant.From(re.Context())
+	if !hold.Take(head.Length) {
+		return bs.ga.RefuseBody(rq, gatekeeper.CodeNoMemory, "no memory is left for the body", noMemoryRetryAfter, startedAt)
+	}
 	tr := &transfer{bs: bs, re: re, rc: http.NewResponseController(wr), head: head, rq: rq}
 	if rf := tr.receive(ctx, startedAt); rf != nil {
 		return bs.ga.RefuseBody(rq, rf.code, rf.reason, rf.retryAfter, startedAt)
@@ -199,6 +204,7 @@
 	if rq.GetTargetRemaining() != 0 {
 		rq.TargetRemaining -= took
 	}
+	hold.PassOn()
 	return bs.ga.Forward(gatekeeper.WithBody(re.Context(), &tr.body), rq)
 }
 
--- a/wire/signer/signer.go
+++ b/wire/signer/signer.go
@@ -19,9 +19,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash"
@@ -68,17 +70,23 @@
 	mac := si.macs.Get().(hash.Hash)
 	defer si.macs.Put(mac)
 	mac.Reset()
-	var length [8]byte
 	for _, part := range parts {
-		for i := range length {
-			length[i] = byte(len(part) >> (8 * i))
-		}
-		mac.Write(length[:])
-		mac.Write(part)
+		writePart(mac, part)
 	}
 	return mac.Sum(nil)
 }
 
+func writePart(mac hash.Hash, part []byte) {
+	writeLength(mac, int64(len(part)))
+	mac.Write(part)
+}
+
+func writeLength(mac hash.Hash, length int64) {
+	var encoded [8]byte
+	binary.LittleEndian.PutUint64(encoded[:], uint64(length))
+	mac.Write(encoded[:])
+}
+
 // Seal appends a tag to a datagram, in place if its capacity allows. The payload is not
 // encrypted.
 func (si *Signer) Seal(packet []byte) []byte {
@@ -107,16 +115,22 @@
 	base http.RoundTripper
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. It doesn't copy a body that can be read twice.
 func (tr *transport) RoundTrip(re *http.Request) (*http.Response, error) {
-	body, err := readAll(re.Body)
+	signed := re.Clone(re.Context())
+	tag, isRead, err := tr.signTwice(re)
 	if err != nil {
 		return nil, err
 	}
-	signed := re.Clone(re.Context())
-	signed.Body = io.NopCloser(bytes.NewReader(body))
-	signed.ContentLength = int64(len(body))
-	tag := tr.si.sum([]byte(requestLabel), []byte(re.URL.Path), body)
+	if !isRead {
+		body, err := readAll(re.Body, re.ContentLength)
+		if err != nil {
+			return nil, err
+		}
+		signed.Body = io.NopCloser(bytes.NewReader(body))
+		signed.ContentLength = int64(len(body))
+		tag = tr.si.sum([]byte(requestLabel), []byte(re.URL.Path), body)
+	}
 	signed.Header.Set(tagHeader, base64.RawStdEncoding.EncodeToString(tag))
 	answer, err := tr.base.RoundTrip(signed)
 	if err != nil {
@@ -125,8 +139,36 @@
 	return tr.si.verify(answer, tag)
 }
 
+// signTwice returns the tag of a request whose body can be read a second time, or false.
+func (tr *transport) signTwice(re *http.Request) (tag []byte, isRead bool, err error) {
+	if re.GetBody == nil || re.ContentLength <= 0 || re.ContentLength > MaxBody {
+		return nil, false, nil
+	}
+	body, err := re.GetBody()
+	if err != nil {
+		return nil, false, fmt.Errorf("signer: read body: %w", err)
+	}
+	defer body.Close()
+	tag, err = tr.si.sumRequest(re.URL.Path, body, re.ContentLength)
+	return tag, true, err
+}
+
+// sumRequest returns the tag of a request with a body of a length, which it reads.
+func (si *Signer) sumRequest(path string, body io.Reader, length int64) ([]byte, error) {
+	mac := si.macs.Get().(hash.Hash)
+	defer si.macs.Put(mac)
+	mac.Reset()
+	writePart(mac, []byte(requestLabel))
+	writePart(mac, []byte(path))
+	writeLength(mac, length)
+	if count, err := io.Copy(mac, body); err != nil || count != length {
+		return nil, fmt.Errorf("signer: body of %d bytes, %d read: %w", length, count, cmp.Or(err, io.ErrUnexpectedEOF))
+	}
+	return mac.Sum(nil), nil
+}
+
 func (si *Signer) verify(answer *http.Response, requestTag []byte) (*http.Response, error) {
-	body, err := readAll(answer.Body)
+	body, err := readAll(answer.Body, answer.ContentLength)
 	if err != nil {
 		return nil, err
 	}
@@ -135,7 +177,7 @@
 	if err != nil || !hmac.Equal(got, want) {
 		return nil, ErrInvalidTag
 	}
-	answer.Body = io.NopCloser(bytes.NewReader(body))
+	answer.Body = &onceReader{content: body}
 	return answer, nil
 }
 
@@ -143,28 +185,72 @@
 	return si.sum([]byte(answerLabel), requestTag, strconv.AppendInt(nil, int64(status), 10), body)
 }
 
-// readAll reads and closes a body of at most MaxBody bytes, which may be nil.
-func readAll(body io.ReadCloser) ([]byte, error) {
+// readAll reads and closes a body of at most MaxBody bytes, which may be nil. The length is
+// that of the head, -1 if there is none.
+func readAll(body io.ReadCloser, length int64) ([]byte, error) {
 	if body == nil {
 		return nil, nil
 	}
 	defer body.Close()
-	content, err := io.ReadAll(io.LimitReader(body, MaxBody+1))
-	if err != nil {
+	if length > MaxBody {
+		return nil, fmt.Errorf("signer: body is larger than %d bytes", MaxBody)
+	}
+	// ReadFrom needs MinRead free bytes to see the end.
+	buffer := bytes.NewBuffer(make([]byte, 0, max(0, length)+bytes.MinRead))
+	if _, err := buffer.ReadFrom(io.LimitReader(body, MaxBody+1)); err != nil {
 		return nil, fmt.Errorf("signer: read body: %w", err)
 	}
-	if len(content) > MaxBody {
+	if buffer.Len() > MaxBody {
 		return nil, fmt.Errorf("signer: body is larger than %d bytes", MaxBody)
 	}
-	return content, nil
+	return buffer.Bytes(), nil
+}
+
+// onceReader reads content once and drops it at its end.
+type onceReader struct {
+	content []byte
+}
+
+// Read implements io.Reader.
+func (or *onceReader) Read(into []byte) (int, error) {
+	if len(or.content) == 0 {
+		or.content = nil
+		return 0, io.EOF
+	}
+	count := copy(into, or.content)
+	or.content = or.content[count:]
+	return count, nil
+}
+
+// Close implements io.Closer.
+func (or *onceReader) Close() error {
+	or.content = nil
+	return nil
 }
 
 // Handler returns a handler that passes requests with a valid tag to next and signs the
 // responses. It calls rejected for every other request and answers it with status 403, or
 // with 400 if the body cannot be read or is larger than MaxBody.
 func (si *Signer) Handler(next http.Handler, rejected func()) http.Handler {
+	return si.LimitedHandler(next, rejected, nil, func(*http.Request) bool { return true })
+}
+
+// LimitedHandler returns a handler like Handler that asks admit for each request before it
+// reads the body. If admit returns false, the body is verified without being kept, and refuse
+// serves the request in place of next, without its body. A nil refuse means that every request
+// is admitted.
+func (si *Signer) LimitedHandler(next http.Handler, rejected func(), refuse http.Handler, admit func(re *http.Request) bool) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
-		body, err := readAll(re.Body)
+		if !admit(re) {
+			si.refuse(wr, re, refuse, rejected)
+			return
+		}
+		length := re.ContentLength
+		if refuse == nil {
+			// Without an account, memory is allocated only for bytes that have arrived.
+			length = -1
+		}
+		body, err := readAll(re.Body, length)
 		if err != nil {
 			rejected()
 			http.Error(wr, "unreadable body", http.StatusBadRequest)
@@ -177,7 +263,7 @@
 			http.Error(wr, "peers only", http.StatusForbidden)
 			return
 		}
-		re.Body = io.NopCloser(bytes.NewReader(body))
+		re.Body = &onceReader{content: body}
 		re.ContentLength = int64(len(body))
 		bu := &bufferedResponse{header: wr.Header(), status: http.StatusOK}
 		next.ServeHTTP(bu, re)
@@ -185,6 +271,22 @@
 	})
 }
 
+// refuse serves an authentic request by the refuse handler. The body is read to its end, since
+// a client may not read a response before it has sent all of it.
+func (si *Signer) refuse(wr http.ResponseWriter, re *http.Request, refuse http.Handler, rejected func()) {
+	tag, err := si.sumRequest(re.URL.Path, io.LimitReader(re.Body, MaxBody+1), re.ContentLength)
+	got, decodeErr := base64.RawStdEncoding.DecodeString(re.Header.Get(tagHeader))
+	if err != nil || decodeErr != nil || !hmac.Equal(got, tag) {
+		rejected()
+		http.Error(wr, "peers only", http.StatusForbidden)
+		return
+	}
+	bu := &bufferedResponse{header: wr.Header(), status: http.StatusOK}
+	re.Body, re.ContentLength = http.NoBody, 0
+	refuse.ServeHTTP(bu, re)
+	si.writeSigned(wr, bu, tag)
+}
+
 func (si *Signer) writeSigned(wr http.ResponseWriter, bu *bufferedResponse, tag []byte) {
 	answer := si.answerTag(tag, bu.status, bu.body.Bytes())
 	wr.Header().Set(tagHeader, base64.RawStdEncoding.EncodeToString(answer))
