Limit of memory follows what is measured; client-chosen text is bounded

Cause: the account left out what lives beside requests, such as remembered requests and log lines. Identities of refused requests stayed in the deduper's order for ten minutes, request IDs of any length were remembered, and queued log lines were bounded in number only. A late copy of a request could return bytes that the next request on its connection held.

Change: after each collection of garbage, what lives beyond what is charged is taken from the limit (core/reserver.Measurer). The deduper drops forgotten identities, IDs above 160 bytes are remembered by their digest, and the queue of the log holds 4 MiB at most. A hold belongs to one request. Finding room looks at all connections once and sorts only if that helps.

--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -136,6 +136,31 @@
 	is.Equal(ok, false) // full: new identities are refused, none is forgotten early
 }
 
+// TestForgottenIdentitiesAreDropped guards against refused requests that hold memory for ten
+// minutes, and against the loss of those that are remembered.
+func TestForgottenIdentitiesAreDropped(t *testing.T) {
+	is := is.New(t)
+	dd := NewDeduper()
+	for i := range 20_000 {
+		id := Identity{ID: fmt.Sprint(i)}
+		_, _, ok := dd.Begin(id, 1, 0)
+		is.True(ok)
+		if i%1000 != 0 {
+			dd.Forget(id)
+			continue
+		}
+		dd.Finish(id, Answer{Status: 200})
+	}
+	is.True(len(dd.order) < 2*forgottenSlack)
+	for i := range 20 {
+		state, _, _ := dd.Begin(Identity{ID: fmt.Sprint(1000 * i)}, 1, 1)
+		is.Equal(state, Answered)
+	}
+	state, _, _ := dd.Begin(Identity{ID: "0"}, 1, timer.Instant(dedupeTerm))
+	is.Equal(state, FirstCopy)
+	is.Equal(len(dd.entries), 1)
+}
+
 func TestQuarantine(t *testing.T) {
 	is := is.New(t)
 	qu := NewQuarantine()
--- a/core/admitter/deduper.go
+++ b/core/admitter/deduper.go
@@ -1,6 +1,10 @@
 package admitter
 
-import "cornellanding.example/core/timer"
+import (
+	"slices"
+
+	"cornellanding.example/core/timer"
+)
 
 // Answer is the complete answer to a request, as kept for its duplicates.
 type Answer struct {
@@ -44,6 +48,9 @@
 	// dedupeTerm is how long an identity is remembered after it is registered, or
 	// longer while its request runs.
 	dedupeTerm = 600 * timer.Second
+	// forgottenSlack is how many forgotten identities are kept in the order beyond as many
+	// as are remembered. Without a bound, refused requests would hold memory for ten minutes.
+	forgottenSlack = 1024
 	// maxDedupeEntries bounds the identities remembered.
 	maxDedupeEntries = 65_536
 	// maxDedupeBody and maxDedupeBytes bound the body of a kept answer, and all such
@@ -115,7 +122,27 @@
 }
 
 // Forget removes an identity whose request is known not to have run.
-func (dd *Deduper) Forget(id Identity) { delete(dd.entries, id) }
+func (dd *Deduper) Forget(id Identity) {
+	delete(dd.entries, id)
+	if len(dd.order) > 2*len(dd.entries)+forgottenSlack {
+		dd.compact()
+	}
+}
+
+// compact removes the identities that were forgotten from the order. Of one that was registered
+// again, the latest place stays.
+func (dd *Deduper) compact() {
+	seen := make(map[Identity]bool, len(dd.entries))
+	kept := make([]Identity, 0, len(dd.entries))
+	for _, id := range slices.Backward(dd.order) {
+		if dd.entries[id] != nil && !seen[id] {
+			seen[id] = true
+			kept = append(kept, id)
+		}
+	}
+	slices.Reverse(kept)
+	dd.order = kept
+}
 
 // expire forgets identities in the order of their arrival. It stops at the first
 // that is recent or still running.
--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -137,6 +137,9 @@
 	return &Account{capacity: capacity, holders: map[ID]*holder{}}
 }
 
+// SetBytes replaces the limit of bytes. What is held beyond it stays.
+func (ac *Account) SetBytes(bytes int64) { ac.capacity.Bytes = bytes }
+
 // Held returns the bytes held and the number of connections.
 func (ac *Account) Held() (bytes int64, connections int) { return ac.held, len(ac.holders) }
 
@@ -150,7 +153,7 @@
 			ac.Refused++
 			return 0, nil, false
 		}
-		dropped = append(dropped, ac.drop(victims[0]))
+		dropped = append(dropped, ac.drop(slices.MinFunc(victims, compareUse)))
 	}
 	more, ok := ac.makeRoom(nil, ConnectionBytes, now)
 	dropped = append(dropped, more...)
@@ -298,15 +301,20 @@
 	victims := ac.victims(func(other *holder) bool {
 		return other != ho && (other.kind != Peer || other.phase != Idle)
 	}, now)
-	count := 0
-	for ; count < len(victims) && missing > 0; count++ {
-		missing -= victims[count].bytes
+	available := int64(0)
+	for _, victim := range victims {
+		available += victim.bytes
 	}
-	if missing > 0 {
+	if available < missing {
 		ac.Refused++
 		return nil, false
 	}
-	for _, victim := range victims[:count] {
+	slices.SortFunc(victims, compareUse)
+	for _, victim := range victims {
+		if missing <= 0 {
+			break
+		}
+		missing -= victim.bytes
 		dropped = append(dropped, ac.drop(victim))
 	}
 	return dropped, true
@@ -322,21 +330,23 @@
 	return ac.capacity.Bytes - ac.capacity.Bytes/reservedShare
 }
 
-// victims returns the eligible holders that may be dropped for another, the least useful
-// first: longest without progress, then largest, then of the lowest rank.
+// victims returns the eligible holders that may be dropped for another, in no order.
 func (ac *Account) victims(isEligible func(*holder) bool, now timer.Instant) []*holder {
 	var victims []*holder
 	for _, ho := range ac.holders {
-		if ho.phase != Run && isEligible(ho) && now.Sub(ho.progressAt) >= stallSpan {
+		if ho.phase != Run && now.Sub(ho.progressAt) >= stallSpan && isEligible(ho) {
 			victims = append(victims, ho)
 		}
 	}
-	slices.SortFunc(victims, func(le, ri *holder) int {
-		return cmp.Or(cmp.Compare(le.progressAt, ri.progressAt), cmp.Compare(ri.bytes, le.bytes), cmp.Compare(ri.rank, le.rank), cmp.Compare(le.id, ri.id))
-	})
 	return victims
 }
 
+// compareUse orders holders by their use, the least useful first: longest without progress,
+// then largest, then of the lowest rank.
+func compareUse(le, ri *holder) int {
+	return cmp.Or(cmp.Compare(le.progressAt, ri.progressAt), cmp.Compare(ri.bytes, le.bytes), cmp.Compare(ri.rank, le.rank), cmp.Compare(le.id, ri.id))
+}
+
 func (ac *Account) drop(ho *holder) ID {
 	ac.Dropped++
 	ac.Close(ho.id)
--- a/core/reserver/reserver_test.go
+++ b/core/reserver/reserver_test.go
@@ -128,3 +128,20 @@
 	held, _ = ac.Held()
 	is.Equal(held, int64(0))
 }
+
+// TestMeasurer guards against a limit that ignores memory held elsewhere, or that counts
+// requests which have just ended as such.
+func TestMeasurer(t *testing.T) {
+	is := is.New(t)
+	me := NewMeasurer(100*mib, 16*mib, 12*mib)
+	is.Equal(me.Bytes(), int64(84*mib))
+	_, ok := me.Sample(0, 10*mib, 64*mib)
+	is.True(!ok)
+	bytes, ok := me.Sample(1, 80*mib, 0) // of which 64 MiB were held until now
+	is.True(ok)
+	is.Equal(bytes, int64(84*mib))
+	bytes, _ = me.Sample(2, 40*mib, 0)
+	is.Equal(bytes, int64(60*mib))
+	bytes, _ = me.Sample(3, 200*mib, 0)
+	is.Equal(bytes, int64(12*mib))
+}
--- a/instance/accountant/accountant.go
+++ b/instance/accountant/accountant.go
@@ -29,8 +29,8 @@
 const (
 	// sweepInterval is how often connections that must end are looked for.
 	sweepInterval = 250 * time.Millisecond
-	// pollInterval is how often Await tries again.
-	pollInterval = 5 * time.Millisecond
+	// pollInterval is how often Await tries again. Each try looks at all connections.
+	pollInterval = 20 * time.Millisecond
 	// logInterval is the least time between two lines about dropped connections.
 	logInterval = 5 * timer.Second
 )
@@ -52,6 +52,8 @@
 	lo     hclog.Logger
 	// turn is taken by the one holder that may grow without a known end, see AwaitTurn.
 	turn chan struct{}
+	// measurement is nil if the limit of bytes is fixed.
+	measurement *measurement
 
 	mu       sync.Mutex
 	account  *reserver.Account
@@ -69,6 +71,9 @@
 func (ac *Accountant) Run(ctx context.Context) {
 	for timer.Sleep(ctx, sweepInterval) {
 		ac.mu.Lock()
+		if ac.measurement != nil {
+			ac.measurement.apply(ac.account)
+		}
 		closing := ac.remove(ac.account.Expire(ac.clock.Now()))
 		ac.logDropped()
 		ac.mu.Unlock()
@@ -208,11 +213,13 @@
 	server.Handler = ac.handler(server.Handler)
 }
 
-// handler charges heads that arrived together with an earlier request, which the connection
-// did not see as heads.
+// handler gives each request a hold of its own, and charges heads that arrived together with
+// an earlier request, which the connection did not see as heads.
 func (ac *Accountant) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
-		if !From(re.Context()).begin(re.Header) {
+		hold := From(re.Context()).begin()
+		re = re.WithContext(context.WithValue(re.Context(), holdKey{}, hold))
+		if !hold.chargeHead(re.Header) {
 			wr.Header().Set("Connection", "close")
 			wr.Header().Set("Retry-After", "1")
 			http.Error(wr, "no memory is left for the request's head", http.StatusServiceUnavailable)
@@ -225,10 +232,12 @@
 // ErrNoRoom says that the account had no room in time.
 var ErrNoRoom = errors.New("accountant: no memory is left")
 
-// Hold is what the connection of a request holds. The zero value belongs to no account and
-// may hold anything.
+// Hold is what a request holds. The zero value belongs to no account and may hold anything.
+// Once the connection is idle, a hold of an earlier request charges and returns nothing.
 type Hold struct {
 	co *conn
+	// request is the number of the request on its connection.
+	request uint64
 }
 
 // From returns the hold of the connection on which a request arrived.
@@ -245,7 +254,32 @@
 
 // Take charges bytes, or returns false.
 func (ho Hold) Take(bytes int64) bool {
-	return ho.co == nil || ho.co.ac.take(ho.co.id, bytes)
+	if ho.co == nil {
+		return true
+	}
+	ac := ho.co.ac
+	ac.mu.Lock()
+	if ho.co.request != ho.request {
+		ac.mu.Unlock()
+		return false
+	}
+	dropped, ok := ac.account.Take(ho.co.id, bytes, ac.clock.Now())
+	closing := ac.remove(dropped)
+	ac.mu.Unlock()
+	closeAll(closing)
+	return ok
+}
+
+// update changes the account if the hold is that of the current request.
+func (ho Hold) update(change func(account *reserver.Account, id reserver.ID, now timer.Instant)) {
+	if ho.co == nil {
+		return
+	}
+	ho.co.ac.update(func(account *reserver.Account, now timer.Instant) {
+		if ho.co.request == ho.request {
+			change(account, ho.co.id, now)
+		}
+	})
 }
 
 // Await charges bytes as soon as there is room. It returns ErrNoRoom if ctx ends before.
@@ -274,29 +308,23 @@
 
 // Force charges bytes whether there is room or not.
 func (ho Hold) Force(bytes int64) {
-	if ho.co != nil {
-		ho.co.ac.update(func(account *reserver.Account, _ timer.Instant) { account.Force(ho.co.id, bytes) })
-	}
+	ho.update(func(account *reserver.Account, id reserver.ID, _ timer.Instant) { account.Force(id, bytes) })
 }
 
 // Give returns bytes. The rest is returned when the connection becomes idle or ends.
 func (ho Hold) Give(bytes int64) {
-	if ho.co != nil {
-		ho.co.ac.update(func(account *reserver.Account, _ timer.Instant) { account.Give(ho.co.id, bytes) })
-	}
+	ho.update(func(account *reserver.Account, id reserver.ID, _ timer.Instant) { account.Give(id, bytes) })
 }
 
 // Rank sets the rank of the request; connections of higher ones are closed first.
 func (ho Hold) Rank(rank int) {
-	if ho.co != nil {
-		ho.co.ac.update(func(account *reserver.Account, _ timer.Instant) { account.Rank(ho.co.id, rank) })
-	}
+	ho.update(func(account *reserver.Account, id reserver.ID, _ timer.Instant) { account.Rank(id, rank) })
 }
 
 // PassOn says that the request may run from now on, so that its connection isn't closed before
 // its response is written.
 func (ho Hold) PassOn() {
-	if ho.co != nil {
-		ho.co.ac.update(func(account *reserver.Account, now timer.Instant) { account.Enter(ho.co.id, reserver.Run, 0, now) })
-	}
+	ho.update(func(account *reserver.Account, id reserver.ID, now timer.Instant) {
+		account.Enter(id, reserver.Run, 0, now)
+	})
 }
--- a/instance/accountant/accountant_test.go
+++ b/instance/accountant/accountant_test.go
@@ -154,3 +154,21 @@
 	defer cancel()
 	is.NoErr(hold.Await(ctx, 700000)) // once the first has made no progress for a while
 }
+
+// TestLateHold guards against the end of an earlier request's copy that returns what the next
+// request on the connection holds.
+func TestLateHold(t *testing.T) {
+	is := is.New(t)
+	ac := New(timer.BootClock{}, reserver.Capacity{Bytes: 1 << 20}, func(reserver.Kind) Limits { return Limits{} }, hclog.NewNullLogger())
+	inner, _ := net.Pipe()
+	co := ac.open(inner, reserver.Caller)
+	first := Hold{co: co}.begin()
+	is.True(first.Take(1000))
+	co.enter(http.StateIdle)
+	second := Hold{co: co}.begin()
+	is.True(second.Take(2000))
+	first.Give(1000)
+	is.True(!first.Take(1000))
+	held, _ := ac.Held()
+	is.Equal(held, int64(reserver.ConnectionBytes+2000))
+}
--- a/instance/accountant/conn.go
+++ b/instance/accountant/conn.go
@@ -44,6 +44,8 @@
 	ac   *Accountant
 	id   reserver.ID
 	kind reserver.Kind
+	// request is the number of the current request. The lock of ac guards it.
+	request uint64
 
 	mu sync.Mutex
 	// isHeadOver is false while the bytes that arrive belong to a head, and isIdle is
@@ -188,19 +190,31 @@
 		co.headBytes, co.lines, co.lineLength, co.charged = 0, 0, 0, 0
 		limits := co.ac.limits(co.kind)
 		co.ac.update(func(account *reserver.Account, now timer.Instant) {
+			co.request++
 			account.Enter(co.id, reserver.Idle, now.Add(limits.IdleTimeout), now)
 		})
 	}
 }
 
-// begin says that a head was parsed, and charges what it holds and was not charged as it
-// arrived.
-func (ho Hold) begin(header http.Header) bool {
+// begin says that a head was parsed, and returns the hold of its request.
+func (ho Hold) begin() Hold {
 	if ho.co == nil {
-		return true
+		return ho
 	}
 	// net/http doesn't report a request that it had read together with the one before.
 	ho.co.enter(http.StateActive)
+	ho.co.ac.update(func(*reserver.Account, timer.Instant) {
+		ho.co.request++
+		ho.request = ho.co.request
+	})
+	return ho
+}
+
+// chargeHead charges what a head holds and was not charged as it arrived.
+func (ho Hold) chargeHead(header http.Header) bool {
+	if ho.co == nil {
+		return true
+	}
 	cost := int64(0)
 	for name, values := range header {
 		for _, value := range values {
--- a/instance/gatekeeper/once.go
+++ b/instance/gatekeeper/once.go
@@ -2,18 +2,28 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 
 	"cornellanding.example/core/admitter"
 	"cornellanding.example/wire/peerproto"
 )
 
+// longestID is the length in bytes of the longest ID that is remembered as it is. Callers choose
+// the request ID, which may be as long as a head.
+const longestID = 160
+
 // identity returns the identity for deduplication: the idempotency key if there is
-// one, or else the request ID.
+// one, or else the request ID, or the digest of a long one.
 func (jo *job) identity() admitter.Identity {
 	id := jo.rq.GetIdempotencyKey()
 	if id == "" {
 		id = "request " + jo.rq.GetRequestId()
 	}
+	if len(id) > longestID {
+		digest := sha256.Sum256([]byte(id))
+		id = "digest " + hex.EncodeToString(digest[:])
+	}
 	return admitter.Identity{Workspace: jo.rq.GetWorkspace(), Route: jo.rq.GetRoute(), ID: id}
 }
 
--- a/instance/logwriter/logwriter.go
+++ b/instance/logwriter/logwriter.go
@@ -26,6 +26,9 @@
 	DefaultRate = 500
 	// queueLength is how many lines can be queued, about 2 s at the default rate.
 	queueLength = 1024
+	// queueBytes bounds the queued lines together. A line repeats what callers send, such
+	// as a request ID of 16 KiB.
+	queueBytes = 4 << 20
 	// closeTimeout bounds how long Close waits for the queue to be written.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -43,6 +46,8 @@
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Uint64
+	// queued is the number of bytes in the queue.
+	queued atomic.Int64
 
 	mu       sync.Mutex
 	isClosed bool
@@ -72,8 +77,13 @@
 		lw.dropped.Add(1)
 		return len(line), nil
 	}
+	if lw.queued.Load()+int64(len(line)) > queueBytes {
+		lw.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case lw.lines <- bytes.Clone(line):
+		lw.queued.Add(int64(len(line)))
 	default:
 		lw.dropped.Add(1)
 	}
@@ -112,6 +122,7 @@
 	defer close(lw.done)
 	reported := uint64(0)
 	for line := range lw.lines {
+		lw.queued.Add(-int64(len(line)))
 		if dropped := lw.dropped.Load(); dropped > reported {
 			line = append(fmt.Appendf(nil, "{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"count\":%d,\"total\":%d}\n", dropped-reported, dropped), line...)
 			reported = dropped
--- a/instance/logwriter/logwriter_test.go
+++ b/instance/logwriter/logwriter_test.go
@@ -37,6 +37,24 @@
 	close(bl.free)
 }
 
+// TestQueueIsBoundedInBytes guards against long lines that hold memory while the output is
+// blocked.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	bl := blocked{free: make(chan struct{})}
+	lw, err := New(bl, Rate(1_000_000))
+	is.NoErr(err)
+	line := make([]byte, 64<<10)
+	for range queueLength / 2 {
+		_, err := lw.Write(line)
+		is.NoErr(err)
+	}
+	is.True(lw.queued.Load() <= queueBytes)
+	is.True(lw.Dropped() >= queueLength/2-queueBytes/uint64(len(line))-1)
+	is.NoErr(lw.Close())
+	close(bl.free)
+}
+
 type safeBuffer struct {
 	mu sync.Mutex
 	bytes.Buffer
--- a/instance/router/account.go
+++ b/instance/router/account.go
@@ -34,17 +34,23 @@
 	if limits.Memory <= 0 && limits.Descriptors <= 0 {
 		return nil
 	}
+	ac := accountant.New(ro.clock, capacity(limits), ro.connectionLimits, ro.lo)
 	if limits.Memory > 0 {
 		debug.SetMemoryLimit(limits.Memory * heapPercent / 100)
+		ac.Measure(newMeasurer(limits.Memory))
 	}
-	return accountant.New(ro.clock, capacity(limits), ro.connectionLimits, ro.lo)
+	return ac
+}
+
+func newMeasurer(memory int64) *reserver.Measurer {
+	return reserver.NewMeasurer(memory*heldPercent/100, baseBytes, memory/minHeldShare)
 }
 
 // capacity returns what clients may hold.
 func capacity(limits parser.ResourceLimits) reserver.Capacity {
 	ca := reserver.Capacity{}
 	if limits.Memory > 0 {
-		ca.Bytes = max(limits.Memory*heldPercent/100-baseBytes, limits.Memory/minHeldShare)
+		ca.Bytes = newMeasurer(limits.Memory).Bytes()
 	}
 	if limits.Descriptors > 0 {
 		left := max(limits.Descriptors-fileDescriptors, limits.Descriptors/minHeldShare)
