Headers of requests with a large body are charged at the owner

Cause: the head of a request whose body follows was charged by the body alone.

Change: each of its headers is charged as those of other requests are.

--- a/instance/router/transfer.go
+++ b/instance/router/transfer.go
@@ -192,7 +192,7 @@
 	ctx, cancel := context.WithTimeout(re.Context(), time.Duration(rq.GetRemaining()))
 	defer cancel()
 	hold := accountant.From(re.Context())
-	if !hold.Take(head.Length) {
+	if !hold.Take(head.Length + int64(len(rq.GetHeaders()))*accountant.LineBytes) {
 		return bs.ga.RefuseBody(rq, gatekeeper.CodeNoMemory, "no memory is left for the body", noMemoryRetryAfter, startedAt)
 	}
 	tr := &transfer{bs: bs, re: re, rc: http.NewResponseController(wr), head: head, rq: rq}
