--- a/wire/signer/signer_test.go
+++ b/wire/signer/signer_test.go
@@ -97,6 +97,32 @@
 	}
 }
 
+// TestRefusedCalls guards against a refusal that the caller can't trust, and one that a client
+// without the key gets signed.
+func TestRefusedCalls(t *testing.T) {
+	is := is.New(t)
+	si := newSigner(t, goodKey)
+	rejected := 0
+	refuse := http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
+		content, _ := io.ReadAll(re.Body)
+		is.Equal(len(content), 0) // the body isn't kept
+		wr.WriteHeader(http.StatusTooManyRequests)
+	})
+	next := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("a refused call was served") })
+	server := httptest.NewServer(si.LimitedHandler(next, func() { rejected++ }, refuse, func(*http.Request) bool { return false }))
+	defer server.Close()
+	body := bytes.Repeat([]byte("b"), 1<<20)
+	client := &http.Client{Transport: si.Transport(http.DefaultTransport)}
+	answer, err := client.Post(server.URL+"/x", "text/plain", bytes.NewReader(body))
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusTooManyRequests)
+	is.Equal(rejected, 0)
+	other := &http.Client{Transport: newSigner(t, otherKey).Transport(http.DefaultTransport)}
+	_, err = other.Post(server.URL+"/x", "text/plain", bytes.NewReader(body))
+	is.True(errors.Is(err, ErrInvalidTag))
+	is.Equal(rejected, 1)
+}
+
 // tamperer changes responses before the transport under test receives them.
 type tamperer struct{ tamper func(*http.Response) }
 
