Tests of configured limits and of large requests behind the entry

TestConfiguredLimits changes the configuration of a running fleet and checks that 413, 431 and the close of a stalled head follow the new limits within 2 s, and that what is within them is served.

--- a/bench/crowder/crowder.go
+++ b/bench/crowder/crowder.go
@@ -66,6 +66,9 @@
 // Fleet is a deployment of three VMs in three zones. The first runs the service without
 // key ownership and is the entry of the crowds.
 type Fleet struct {
+	// sent counts the requests of Send, each of which has an ID of its own.
+	sent  atomic.Int64
+	rows  *platformer.Store
 	store *http.Server
 	vms   []*vm
 }
@@ -94,13 +97,12 @@
 
 // Start starts a fleet and waits until every instance is ready.
 func Start(ctx context.Context, se Settings) (*Fleet, error) {
-	fl := &Fleet{}
+	fl := &Fleet{rows: platformer.NewStore()}
 	network := fmt.Sprintf("127.%d.%d.", 220+started.Add(1)%30, os.Getpid()%250)
-	store := platformer.NewStore()
-	store.Put("op", "config", config(se.Limits).Encode())
+	fl.Configure(se.Limits)
 	storeAt := fmt.Sprintf("%s1:%d", network, storePort)
 	var err error
-	if fl.store, err = serve(storeAt, store); err != nil {
+	if fl.store, err = serve(storeAt, fl.rows); err != nil {
 		return nil, err
 	}
 	zones := []string{"a", "b", "c"}
@@ -121,6 +123,11 @@
 	return fl, nil
 }
 
+// Configure writes a configuration with these limits.
+func (fl *Fleet) Configure(limits platformer.Limits) {
+	fl.rows.Put("op", "config", config(limits).Encode())
+}
+
 func config(limits platformer.Limits) platformer.Config {
 	route := func(name, prefix, service string) platformer.Route {
 		return platformer.Route{Name: name, Prefix: prefix, Type: platformer.NonIdempotent, TimeoutS: 5, TargetLatencyS: 2, Priority: 1, Service: service, MaxAttempts: 2}
--- a/bench/crowder/crowder_test.go
+++ b/bench/crowder/crowder_test.go
@@ -80,6 +80,9 @@
 	}{
 		{"length", crowder.Single{BodyBytes: 64 << 20}},
 		{"chunks", crowder.Single{BodyBytes: 64 << 20, IsChunked: true}},
+		{"lengthBehindTheEntry", crowder.Single{BodyBytes: 64 << 20, IsBehind: true}},
+		{"chunksBehindTheEntry", crowder.Single{BodyBytes: 64 << 20, IsChunked: true, IsBehind: true}},
+		{"linesBehindTheEntry", crowder.Single{Lines: 4096, IsBehind: true}},
 		{"lines", crowder.Single{Lines: 4096}},
 	} {
 		t.Run(cas.name, func(t *testing.T) {
@@ -148,6 +151,38 @@
 	return wa.peaks, wa.err
 }
 
+// TestConfiguredLimits guards against limits of the configuration that come into force late, and
+// against refusals of what is within them.
+func TestConfiguredLimits(t *testing.T) {
+	is := is.New(t)
+	limits := platformer.Limits{MaxHeaderBytes: 32 << 10, MaxBodyBytes: 4 << 10, HeaderTimeoutS: 4, IdleTimeoutS: 10}
+	fl, err := crowder.Start(t.Context(), crowder.Settings{Program: build(t), Folder: t.TempDir(), MemoryMB: memoryMB, MaxFDs: maxFDs, Limits: limits})
+	is.NoErr(err)
+	defer fl.Close()
+	check := func(name string, sg crowder.Single, want int) {
+		status, err := fl.Send(sg)
+		if err != nil || status != want {
+			t.Errorf("%s: status %d, want %d: %v", name, status, want, err)
+		}
+	}
+	const linesBytes = 4
+	check("head within the limit", crowder.Single{Lines: 31 << 10 / linesBytes}, http.StatusOK)
+	check("body within the limit", crowder.Single{BodyBytes: 4 << 10}, http.StatusOK)
+	check("body beyond the limit", crowder.Single{BodyBytes: 4<<10 + 1}, http.StatusRequestEntityTooLarge)
+	limits = platformer.Limits{MaxHeaderBytes: 8 << 10, MaxBodyBytes: 2 << 10, HeaderTimeoutS: 1, IdleTimeoutS: 10}
+	fl.Configure(limits)
+	time.Sleep(2 * time.Second)
+	check("head within the new limit", crowder.Single{Lines: 7 << 10 / linesBytes}, http.StatusOK)
+	check("head beyond the new limit", crowder.Single{Lines: 13 << 10 / linesBytes}, http.StatusRequestHeaderFieldsTooLarge)
+	check("body within the new limit", crowder.Single{BodyBytes: 2 << 10}, http.StatusOK)
+	check("chunks within the new limit", crowder.Single{BodyBytes: 2 << 10, IsChunked: true}, http.StatusOK)
+	check("body beyond the new limit", crowder.Single{BodyBytes: 2<<10 + 1}, http.StatusRequestEntityTooLarge)
+	check("chunks beyond the new limit", crowder.Single{BodyBytes: 2<<10 + 1, IsChunked: true}, http.StatusRequestEntityTooLarge)
+	waited, err := fl.Stall()
+	is.NoErr(err)
+	is.True(waited >= time.Second && waited < 3*time.Second) // headerTimeoutS, and the time between two sweeps
+}
+
 // TestLargeResponse guards against responses that are cut or given up under the limits: one
 // from the owner behind the entry, of a length that the owner doesn't announce, and several at
 // once of clients that read.
--- a/bench/crowder/crowds.go
+++ b/bench/crowder/crowds.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -249,10 +251,12 @@
 	return nil
 }
 
-// Single is one request to the backend server beside the entry.
+// Single is one request to the backend server beside the entry, or to the owner of a key behind
+// it.
 type Single struct {
 	BodyBytes int
 	IsChunked bool
+	IsBehind  bool
 	// Lines is the number of header lines of four bytes each.
 	Lines int
 }
@@ -267,21 +271,25 @@
 	if err := conn.SetDeadline(time.Now().Add(4 * writeTimeout)); err != nil {
 		return 0, err
 	}
-	bu := bytes.NewBufferString(head(0, plainPath))
+	path := plainPath
+	if sg.IsBehind {
+		path = keyPath
+	}
+	bu := bytes.NewBufferString(head(int(fl.sent.Add(1)), path))
 	for range sg.Lines {
 		bu.WriteString("a:\r\n")
 	}
 	bodyLine, format := fmt.Sprintf("Content-Length: %d\r\n\r\n", sg.BodyBytes), "%s"
 	if sg.IsChunked {
-		bodyLine, format = "Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%%s\r\n", chunkBytes)
+		bodyLine, format = "Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%%s\r\n", min(sg.BodyBytes, chunkBytes))
 	}
 	bu.WriteString(bodyLine)
 	if err := write(conn, bu.Bytes()); err != nil {
 		return 0, err
 	}
-	piece := fmt.Appendf(nil, format, make([]byte, chunkBytes))
-	for range sg.BodyBytes / chunkBytes {
-		if err := write(conn, piece); err != nil {
+	for left := sg.BodyBytes; left > 0; left -= chunkBytes {
+		piece := make([]byte, min(left, chunkBytes))
+		if _, err := fmt.Fprintf(conn, format, piece); err != nil {
 			return 0, err
 		}
 	}
@@ -297,6 +305,27 @@
 	return answer.StatusCode, answer.Body.Close()
 }
 
+// Stall sends the beginning of a head to the entry, and returns how long the instance waits for
+// the rest before it closes the connection.
+func (fl *Fleet) Stall() (time.Duration, error) {
+	conn, err := net.DialTimeout("tcp", fl.Entry(), dialTimeout)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	startedAt := time.Now()
+	if err := conn.SetDeadline(startedAt.Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	if err := write(conn, []byte(head(0, plainPath))); err != nil {
+		return 0, err
+	}
+	if _, err = conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, err
+	}
+	return time.Since(startedAt), nil
+}
+
 // LargeBytes is the least length of the body that ReadLarge reads.
 const LargeBytes = 2 << 20
 
