Calls refused for lack of memory count as overload

Cause: the throttler of callers reduces runs whose calls fail for load, and did not know the refusal for lack of memory.

Change: noMemory is one of these codes.

--- a/instance/forwarder/calls.go
+++ b/instance/forwarder/calls.go
@@ -71,7 +71,7 @@
 func isOverload(code string) bool {
 	switch code {
 	case admitter.CodeOverloaded, admitter.CodeDeadline, admitter.CodeServerLimit, admitter.CodeCallsRefused, admitter.CodeLinkFull,
-		admitter.CodeServerMemory, gatekeeper.CodeShed:
+		admitter.CodeServerMemory, gatekeeper.CodeShed, gatekeeper.CodeNoMemory:
 		return true
 	default:
 		return false
