Buffers of the link on counted connections

Cause: with limits of the link and of descriptors, the buffer sizes of the link were not set on connections to other instances, since these are wrapped once more.

Change: such a connection names the one below.

--- a/instance/router/charge.go
+++ b/instance/router/charge.go
@@ -132,6 +132,9 @@
 	isClosed atomic.Bool
 }
 
+// NetConn returns the connection below.
+func (cc *countedConn) NetConn() net.Conn { return cc.Conn }
+
 // Close implements net.Conn.
 func (cc *countedConn) Close() error {
 	if cc.isClosed.CompareAndSwap(false, true) {
