--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -9,6 +9,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/wire/peerproto"
 )
@@ -74,6 +75,9 @@
 
 // dispatch forwards a request until it is answered or finally refused.
 func (fo *Forwarder) dispatch(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *Refusal) {
+	hold := accountant.From(ctx)
+	hold.PassOn()
+	defer hold.Give(ca.body.Len())
 	if ca.workspace == "" {
 		// Backend servers' calls carry no workspace key.
 		ca.repeatShare = fo.callerRepeats()
@@ -260,7 +264,7 @@
 	}
 	switch at.answer.GetCode() {
 	case admitter.CodeOverloaded, admitter.CodeServerLimit, admitter.CodeCallsRefused, admitter.CodeLinkFull, admitter.CodeServerMemory, admitter.CodeDeadline, admitter.CodeQuarantined, admitter.CodeDuplicate,
-		gatekeeper.CodeIdempotencyKeyReused, gatekeeper.CodeDeduperFull, gatekeeper.CodeBadTarget:
+		gatekeeper.CodeIdempotencyKeyReused, gatekeeper.CodeDeduperFull, gatekeeper.CodeBadTarget, gatekeeper.CodeNoMemory:
 		return true
 	case gatekeeper.CodeLost, gatekeeper.CodeCrashed:
 		return !ca.idempotent
@@ -399,12 +403,17 @@
 	}
 	rq := &peerproto.ForwardRequest{
 		RequestId: ca.id, Route: ca.route.Name, Service: ca.service, Workspace: ca.workspace, Key: ca.key,
-		Method: ca.method, PathAndQuery: ca.target, Headers: ca.headers, Body: ca.body,
+		Method: ca.method, PathAndQuery: ca.target, Headers: ca.headers,
 		Remaining: int64(remaining), IdempotencyKey: ca.idemKey, Attempt: uint32(ca.attempts), To: to.Incarnation,
 		Idempotent: ca.idempotent, Priority: uint32(ca.priority), Crashes: ca.crashes.Load(),
 		Host: ca.host, CallerService: ca.callerService, TargetRemaining: int64(ca.targetLeft(fo.so.Now())),
 		RepeatShare: ca.repeatShare, Refused: ca.wasRefused.Load(),
 	}
+	if ca.body.Pieces() > 1 {
+		ctx = gatekeeper.WithBody(ctx, ca.body)
+	} else {
+		rq.Body = ca.body.Bytes()
+	}
 	answer, wasSent, err := fo.gates.Forward(ctx, to.Address, rq)
 	fo.learnCallRoute(ca, answer)
 	if answer.GetCode() == gatekeeper.CodeCrashed {
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -20,7 +20,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -29,6 +28,9 @@
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/accountant"
+	"cornellanding.example/instance/assembler"
+	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/peerproto"
 	"github.com/hashicorp/go-hclog"
@@ -51,6 +53,7 @@
 	CodeLost              = "answerLost"
 	CodeStarting          = "starting"
 	CodeStopping          = "stopping"
+	CodeNoMemory          = gatekeeper.CodeNoMemory
 )
 
 // Headers between callers and the instance, and the lengths of their values.
@@ -78,7 +81,8 @@
 // GateClient forwards requests to the admission control in front of the backend
 // servers, on this instance and on others.
 type GateClient interface {
-	// Forward sends a request to the instance at the address. It returns an error if
+	// Forward sends a request to the instance at the address. A body in several pieces
+	// is in ctx, see gatekeeper.WithBody. It returns an error if
 	// there is no authentic answer. WasSent is false only if the request is known
 	// not to have been sent.
 	Forward(ctx context.Context, address string, rq *peerproto.ForwardRequest) (answer *peerproto.ForwardResponse, wasSent bool, err error)
@@ -259,7 +263,7 @@
 	// giveUpAt is until when a request that has not run waits for a token and is
 	// retried, 0 for its deadline.
 	giveUpAt   timer.Instant
-	body       []byte
+	body       *assembler.Body
 	headers    []*peerproto.Header
 	target     string
 	idempotent bool
@@ -300,7 +304,7 @@
 	var id [requestIDBytes]byte
 	// Read of crypto/rand never fails.
 	_, _ = rand.Read(id[:])
-	return &call{id: hex.EncodeToString(id[:]), startedAt: now, crashes: &atomic.Uint32{}, arrivals: &atomic.Int32{}, wasRefused: &atomic.Bool{}}
+	return &call{id: hex.EncodeToString(id[:]), startedAt: now, body: &assembler.Body{}, crashes: &atomic.Uint32{}, arrivals: &atomic.Int32{}, wasRefused: &atomic.Bool{}}
 }
 
 // serve handles a request on a route by method and path.
@@ -311,7 +315,8 @@
 		fo.refuse(wr, ca, *rf)
 		return
 	}
-	if rf := fo.read(ca, re); rf != nil {
+	accountant.From(re.Context()).Rank(int(ca.priority))
+	if rf := fo.read(wr, ca, re); rf != nil {
 		fo.refuse(wr, ca, *rf)
 		return
 	}
@@ -338,14 +343,13 @@
 }
 
 // read reads the body, key, deadline and headers of the request.
-func (fo *Forwarder) read(ca *call, re *http.Request) *Refusal {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, re.Body, MaxRequest))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &Refusal{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Reason: "the body is larger than 1 MiB"}
-	case err != nil:
-		return &Refusal{Status: http.StatusBadRequest, Code: CodeBadRequest, Reason: "the body can't be read"}
+func (fo *Forwarder) read(wr http.ResponseWriter, ca *call, re *http.Request) *Refusal {
+	body, rf := ReadBody(wr, re, MaxRequest)
+	if rf != nil {
+		if rf.Code == CodeTooLarge {
+			rf.Reason = "the body is larger than 1 MiB"
+		}
+		return rf
 	}
 	ca.body = body
 	ca.target = re.URL.RequestURI()
--- a/instance/router/peerserver.go
+++ b/instance/router/peerserver.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cornellanding.example/instance/accountant"
 	"cornellanding.example/wire/peerproto"
 )
 
@@ -73,5 +74,10 @@
 
 // Forward implements peerproto.Peer.
 func (ps *peerServer) Forward(ctx context.Context, re *peerproto.ForwardRequest) (*peerproto.ForwardResponse, error) {
+	hold := accountant.From(ctx)
+	if !chargeDecoded(hold, re) {
+		return refuseNoMemory(re), nil
+	}
+	hold.PassOn()
 	return ps.in.ga.Forward(ctx, re), nil
 }
