Rollout of a version: orders, permission of versions, acting instance, status

Any server that sent heartbeats got keys and requests, whatever its version, and operators' rows op/rollout/SERVICE had no effect.

With "rollout" in the settings' contracts, member rows and maps carry the servers' versions; a row rollout/SERVICE of the router's table holds the version in force and the step; folds give other versions no weight, gates refuse them (versionNotInForce, exposureLimit, not run), and heartbeat replies grant them no keys. One instance polls the gates, makes the steps by compare-and-set and writes status/rollout/SERVICE in a transaction that holds only while the stored step is the one reported. Without the contract nothing is read, written or sent for it.

--- a/bench/estimator/fleet.go
+++ b/bench/estimator/fleet.go
@@ -202,6 +202,11 @@
 	return &peerproto.RevokeResponse{}, nil
 }
 
+// RollOut implements peerproto.Peer.
+func (peer) RollOut(context.Context, *peerproto.RollOutRequest) (*peerproto.RollOutResponse, error) {
+	return &peerproto.RollOutResponse{}, nil
+}
+
 // Release implements peerproto.Peer.
 func (peer) Release(_ context.Context, re *peerproto.ReleaseRequest) (*peerproto.ReleaseResponse, error) {
 	return &peerproto.ReleaseResponse{Released: re.GetPartitions()}, nil
--- a/core/admitter/gate.go
+++ b/core/admitter/gate.go
@@ -45,6 +45,10 @@
 	// CodeCallsRefused means that the calls which the request would make are expected to
 	// fail.
 	CodeCallsRefused = "callsRefused"
+	// CodeVersion means that the backend server's version is not in force and gets no
+	// requests, and CodeExposure that it has got as many as a rollout allows for now.
+	CodeVersion  = "versionNotInForce"
+	CodeExposure = "exposureLimit"
 )
 
 // Queues of one priority, in the order in which they are served. Behind those of all
--- a/core/cataloguer/catalogue.go
+++ b/core/cataloguer/catalogue.go
@@ -194,6 +194,16 @@
 	At int64
 }
 
+// RollOut is an operators' order to move a service to the servers of a version.
+type RollOut struct {
+	// ID grows with each order written.
+	ID      uint64
+	Service string
+	To      string
+	// Duration is how long after the order the move is complete or rolled back.
+	Duration timer.Span
+}
+
 // CallerLimits bounds the requests of callers.
 type CallerLimits struct {
 	// MaxBody is the maximum size of a request body in bytes, 0 for the forwarder's
@@ -222,6 +232,8 @@
 	DrainedServers []string
 	// DrainedDataCentres names the data centres that get no new requests.
 	DrainedDataCentres []string
+	// RollOuts holds the orders to move services to other versions, at most one a service.
+	RollOuts []RollOut
 	// Changes holds the latest changes, oldest first.
 	Changes []Change
 }
--- a/core/folder/folder.go
+++ b/core/folder/folder.go
@@ -18,6 +18,7 @@
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
+	"cornellanding.example/core/roller"
 )
 
 // LimitsService is an internal service for rate limits. Its keys are workspaces and
@@ -57,6 +58,9 @@
 	IsStopping bool
 	State      State
 	Lease      leaser.Row
+	// Version is the version of the backend server. It is "" if rollouts are off or the
+	// server has not been heard of.
+	Version string
 	// Leaving lists the runs of the backend server that have announced their end. It binds
 	// each later instance beside the server.
 	Leaving []registrar.ServerRun
@@ -74,6 +78,8 @@
 	Config     cataloguer.Config
 	// Maps holds the current maps by service.
 	Maps map[string]placer.Map
+	// RollOuts holds the states of the services' versions, nil if rollouts are off.
+	RollOuts map[string]roller.State
 	// At is the current time in milliseconds since 1970. It is recorded with the
 	// changes for display only.
 	At int64
@@ -145,16 +151,51 @@
 		if !isMember {
 			continue
 		}
-		members = append(members, placer.Member{
+		me := placer.Member{
 			BackendServer: ir.BackendServer, Incarnation: ir.Lease.Incarnation, DataCentre: ir.DataCentre,
-			Address: ir.Address, Weight: Weight(service, ir, in.Config), Speed: Speed(service, ir),
-		})
+			Address: ir.Address, Weight: PermittedWeight(service, ir, in.Config, in.RollOuts), Speed: Speed(service, ir),
+		}
+		if service != LimitsService {
+			me.Version = ir.Version
+		}
+		members = append(members, me)
 	}
 	return members
 }
 
-// Weight returns the weight of an instance in a service's map, by its row and the
-// configuration.
+// FirstRollOuts returns the first states of the services that have none, from the
+// versions that the servers with a weight have.
+func FirstRollOuts(in Input) []roller.State {
+	var first []roller.State
+	for _, sv := range in.Config.Catalogue.Services {
+		if _, ok := in.RollOuts[sv.Name]; ok {
+			continue
+		}
+		var versions []string
+		for _, ir := range in.Rows {
+			if ir.State == Active && ir.Service == sv.Name && ir.Weight > 0 {
+				versions = append(versions, ir.Version)
+			}
+		}
+		if st, ok := roller.First(sv.Name, versions); ok {
+			first = append(first, st)
+		}
+	}
+	return first
+}
+
+// PermittedWeight returns the weight of an instance in a service's map: the part of Weight
+// that the state of the service's versions permits.
+func PermittedWeight(service string, ir InstanceRow, co cataloguer.Config, rollOuts map[string]roller.State) uint32 {
+	weight := Weight(service, ir, co)
+	if st, ok := rollOuts[service]; ok {
+		return permitted(weight, st.ShareOf(ir.BackendServer, ir.Version))
+	}
+	return weight
+}
+
+// Weight returns the weight of an instance in a service's map by its row and the
+// configuration, without regard to versions.
 func Weight(service string, ir InstanceRow, co cataloguer.Config) uint32 {
 	if service == LimitsService && !ir.IsStopping {
 		// Token buckets are kept by the instance itself, so the state of the
@@ -175,6 +216,15 @@
 	return min(ir.Speed, placer.MaxSpeed)
 }
 
+// permitted returns the part of a weight that a share in eighths permits, at least 1 unless
+// either is 0.
+func permitted(weight, share uint32) uint32 {
+	if weight == 0 || share == 0 {
+		return 0
+	}
+	return max(1, weight*share/roller.FullShare)
+}
+
 // updateMembers changes the members of ne, which is ma at its next version, to the
 // wanted ones and reports whether any differed, except for those of the backend servers
 // named by kept. It removes members before it adds any, since a new incarnation may have
--- a/core/placer/map.go
+++ b/core/placer/map.go
@@ -50,6 +50,9 @@
 	// Speed scales the share given by Weight, in units of 1/FullSpeed up to MaxSpeed. It
 	// is 0 if the speed is not measured, which counts as FullSpeed.
 	Speed uint32
+	// Version is the version of the backend server, "" if rollouts are off or the
+	// instance doesn't know it.
+	Version string
 }
 
 // halves returns the member's relative share of partitions, in halves of a unit of
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -108,6 +108,8 @@
 	// Sequence increases with each heartbeat of one run.
 	Sequence uint64
 	Service  string
+	// Version is the version of the server's program, "" if it doesn't matter.
+	Version string
 	// Slots is the number of requests that the server runs at once.
 	Slots int
 	// IsDraining announces that the server is shutting down.
--- a/core/roller/judge.go
+++ b/core/roller/judge.go
@@ -14,6 +14,18 @@
 	Bad
 )
 
+// String returns the verdict's name for logs.
+func (ve Verdict) String() string {
+	switch ve {
+	case Doubt:
+		return "doubt"
+	case Bad:
+		return "bad"
+	default:
+		return "noFault"
+	}
+}
+
 const (
 	// oldMemory is the weight of what the old servers did before the latest evaluation.
 	// Failures that both versions share, as of a called service, come and go within
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -134,8 +134,12 @@
 	nextSpeedAt  timer.Instant
 	// heldBackRun is the run of the backend server whose weight is held back until
 	// heldBackUntil at the latest, see isHeldBack.
-	heldBackRun     string
-	heldBackUntil   timer.Instant
+	heldBackRun   string
+	heldBackUntil timer.Instant
+	// writtenVersion is the backend server's version in that write, and serverSince when the
+	// server's current start was first heard of.
+	writtenVersion  string
+	serverSince     timer.Instant
 	nextRowUpdateAt timer.Instant
 	// storedLeaving lists the leaving runs of the backend server in the row as last
 	// committed, and deregistrations the calls that wait until it lists all.
@@ -157,6 +161,7 @@
 	pollUntil timer.Instant
 
 	quarantine quarantine
+	rollOuts   *rollOuts
 	ho         *leaser.Holder
 	wa         *leaser.Watcher
 	ds         *documents
@@ -407,6 +412,14 @@
 		co.onRequestQuarantined(ev, now)
 	case quarantineWritten:
 		co.onQuarantineWritten(ev, now)
+	case rollOutRequested:
+		co.onRollOutRequested(ev, now)
+	case rollOutPolled:
+		co.onRollOutPolled(ev, now)
+	case rollOutWritten:
+		co.onRollOutWritten(ev, now)
+	case statusWritten:
+		co.onStatusWritten(ev, now)
 	case statusRequested:
 		ev.reply <- co.status(now)
 	default:
@@ -431,6 +444,7 @@
 	co.issueOrders(now)
 	co.foldIfNeeded(now)
 	co.writeQuarantine(now)
+	co.advanceRollOuts(now)
 	co.advanceStop()
 	co.logStateChanges(now)
 	if !now.Before(co.nextObserveAt) {
@@ -453,7 +467,7 @@
 		co.recordTableError(ev)
 	}
 	isChanged := false
-	before := co.ds.config
+	before, rollOutsBefore := co.ds.config, co.ds.rollOuts
 	for _, do := range ev.documents {
 		applied, err := co.ds.apply(do)
 		if err != nil {
@@ -463,7 +477,9 @@
 		isChanged = isChanged || applied
 	}
 	if isChanged {
+		co.noteConfigRead(before, now)
 		co.onChange(now)
+		co.followRollOuts(rollOutsBefore, now)
 	}
 	// Weights depend on the configuration. The instance that committed it folds
 	// it into the maps; the pollers do so too, in case that instance failed.
--- a/instance/controller/documents.go
+++ b/instance/controller/documents.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -10,6 +11,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/roller"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/encoder"
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +25,8 @@
 	MapPrefix     = "map/"
 	MemberPrefix  = "member/"
 	QuarantineKey = "crashes"
+	// RollOutPrefix is followed by the name of a service.
+	RollOutPrefix = "rollout/"
 )
 
 // Document is a versioned document, the configuration or a partition map, in its
@@ -56,6 +60,9 @@
 	config cataloguer.Config
 	// tables holds the decoded maps, by service.
 	tables map[string]*placer.Table
+	// rollOuts holds the states of the services' versions, nil if rollouts are off. It is
+	// replaced, never changed, since request handlers read it.
+	rollOuts map[string]roller.State
 	// quarantine lists the requests that crash backend servers. Peers do not exchange
 	// it: they report crashes to each other, and a new instance reads it from the table.
 	quarantine []admitter.Suspect
@@ -104,6 +111,9 @@
 		}
 		return err
 	}
+	if _, ok := cutRollOut(do.Name); ok {
+		return ds.decodeRollOut(do)
+	}
 	service, ok := strings.CutPrefix(do.Name, MapPrefix)
 	if !ok {
 		return fmt.Errorf("controller: unknown document %q", do.Name)
@@ -122,6 +132,21 @@
 	return nil
 }
 
+func (ds *documents) decodeRollOut(do Document) error {
+	st, err := encoder.DecodeRollOut(do.Content)
+	if err != nil {
+		return err
+	}
+	if st.Version != do.Version || RollOutPrefix+st.Service != do.Name {
+		return fmt.Errorf("controller: rollout names service %s version %d but its document is %s version %d", st.Service, st.Version, do.Name, do.Version)
+	}
+	rollOuts := make(map[string]roller.State, len(ds.rollOuts)+1)
+	maps.Copy(rollOuts, ds.rollOuts)
+	rollOuts[st.Service] = st
+	ds.rollOuts = rollOuts
+	return nil
+}
+
 // versionsHash hashes the names and versions of the documents that peers exchange.
 func (ds *documents) versionsHash() uint32 {
 	var names []string
@@ -166,12 +191,28 @@
 	return newer
 }
 
+// compressed returns a document held, with its compressed content.
+func (ds *documents) compressed(name string) Document {
+	do, ok := ds.held[name]
+	if ok && do.compressed == nil {
+		do.compressed = encoder.Compress(do.Content)
+		ds.held[name] = do
+	}
+	return do
+}
+
+// cutRollOut returns the service of a document with the state of its versions, or false for
+// another document.
+func cutRollOut(name string) (string, bool) { return strings.CutPrefix(name, RollOutPrefix) }
+
 func (ds *documents) view() *publisher.View {
 	tables := make(map[string]*placer.Table, len(ds.tables))
 	for service, tb := range ds.tables {
 		tables[service] = tb
 	}
-	return publisher.NewView(ds.config, tables)
+	vi := publisher.NewView(ds.config, tables)
+	vi.RollOuts = ds.rollOuts
+	return vi
 }
 
 func (ds *documents) indexMembers(members []placer.Member) {
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -70,9 +70,11 @@
 	isEnded bool
 	// affectsMaps is set if the write changed a value that the maps depend on.
 	affectsMaps bool
-	// isWeightChange is set if the write changed the weight from formerWeight.
+	// isWeightChange is set if the write changed the weight from formerWeight and the backend
+	// server's version from formerVersion.
 	isWeightChange bool
 	formerWeight   uint32
+	formerVersion  string
 	// formerSpeed is the speed in the row before the write, and foldDelay how long the
 	// fold into the maps is delayed.
 	formerSpeed uint32
--- a/instance/controller/folds.go
+++ b/instance/controller/folds.go
@@ -63,7 +63,8 @@
 			return false
 		}
 		me, ok := tb.Map.ByIncarnation(co.self.Incarnation)
-		if !ok || me.Weight != folder.Weight(service, ir, co.ds.config) || me.Speed != folder.Speed(service, ir) {
+		if !ok || service != folder.LimitsService && me.Version != ir.Version || me.Weight != folder.PermittedWeight(service, ir, co.ds.config, co.ds.rollOuts) ||
+			me.Speed != folder.Speed(service, ir) {
 			return false
 		}
 	}
--- a/instance/controller/join.go
+++ b/instance/controller/join.go
@@ -20,7 +20,8 @@
 	}
 	co.isJoining = true
 	ir := co.instanceRow(co.weight())
-	co.writtenWeight = ir.Weight
+	ir.Version = co.ownVersion()
+	co.writtenWeight, co.writtenVersion = ir.Weight, ir.Version
 	ir.Lease = leaser.Row{Incarnation: co.self.Incarnation, Watchers: co.chooseWatchers(nil, now)}
 	heard, members := co.heardRun(), co.ds.members()
 	co.spawn(func(ctx context.Context) event {
@@ -36,7 +37,7 @@
 	return folder.InstanceRow{
 		BackendServer: co.self.BackendServer, Service: co.self.Service, DataCentre: co.self.DataCentre,
 		Region: co.self.Region, Address: co.self.Address, Weight: weight, Speed: co.writtenSpeed, State: folder.Active,
-		Settled: co.reported, Leaving: co.leavingRuns(),
+		Settled: co.reported, Leaving: co.leavingRuns(), Version: co.writtenVersion,
 	}
 }
 
@@ -60,7 +61,7 @@
 		co.lo.Warn("failed to write member row", "error", ev.err)
 		co.nextJoinAt = now.Add(joinBackoff)
 		if ev.isWeightChange {
-			co.writtenWeight, co.writtenSpeed = ev.formerWeight, ev.formerSpeed
+			co.writtenWeight, co.writtenSpeed, co.writtenVersion = ev.formerWeight, ev.formerSpeed, ev.formerVersion
 		}
 		return
 	}
--- a/instance/controller/orders.go
+++ b/instance/controller/orders.go
@@ -99,6 +99,9 @@
 // wantedPartitions lists the partitions that the backend server is to hold.
 func (co *Controller) wantedPartitions(ow *ownership) []registrar.WantedPartition {
 	var wanted []registrar.WantedPartition
+	if !co.isOwnVersionAdmitted() {
+		return nil
+	}
 	for _, pt := range co.ds.tables[ow.service].OwnedBy(co.self.Incarnation) {
 		if epoch := co.pu.Epoch(ow.service, pt); epoch != 0 {
 			wanted = append(wanted, registrar.WantedPartition{Partition: pt, Epoch: epoch})
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -15,6 +15,7 @@
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
+	"cornellanding.example/core/roller"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/port/storer"
@@ -43,7 +44,9 @@
 	// externalConfig returns the configuration in force if operators keep it
 	// outside the table, else it is nil.
 	externalConfig func() cataloguer.Config
-	lo             hclog.Logger
+	// hasRollOuts means that the states of the services' versions are read and kept too.
+	hasRollOuts bool
+	lo          hclog.Logger
 }
 
 // readDocuments reads the documents that are newer than the given versions. The
@@ -61,6 +64,9 @@
 		query.Keys = append(query.Keys, QuarantineKey)
 		query.Prefixes = []string{MapPrefix}
 	}
+	if withMaps && ts.hasRollOuts {
+		query.Prefixes = append(query.Prefixes, RollOutPrefix)
+	}
 	rows, err := ts.table.Read(ctx, query)
 	if err != nil {
 		return nil, err
@@ -81,13 +87,21 @@
 	return ts.toDocuments(ctx, rows)
 }
 
-// readMaps reads all maps and the quarantine.
+// readMaps reads all maps and the quarantine, and the states of the services' versions in
+// a call of their own, since the member rows lie between.
 func (ts *tableStore) readMaps(ctx context.Context) ([]Document, error) {
+	var states []tabler.Row
+	if ts.hasRollOuts {
+		var err error
+		if states, err = ts.table.Read(ctx, tabler.Query{Prefixes: []string{RollOutPrefix}}); err != nil {
+			return nil, err
+		}
+	}
 	rows, err := ts.table.Read(ctx, tabler.Query{Keys: []string{QuarantineKey}, Prefixes: []string{MapPrefix}})
 	if err != nil {
 		return nil, err
 	}
-	return ts.toDocuments(ctx, rows)
+	return ts.toDocuments(ctx, append(states, rows...))
 }
 
 func (ts *tableStore) toDocuments(ctx context.Context, rows []tabler.Row) ([]Document, error) {
@@ -150,6 +164,10 @@
 		_, err := encoder.DecodeQuarantine(ro.Value)
 		return Document{Name: ro.Key, Version: ro.Version, Content: ro.Value}, err
 	}
+	if strings.HasPrefix(ro.Key, RollOutPrefix) {
+		st, err := encoder.DecodeRollOut(ro.Value)
+		return Document{Name: ro.Key, Version: st.Version, Content: ro.Value}, err
+	}
 	ma, err := encoder.DecodeMap(ro.Value)
 	return Document{Name: ro.Key, Version: ma.Version, Content: ro.Value, decoded: &ma}, err
 }
@@ -274,7 +292,8 @@
 func writeOutcome(written, found folder.InstanceRow, cause error) error {
 	isSame := found.Lease.Version > written.Lease.Version &&
 		found.Lease.Incarnation == written.Lease.Incarnation &&
-		found.State == written.State && found.Weight == written.Weight && found.Speed == written.Speed && found.IsStopping == written.IsStopping &&
+		found.State == written.State && found.Weight == written.Weight && found.Speed == written.Speed &&
+		found.Version == written.Version && found.IsStopping == written.IsStopping &&
 		slices.Equal(found.Lease.Watchers, written.Lease.Watchers) && slices.Equal(found.Leaving, written.Leaving)
 	if isSame {
 		return nil
@@ -310,6 +329,9 @@
 	if ts.externalConfig == nil {
 		query.Keys = []string{ConfigKey}
 	}
+	if ts.hasRollOuts {
+		query.Prefixes = append(query.Prefixes, RollOutPrefix)
+	}
 	rows, err := ts.table.Read(ctx, query)
 	if err != nil {
 		return nil, false, err
@@ -318,17 +340,27 @@
 	if err != nil {
 		return nil, false, err
 	}
+	var first []roller.State
+	if ts.hasRollOuts && in.Config.Version != 0 {
+		first = folder.FirstRollOuts(in)
+		for _, st := range first {
+			in.RollOuts[st.Service] = st
+		}
+	}
 	changed := folder.Fold(in)
-	if len(changed) == 0 || in.Config.Version == 0 {
+	if len(changed)+len(first) == 0 || in.Config.Version == 0 {
 		return docs, true, nil
 	}
-	return ts.commitMaps(ctx, changed, rows)
+	return ts.commitMaps(ctx, changed, first, rows)
 }
 
 // foldInput decodes the rows into the input of a fold. It also returns the documents
 // among the rows.
 func (ts *tableStore) foldInput(ctx context.Context, rows []tabler.Row) (folder.Input, []Document, error) {
 	in := folder.Input{Maps: map[string]placer.Map{}, At: time.Now().UnixMilli()}
+	if ts.hasRollOuts {
+		in.RollOuts = map[string]roller.State{}
+	}
 	var agreed []tabler.Row
 	for _, ro := range rows {
 		if !strings.HasPrefix(ro.Key, MemberPrefix) {
@@ -352,6 +384,14 @@
 			return in, nil, err
 		}
 	}
+	for _, ro := range agreed {
+		service, isRollOut := strings.CutPrefix(ro.Key, RollOutPrefix)
+		if _, ok := in.RollOuts[service]; isRollOut && !ok {
+			// Without it, no weight is known that the version may have.
+			_, err := encoder.DecodeRollOut(ro.Value)
+			return in, nil, fmt.Errorf("controller: row %s: %w", ro.Key, err)
+		}
+	}
 	if ts.externalConfig != nil {
 		in.Config = ts.externalConfig()
 	}
@@ -364,20 +404,39 @@
 		in.Config = co
 		return err
 	}
+	if strings.HasPrefix(do.Name, RollOutPrefix) {
+		st, err := encoder.DecodeRollOut(do.Content)
+		in.RollOuts[st.Service] = st
+		return err
+	}
 	ma, err := do.toMap()
 	in.Maps[ma.Service] = ma
 	return err
 }
 
-// commitMaps writes the changed maps on condition that neither their rows nor the
-// configuration they were derived from have changed.
-func (ts *tableStore) commitMaps(ctx context.Context, changed []placer.Map, rows []tabler.Row) ([]Document, bool, error) {
+// commitMaps writes the changed maps and the first states of versions, on condition that
+// neither their rows nor the configuration and the states they were derived from have
+// changed.
+func (ts *tableStore) commitMaps(ctx context.Context, changed []placer.Map, first []roller.State, rows []tabler.Row) ([]Document, bool, error) {
 	var tx tabler.Transaction
 	if ts.externalConfig == nil {
 		tx.Conditions = []tabler.Condition{{Key: ConfigKey, Version: tabler.Find(rows, ConfigKey).Version}}
 	}
 	var docs []Document
+	for _, st := range first {
+		content, err := encoder.EncodeRollOut(st)
+		if err != nil {
+			return nil, false, fmt.Errorf("controller: encode rollout: %w", err)
+		}
+		key := RollOutPrefix + st.Service
+		tx.Conditions = append(tx.Conditions, tabler.Condition{Key: key})
+		tx.Writes = append(tx.Writes, tabler.Write{Key: key, Value: content})
+		docs = append(docs, Document{Name: key, Version: st.Version, Content: content})
+	}
 	for _, ma := range changed {
+		if ro := tabler.Find(rows, RollOutPrefix+ma.Service); ro.Version != 0 {
+			tx.Conditions = append(tx.Conditions, tabler.Condition{Key: ro.Key, Version: ro.Version})
+		}
 		content, err := encoder.EncodeMap(ma)
 		if err != nil {
 			return nil, false, fmt.Errorf("controller: encode map: %w", err)
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -125,6 +125,7 @@
 		return
 	}
 	if former.ID != hb.ID || former.StartedAt != hb.StartedAt {
+		co.serverSince = now
 		co.withdrawOrderedHolds()
 	}
 	if co.heldHeartbeat != nil && co.mayAcknowledge() {
@@ -246,7 +247,7 @@
 }
 
 func (co *Controller) describeServer(hb registrar.Heartbeat, heardAt timer.Instant, state registrar.State) publisher.BackendServer {
-	bs := publisher.BackendServer{ID: hb.ID, Slots: hb.Slots, LastHeartbeatAt: heardAt}
+	bs := publisher.BackendServer{ID: hb.ID, Version: hb.Version, Since: co.serverSince, Slots: hb.Slots, LastHeartbeatAt: heardAt}
 	if hb.ColdRemaining > 0 {
 		bs.ColdUntil = heardAt.Add(hb.ColdRemaining)
 	}
@@ -260,8 +261,8 @@
 // say of every leaving run of the backend server that it leaves.
 func (co *Controller) updateRow(now timer.Instant) {
 	isReady := co.isJoined && !co.isWritingRow && !co.isJoining && (co.stopping == nil || co.stopping.takesWrites())
-	weight := co.weight()
-	isWeightDue := co.stopping == nil && weight != co.writtenWeight || !co.isLeavingStored()
+	weight, version := co.weight(), co.ownVersion()
+	isWeightDue := co.stopping == nil && (weight != co.writtenWeight || version != co.writtenVersion) || !co.isLeavingStored()
 	isSpeedDue := co.isSpeedDue(now)
 	isDue := isWeightDue || isSpeedDue
 	if co.re == nil || !isReady || !isDue || now.Before(co.nextRowUpdateAt) {
@@ -269,8 +270,8 @@
 	}
 	co.nextRowUpdateAt = now.Add(joinBackoff)
 	co.isWritingRow = true
-	former, formerSpeed, delay := co.writtenWeight, co.writtenSpeed, timer.Span(0)
-	co.writtenWeight = weight
+	former, formerSpeed, formerVersion, delay := co.writtenWeight, co.writtenSpeed, co.writtenVersion, timer.Span(0)
+	co.writtenWeight, co.writtenVersion = weight, version
 	if isSpeedDue {
 		co.writtenSpeed, co.nextSpeedAt = co.wantedSpeed(), now.Add(speedInterval)
 	}
@@ -285,7 +286,7 @@
 		found, err := co.tableStore.writeRow(ctx, ir)
 		return rowCommitted{
 			row: found.Lease, leaving: found.Leaving, err: err, affectsMaps: true, isWeightChange: true, formerWeight: former,
-			formerSpeed: formerSpeed, foldDelay: delay, isEnded: hasEnded(found),
+			formerSpeed: formerSpeed, formerVersion: formerVersion, foldDelay: delay, isEnded: hasEnded(found),
 		}
 	})
 }
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -263,7 +263,7 @@
 		return true
 	}
 	switch at.answer.GetCode() {
-	case admitter.CodeOverloaded, admitter.CodeServerLimit, admitter.CodeCallsRefused, admitter.CodeLinkFull, admitter.CodeServerMemory, admitter.CodeDeadline, admitter.CodeQuarantined, admitter.CodeDuplicate,
+	case admitter.CodeOverloaded, admitter.CodeServerLimit, admitter.CodeExposure, admitter.CodeCallsRefused, admitter.CodeLinkFull, admitter.CodeServerMemory, admitter.CodeDeadline, admitter.CodeQuarantined, admitter.CodeDuplicate,
 		gatekeeper.CodeIdempotencyKeyReused, gatekeeper.CodeDeduperFull, gatekeeper.CodeBadTarget, gatekeeper.CodeNoMemory:
 		return true
 	case gatekeeper.CodeLost, gatekeeper.CodeCrashed:
--- a/instance/forwarder/shared.go
+++ b/instance/forwarder/shared.go
@@ -186,8 +186,7 @@
 			switch {
 			case !isChosen:
 				tried = nil
-			case at.answer.GetCode() == admitter.CodeServerLimit && isAnyUntried(tb, tried):
-				// The limit is that server's own.
+			case isOwnLimit(at) && isAnyUntried(tb, tried):
 			case isFullVM(at) && !ca.wasVMFull && isAnyUntried(tb, tried):
 				// Only one other is tried: where all are busy, each try adds to their work.
 				ca.wasVMFull = true
@@ -212,6 +211,12 @@
 	return at.answer.GetCode() == admitter.CodeLinkFull || at.answer.GetCode() == admitter.CodeServerMemory || at.answer.GetCode() == gatekeeper.CodeNoMemory
 }
 
+// isOwnLimit reports whether a server refused for a limit that others may not have reached.
+func isOwnLimit(at attempt) bool {
+	code := at.answer.GetCode()
+	return code == admitter.CodeServerLimit || code == admitter.CodeExposure
+}
+
 // isAnyUntried reports whether a member that may get requests has not been tried yet.
 func isAnyUntried(tb *placer.Table, tried []uint64) bool {
 	return slices.ContainsFunc(tb.Map.Members, func(me placer.Member) bool {
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -23,6 +23,7 @@
 	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/pacer"
+	"cornellanding.example/core/roller"
 	"cornellanding.example/core/shaper"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/assembler"
@@ -153,6 +154,8 @@
 	overloadedAt timer.Instant
 	isDraining   bool
 	condition    observedCondition
+	// versions is the part in rollouts, nil if they are off.
+	versions *roller.Gate
 	// isStartScheduled means that a timer will start queued requests on a cold
 	// server.
 	isStartScheduled bool
@@ -331,6 +334,9 @@
 	onLink shaper.Reservation
 	// isInBodies means that its body counts among those that the server may get.
 	isInBodies bool
+	// startedAt is when it was sent, and order the rollout's order that it was counted for.
+	startedAt timer.Instant
+	order     uint64
 }
 
 type bodyKey struct{}
@@ -406,6 +412,10 @@
 		ga.mu.Unlock()
 		return refuse(admitter.CodeQuarantined, "this request crashed backend servers before")
 	}
+	if refusal := ga.refuseVersion(); refusal != nil {
+		ga.mu.Unlock()
+		return refusal
+	}
 	request := jo.admissionRequest()
 	if refusal := ga.arriveOnLink(jo, request); refusal != nil {
 		ga.mu.Unlock()
@@ -562,6 +572,12 @@
 	}
 	ga.mu.Lock()
 	refusal := ga.refuseIfServerUnavailable()
+	if refusal == nil {
+		refusal = ga.refuseVersion()
+	}
+	if refusal == nil {
+		jo.startedAt, jo.order = ga.pu.Now(), ga.startVersion()
+	}
 	ga.mu.Unlock()
 	if refusal != nil {
 		return refusal, false
@@ -597,6 +613,7 @@
 	defer ga.mu.Unlock()
 	ga.countRepeats(jo.rq, -1)
 	isSuspect := ga.endBody(jo, answer, result)
+	ga.finishVersion(ctx, jo, answer, result)
 	switch {
 	case result == resultAnswered:
 		ga.qu.Succeed(jo.fingerprint)
--- a/instance/publisher/publisher.go
+++ b/instance/publisher/publisher.go
@@ -20,6 +20,7 @@
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/roller"
 	"cornellanding.example/core/timer"
 )
 
@@ -42,6 +43,8 @@
 	WorkspacesByName map[string]cataloguer.Workspace
 	Services         map[string]cataloguer.Service
 	Tables           map[string]*placer.Table
+	// RollOuts holds the states of the services' versions. It is nil if rollouts are off.
+	RollOuts map[string]roller.State
 }
 
 // NewView indexes a configuration and its maps.
@@ -83,6 +86,10 @@
 	// ID identifies the server's current start. It is "" before the first
 	// heartbeat.
 	ID string
+	// Version is the version of the server's program, and Since when its current start was
+	// first heard of.
+	Version string
+	Since   timer.Instant
 	// Slots is how many requests the server handles concurrently.
 	Slots int
 	// ColdUntil is when the server's warm-up ends. It is 0 if the server is warm.
--- a/instance/router/options.go
+++ b/instance/router/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cornellanding.example/core/pacer"
+	"cornellanding.example/core/roller"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/controller"
 	"cornellanding.example/instance/forwarder"
@@ -67,6 +68,12 @@
 	return func(ro *Router) { ro.coldBound = pacer.Bound{Overshoot: overshoot, Slack: slack} }
 }
 
+// WithRollOuts makes the instance follow the versions of backend servers, which need to send
+// heartbeats, and carry out operators' orders. Status is told how far they have come.
+func WithRollOuts(bo roller.Bounds, status controller.StatusWriter) Option {
+	return func(ro *Router) { ro.rollOutBounds, ro.rollOutStatus = bo, status }
+}
+
 // WithServerCodec sets the codec for requests to the backend server.
 func WithServerCodec(cd gatekeeper.Codec) Option { return func(ro *Router) { ro.codec = cd } }
 
--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -151,6 +151,11 @@
 	return pe.control.at(address).Grant(ctx, re)
 }
 
+// RollOut implements controller.RollOutPeers.
+func (pe *peers) RollOut(ctx context.Context, address string, re *peerproto.RollOutRequest) (*peerproto.RollOutResponse, error) {
+	return pe.control.at(address).RollOut(ctx, re)
+}
+
 // Forward implements forwarder.Gates. It also reports whether the request may have
 // run, which is so once it got a connection, or the other instance may have the whole of a
 // large body.
--- a/instance/router/peerserver.go
+++ b/instance/router/peerserver.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"cornellanding.example/core/roller"
 	"cornellanding.example/instance/accountant"
+	"cornellanding.example/instance/controller"
 	"cornellanding.example/wire/peerproto"
 )
 
@@ -72,6 +75,25 @@
 	return ps.in.gr.Grant(re), nil
 }
 
+// RollOut implements peerproto.Peer.
+func (ps *peerServer) RollOut(ctx context.Context, re *peerproto.RollOutRequest) (*peerproto.RollOutResponse, error) {
+	if re.GetTo() != ps.in.pu.Self().Incarnation {
+		return nil, errWrongIncarnation
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	answer, err := ps.in.co.RollOut(ctx, re)
+	if err != nil {
+		return nil, err
+	}
+	if re.GetState().GetName() == controller.RollOutPrefix+ps.in.pu.Self().Service {
+		ps.in.ga.RollOut(roller.Grant{Term: re.GetTerm(), Ceiling: re.GetCeiling()}, answer)
+	}
+	return answer, nil
+}
+
+var errWrongIncarnation = errors.New("router: this instance is another incarnation")
+
 // Forward implements peerproto.Peer.
 func (ps *peerServer) Forward(ctx context.Context, re *peerproto.ForwardRequest) (*peerproto.ForwardResponse, error) {
 	hold := accountant.From(ctx)
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -21,6 +21,7 @@
 	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
+	"cornellanding.example/core/roller"
 	"cornellanding.example/core/throttler"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/accountant"
@@ -89,6 +90,9 @@
 	firstFoldDelay    timer.Span
 	coldBound         pacer.Bound
 	codec             gatekeeper.Codec
+	rollOutBounds     roller.Bounds
+	// rollOutStatus is nil if rollouts are off.
+	rollOutStatus controller.StatusWriter
 	// caller handles callers' requests.
 	caller           http.Handler
 	wrapCaller       func(fo *forwarder.Forwarder) http.Handler
@@ -431,6 +435,9 @@
 	if ro.codec != nil {
 		gateOptions = append(gateOptions, gatekeeper.WithCodec(ro.codec))
 	}
+	if ro.rollOutStatus != nil {
+		gateOptions = append(gateOptions, gatekeeper.WithRollOuts())
+	}
 	in.ga, err = gatekeeper.New(in.pu, ro.se.BackendServer.Address, gateOptions...)
 	if err != nil {
 		return nil, err
@@ -464,6 +471,9 @@
 	if ro.configs != nil {
 		opts = append(opts, controller.WithConfigSource(ro.configs))
 	}
+	if ro.rollOutStatus != nil {
+		opts = append(opts, controller.WithRollOuts(ro.rollOutBounds, ro.pe, ro.rollOutStatus))
+	}
 	if ro.maxHold > 0 {
 		registrarOptions := []registrar.Option{
 			registrar.Start(ro.clock.Now()), registrar.Term(ro.se.LeaseTerm), registrar.MaxHold(ro.maxHold),
--- a/standin/platformer/operator.go
+++ b/standin/platformer/operator.go
@@ -112,6 +112,21 @@
 	// limit.
 	MemoryMB int
 	MaxFDs   int
+	// Contracts are the promises in force between the platform and its services.
+	Contracts []string
+}
+
+// RollOuts is the contract of rollouts.
+const RollOuts = "rollout"
+
+// RollOut returns the value of the row rollout/SERVICE of the table op, which orders a
+// service to move to a version.
+func RollOut(service, to string, durationS float64) []byte {
+	content, err := json.Marshal(map[string]any{"service": service, "to": to, "durationS": durationS})
+	if err != nil {
+		panic(err)
+	}
+	return content
 }
 
 // The ports of every VM. Those for traffic between instances are from firstPort to
@@ -150,6 +165,7 @@
 service: %s
 grants: %s
 platform: {address: "%s"}
+contracts: [%s]
 %s`, pl.Name, pl.IP, pl.Zone, zones.String(), pl.Address(OutboundPort), pl.Address(InboundPort), pl.Address(ReadyPort), pl.Address(ControlPort),
-		firstPort, lastPort, pl.AppAddress, pl.Service, cmp.Or(pl.Grants, ByHeartbeat), pl.StoreAddress, limits)
+		firstPort, lastPort, pl.AppAddress, pl.Service, cmp.Or(pl.Grants, ByHeartbeat), pl.StoreAddress, strings.Join(pl.Contracts, ", "), limits)
 }
--- a/standin/platformer/server.go
+++ b/standin/platformer/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -57,6 +58,8 @@
 	StartedAt     time.Time
 	// EndedAt is zero while the request runs.
 	EndedAt time.Time
+	// HasFailed says that it ended with status 500.
+	HasFailed bool
 }
 
 // ServerOption is an option of NewServer.
@@ -74,6 +77,15 @@
 // WithZone sets the zone in the server's heartbeats.
 func WithZone(zone string) ServerOption { return func(bs *Server) { bs.zone = zone } }
 
+// WithVersion sets the version in the server's heartbeats; the default is "v1".
+func WithVersion(version string) ServerOption { return func(bs *Server) { bs.version = version } }
+
+// Fault makes a server fail the part Fails of its responses with status 500, and take Slower
+// times as long for the part Slow of them.
+type Fault struct {
+	Fails, Slow, Slower float64
+}
+
 // Server is a backend server that sends heartbeats to the instance on its VM and
 // runs a request only while it holds the request's key. It implements http.Handler
 // for the requests.
@@ -84,6 +96,7 @@
 	address   string
 	control   string
 	zone      string
+	version   string
 	isSharded bool
 	// grantsByCall says that keys are granted by calls, see WithGrantsByCall.
 	grantsByCall bool
@@ -106,13 +119,14 @@
 	// after grantDelay.
 	unansweredGrants int
 	grantDelay       time.Duration
+	fault            Fault
 }
 
 // NewServer returns a server of a sharded service. Address is where it accepts
 // requests and control where it sends its heartbeats, both as IP:port.
 func NewServer(id, service, address, control string, opts ...ServerOption) *Server {
 	bs := &Server{
-		id: id, bornAt: time.Now().UnixMilli(), service: service, address: address, control: control, zone: "a",
+		id: id, bornAt: time.Now().UnixMilli(), service: service, address: address, control: control, zone: "a", version: "v1",
 		isSharded: true, serviceTime: 5 * time.Millisecond, released: [][3]any{}, maxToken: map[uint64]uint64{}, latestPeriod: map[uint64]int{},
 		client: &http.Client{Transport: &http.Transport{}},
 	}
@@ -122,6 +136,24 @@
 	return bs
 }
 
+// SetFault replaces the fault of the server.
+func (bs *Server) SetFault(fa Fault) {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	bs.fault = fa
+}
+
+// drawFault returns how long a request runs and whether it fails.
+func (bs *Server) drawFault() (time.Duration, bool) {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	span := bs.serviceTime
+	if rand.Float64() < bs.fault.Slow {
+		span = time.Duration(float64(span) * bs.fault.Slower)
+	}
+	return span, rand.Float64() < bs.fault.Fails
+}
+
 // ID returns the server's id.
 func (bs *Server) ID() string { return bs.id }
 
@@ -252,7 +284,7 @@
 	}
 	heartbeat := map[string]any{
 		"address": bs.address, "born": bs.bornAt,
-		"info":   map[string]any{"service": bs.service, "version": "v1", "zone": bs.zone, "slots": 4},
+		"info":   map[string]any{"service": bs.service, "version": bs.version, "zone": bs.zone, "slots": 4},
 		"status": map[string]any{"state": "ready", "seq": bs.sequence, "coldRemainingS": 0},
 	}
 	if bs.isSharded && !bs.grantsByCall {
@@ -351,16 +383,21 @@
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	span, hasFailed := bs.drawFault()
 	select {
-	case <-time.After(bs.serviceTime):
+	case <-time.After(span):
 	case <-re.Context().Done():
 	}
 	bs.mu.Lock()
 	if bs.runs[index].EndedAt.IsZero() {
 		bs.runs[index].EndedAt = time.Now()
 	}
+	bs.runs[index].HasFailed = hasFailed
 	bs.mu.Unlock()
 	wr.Header().Set("X-Server-Signature", bs.id+"."+id)
+	if hasFailed {
+		wr.WriteHeader(http.StatusInternalServerError)
+	}
 	// A failed write means that the caller's connection broke.
 	_, _ = io.WriteString(wr, "ran "+id)
 	bs.pad(wr, re.URL.Query().Get(paddingParameter))
--- a/wire/encoder/document.go
+++ b/wire/encoder/document.go
@@ -53,6 +53,7 @@
 	Address       string `json:"address"`
 	Weight        uint32 `json:"weight"`
 	Speed         uint32 `json:"speed,omitempty"`
+	Version       string `json:"version,omitempty"`
 }
 
 type wireChange struct {
@@ -132,6 +133,7 @@
 	Watchers      []wireWatcher     `json:"watchers,omitempty"`
 	Settled       map[string]uint64 `json:"settled,omitempty"`
 	Leaving       []wireServerRun   `json:"leaving,omitempty"`
+	Version       string            `json:"version,omitempty"`
 }
 
 // EncodeInstanceRow returns the stored form of an instance's row, without the row's
@@ -140,7 +142,7 @@
 	wr := wireRow{
 		BackendServer: ir.BackendServer, Service: ir.Service, DataCentre: ir.DataCentre, Region: ir.Region,
 		Address: ir.Address, Weight: ir.Weight, Speed: ir.Speed, State: string(ir.State), Incarnation: ir.Lease.Incarnation,
-		IsStopping: ir.IsStopping, Settled: ir.Settled,
+		IsStopping: ir.IsStopping, Settled: ir.Settled, Version: ir.Version,
 	}
 	for _, wt := range ir.Lease.Watchers {
 		wr.Watchers = append(wr.Watchers, wireWatcher(wt))
@@ -161,7 +163,7 @@
 	ir := folder.InstanceRow{
 		BackendServer: wr.BackendServer, Service: wr.Service, DataCentre: wr.DataCentre, Region: wr.Region,
 		Address: wr.Address, Weight: wr.Weight, Speed: wr.Speed, IsStopping: wr.IsStopping, State: folder.State(wr.State),
-		Lease: leaser.Row{Incarnation: wr.Incarnation, Version: version}, Settled: wr.Settled,
+		Lease: leaser.Row{Incarnation: wr.Incarnation, Version: version}, Settled: wr.Settled, Version: wr.Version,
 	}
 	for _, wt := range wr.Watchers {
 		ir.Lease.Watchers = append(ir.Lease.Watchers, leaser.WatcherID(wt))
@@ -278,6 +280,13 @@
 	At       int64  `json:"at"`
 }
 
+type wireRollOut struct {
+	ID         uint64     `json:"id"`
+	Service    string     `json:"service"`
+	To         string     `json:"to"`
+	DurationNs timer.Span `json:"durationNs"`
+}
+
 type wireConfig struct {
 	Version       uint64           `json:"version"`
 	Origin        string           `json:"origin,omitempty"`
@@ -294,6 +303,8 @@
 	Drained []string           `json:"drained,omitempty"`
 	Out     []string           `json:"out,omitempty"`
 	Changes []wireConfigChange `json:"changes,omitempty"`
+
+	RollOuts []wireRollOut `json:"rollOuts,omitempty"`
 }
 
 // EncodeConfig returns the stored form of a configuration. It returns an error of
@@ -321,6 +332,9 @@
 	for _, ch := range co.Changes {
 		wc.Changes = append(wc.Changes, wireConfigChange(ch))
 	}
+	for _, or := range co.RollOuts {
+		wc.RollOuts = append(wc.RollOuts, wireRollOut{ID: or.ID, Service: or.Service, To: or.To, DurationNs: or.Duration})
+	}
 	return json.Marshal(wc)
 }
 
@@ -352,6 +366,9 @@
 	for _, ch := range wc.Changes {
 		co.Changes = append(co.Changes, cataloguer.Change(ch))
 	}
+	for _, wo := range wc.RollOuts {
+		co.RollOuts = append(co.RollOuts, cataloguer.RollOut{ID: wo.ID, Service: wo.Service, To: wo.To, Duration: wo.DurationNs})
+	}
 	var err error
 	co.WorkspaceKeys, err = toKeys(wc.Keys)
 	if err != nil {
--- a/wire/encoder/encoder_test.go
+++ b/wire/encoder/encoder_test.go
@@ -10,6 +10,8 @@
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
+	"cornellanding.example/core/roller"
+	"cornellanding.example/core/timer"
 	"cornellanding.example/examples"
 	"cornellanding.example/wire/parser"
 	"github.com/matryer/is"
@@ -29,7 +31,7 @@
 
 	an := folder.InstanceRow{
 		BackendServer: "a", Service: "counter", DataCentre: "x", Region: "r", Address: "127.0.0.1:1", Weight: 4, Speed: 5,
-		State: folder.Active, Lease: leaser.Row{Incarnation: 9, Version: 3, Watchers: []leaser.WatcherID{{BackendServer: "b", Incarnation: 2}}},
+		State: folder.Active, Version: "v1", Lease: leaser.Row{Incarnation: 9, Version: 3, Watchers: []leaser.WatcherID{{BackendServer: "b", Incarnation: 2}}},
 		Leaving: []registrar.ServerRun{{ID: "i-1", StartedAt: 1700000000000}, {ID: "i-2"}},
 	}
 	content, err = EncodeInstanceRow(an)
@@ -50,12 +52,23 @@
 	co := cataloguer.Config{Version: 4, Callers: cataloguer.CallerLimits{MaxBody: 1, MaxHead: 2, HeadTimeout: 3, IdleTimeout: 4}, DrainedServers: []string{"a"}, DrainedDataCentres: []string{"riga-1"}, WorkspaceKeys: []cataloguer.WorkspaceKey{{Digest: cataloguer.Digest{1}, Workspace: "klaps"}}}
 	co.Catalogue, err = parser.ParseCatalogue("kadrs", yaml)
 	is.NoErr(err)
+	co.RollOuts = []cataloguer.RollOut{{ID: 3, Service: "counter", To: "v2", Duration: timer.Second}}
 	co.Changes = []cataloguer.Change{{ID: "1", Version: 4, Operator: "ana", Summary: "s", At: 1}}
 	content, err = EncodeConfig(co)
 	is.NoErr(err)
 	gotConfig, err := DecodeConfig(content)
 	is.NoErr(err)
 	is.Equal(gotConfig, co)
+
+	st := roller.State{
+		Service: "counter", Version: 9, InForce: "v1", Order: roller.Order{ID: 3, Service: "counter", To: "v2", Duration: timer.Second},
+		Outcome: roller.Running, Phase: roller.Ramp, Step: 2, Canaries: []string{"a"}, Share: 4, Actor: 1 << 60, Term: 2, DeadlineAt: 5, Seen: 6, Granted: 7, Lost: 1,
+	}
+	content, err = EncodeRollOut(st)
+	is.NoErr(err)
+	gotState, err := DecodeRollOut(content)
+	is.NoErr(err)
+	is.Equal(gotState, st)
 }
 
 func FuzzDecode(f *testing.F) {
@@ -71,6 +84,9 @@
 		if _, err := DecodeQuarantine(content); err != nil && !errors.As(err, &de) {
 			t.Fatalf("unexpected kind of error: %v", err)
 		}
+		if _, err := DecodeRollOut(content); err != nil && !errors.As(err, &de) {
+			t.Fatalf("unexpected kind of error: %v", err)
+		}
 		if _, err := DecodeInstanceRow(content, 1); err != nil && !errors.As(err, &de) {
 			t.Fatalf("unexpected kind of error: %v", err)
 		}
