Rollouts: slow versions, a cut-off acting instance, gates that end; documentation

An acting instance that can't write tells the others, and one that can takes over. A hot key no longer raises the estimate of a service's requests. Requests that were given up keep an old server open until their deadline.

--- a/core/roller/judge.go
+++ b/core/roller/judge.go
@@ -42,8 +42,10 @@
 	// With badFailures the test takes 5 failures in quick succession, and one good version
 	// in some thousands is rolled back.
 	badFailures = 10
-	badLatency  = 3
-	doubtShare  = 0.4
+	// badTails is higher, since slow responses of a good server come in bursts.
+	badTails   = 20
+	badLatency = 3
+	doubtShare = 0.4
 	// slowRatio is the ratio of mean latencies from which a version counts as slower, with
 	// slowSpread more for a single server: servers differ in speed from 0.5 to 1.7.
 	slowRatio  = 1.6
@@ -59,18 +61,20 @@
 
 // sample counts responses.
 type sample struct {
-	n, bad, latency float64
+	n, bad, slow, latency float64
 }
 
 func (sa *sample) add(cu Counts) {
 	sa.n += float64(cu.Good + cu.Bad)
 	sa.bad += float64(cu.Bad)
+	sa.slow += float64(cu.Slow)
 	sa.latency += float64(cu.Latency)
 }
 
 func (sa *sample) scale(by float64) {
 	sa.n *= by
 	sa.bad *= by
+	sa.slow *= by
 	sa.latency *= by
 }
 
@@ -80,7 +84,8 @@
 	// one's, which fade.
 	fresh, freshTimed, old, oldTimed sample
 	allNew, allOld                   sample
-	failures, slowness               float64
+	// failures, tails and slowness are the sums of the sequential tests.
+	failures, tails, slowness float64
 }
 
 // Judge compares a new version with the old one on the same routes at the same time.
@@ -117,7 +122,8 @@
 // the new version responded.
 func (ju *Judge) Evaluate(servers int) {
 	for _, rj := range ju.routes {
-		rj.compareFailures()
+		rj.failures = advance(rj.failures, rj.fresh.bad, rj.fresh.n, rj.oldRate(func(sa sample) float64 { return sa.bad }))
+		rj.tails = advance(rj.tails, rj.freshTimed.slow, rj.freshTimed.n, rj.oldRate(func(sa sample) float64 { return sa.slow }))
 		rj.compareLatency(servers)
 		rj.fresh, rj.freshTimed = sample{}, sample{}
 		rj.old.scale(oldMemory)
@@ -125,23 +131,24 @@
 	}
 }
 
-// oldRate returns the higher of the recent and the whole rate of failures of the old
-// servers.
-func (rj *routeJudge) oldRate() float64 {
+// oldRate returns the higher of the recent and the whole rate of what is counted among the
+// responses of the old servers.
+func (rj *routeJudge) oldRate(count func(sa sample) float64) float64 {
 	rate := 0.0
 	for _, sa := range []sample{rj.old, rj.allOld} {
 		if sa.n >= minOld {
-			rate = max(rate, sa.bad/sa.n)
+			rate = max(rate, count(sa)/sa.n)
 		}
 	}
 	return rate
 }
 
-func (rj *routeJudge) compareFailures() {
-	as := min(0.5, failureFactor*rj.oldRate()+failureFloor)
-	bad := min(0.95, 3*as+failureStep)
-	good := rj.fresh.n - rj.fresh.bad
-	rj.failures = max(0, rj.failures+rj.fresh.bad*math.Log(bad/as)+good*math.Log((1-bad)/(1-as)))
+// advance returns the sum of a sequential test after n more responses, bad ones among them,
+// where the old servers have the rate.
+func advance(sum, bad, n, rate float64) float64 {
+	as := min(0.5, failureFactor*rate+failureFloor)
+	worse := min(0.95, 3*as+failureStep)
+	return max(0, sum+bad*math.Log(worse/as)+(n-bad)*math.Log((1-worse)/(1-as)))
 }
 
 func (rj *routeJudge) compareLatency(servers int) {
@@ -168,7 +175,7 @@
 func (ju *Judge) Verdict() Verdict {
 	verdict := NoFault
 	for _, rj := range ju.routes {
-		level := max(rj.failures/badFailures, rj.slowness/badLatency)
+		level := max(rj.failures/badFailures, rj.tails/badTails, rj.slowness/badLatency)
 		switch {
 		case level >= 1 || rj.exceeds():
 			return Bad
--- a/core/roller/roller.go
+++ b/core/roller/roller.go
@@ -11,10 +11,11 @@
 
 const (
 	// pollInterval separates polls of the gates of canaries, slowInterval those of the old
-	// servers that they are compared with, and reportInterval the reports to the instances
-	// that may take over.
+	// servers that they are compared with, closeInterval those of servers that are to obtain
+	// or to end something, and reportInterval the reports to the instances that may take over.
 	pollInterval   = 250 * timer.Millisecond
 	slowInterval   = timer.Second
+	closeInterval  = 400 * timer.Millisecond
 	reportInterval = 500 * timer.Millisecond
 	// takeoverSpan is how long the acting instance may stay silent, and takeoverStep what
 	// each further instance waits in addition.
@@ -23,6 +24,11 @@
 	// canaryShare is the canaries' share of the service's traffic. The plan's bound is
 	// 0.06.
 	canaryShare = 0.055
+	// A share is split over up to maxSplit canaries with minShare eighths each at least, as
+	// servers differ in speed: with a single canary, 39 of 400 versions five times slower were
+	// found too late, with two 4. Servers of a shared service have no shares of their own.
+	maxSplit = 4
+	minShare = 2
 	// minSampled is how many old servers are polled at least. Servers differ in speed by a
 	// factor of three: against two old ones, 1 good version in 20 was rolled back as slow.
 	minSampled = 8
@@ -47,8 +53,14 @@
 	// moveLead is how long before the deadline at the latest all traffic begins to move, so
 	// that running requests can end.
 	moveLead = 6 * timer.Second
+	// decideLead is how long before the deadline at the latest a version in doubt is rolled
+	// back, so that operators are told in time.
+	decideLead = 2 * timer.Second
 	// lingerSpan is how long the acting instance reports that it has finished.
 	lingerSpan = 2 * timer.Second
+	// stallSpan is for how long writes by the acting instance may fail before it lets another
+	// one take over, which may still reach the store.
+	stallSpan = timer.Second
 )
 
 // rampAt are the parts of the duration after which the steps of the ramp begin, rampShares
@@ -106,8 +118,12 @@
 type Poll struct {
 	To    uint64
 	Grant Grant
-	// IsDone tells those who may take over that nothing is left to be done.
-	IsDone bool
+	// IsDone tells those who may take over that nothing is left to be done, and IsStalled that
+	// the acting instance can't write.
+	IsDone    bool
+	IsStalled bool
+	// HasState means that the instance follows the state already.
+	HasState bool
 }
 
 // gateView is what the acting instance knows of a gate.
@@ -134,10 +150,8 @@
 	orderedAt timer.Instant
 	// needAt is since when the state has called for work by an acting instance.
 	needAt  timer.Instant
-	members []Member
-	// standbys are the instances that may take over, in that order.
-	standbys []uint64
-	heardAt  timer.Instant
+	fleet   Fleet
+	heardAt timer.Instant
 	// isDoneHeard means that the acting instance reported to have finished.
 	isDoneHeard bool
 
@@ -147,7 +161,6 @@
 	startAt    timer.Instant
 	deadlineAt timer.Instant
 	stateAt    timer.Instant
-	mapVersion uint64
 	seen       float64
 	rate       float64
 	// isInherited means that a former acting instance may have made grants for the order.
@@ -155,6 +168,8 @@
 	// statusOf is the order and outcome whose status was written last.
 	statusOf   statusKey
 	finishedAt timer.Instant
+	// failingAt is since when writes have failed, 0 if the latest one has not.
+	failingAt timer.Instant
 }
 
 type statusKey struct {
@@ -224,18 +239,25 @@
 	ro.order, ro.configVersion = or, configVersion
 }
 
-// SetMembers sets the service's members and the version of the map that names them, and
-// the instances that may take over, first of all the first.
-func (ro *Roller) SetMembers(members []Member, mapVersion uint64, standbys []uint64) {
-	ro.members, ro.mapVersion, ro.standbys = members, mapVersion, standbys
+// Fleet is the service's members and the version of the map that names them.
+type Fleet struct {
+	Members    []Member
+	MapVersion uint64
+	// IsShared means that any server serves any key, and all with a weight get as much.
+	IsShared bool
+	// Standbys are the instances that may take over, in that order.
+	Standbys []uint64
 }
 
+// SetFleet sets the service's members.
+func (ro *Roller) SetFleet(fl Fleet) { ro.fleet = fl }
+
 func (ro *Roller) member(incarnation uint64) (Member, bool) {
-	i := slices.IndexFunc(ro.members, func(me Member) bool { return me.Incarnation == incarnation })
+	i := slices.IndexFunc(ro.fleet.Members, func(me Member) bool { return me.Incarnation == incarnation })
 	if i < 0 {
 		return Member{}, false
 	}
-	return ro.members[i], true
+	return ro.fleet.Members[i], true
 }
 
 // Hear notes a report of the acting instance of a term.
@@ -245,6 +267,20 @@
 	}
 }
 
+// Wrote notes the end of a write of a state or a status.
+func (ro *Roller) Wrote(hasFailed bool, now timer.Instant) {
+	switch {
+	case !hasFailed:
+		ro.failingAt = 0
+	case ro.failingAt == 0:
+		ro.failingAt = now
+	}
+}
+
+func (ro *Roller) isStalled(now timer.Instant) bool {
+	return ro.failingAt != 0 && now.Sub(ro.failingAt) >= stallSpan
+}
+
 // IsIdle reports whether there is nothing to be done for now.
 func (ro *Roller) IsIdle(now timer.Instant) bool {
 	return ro.st.Version == 0 || !ro.needsWork() && (!ro.IsActing() || now.Sub(ro.finishedAt) >= lingerSpan)
@@ -277,7 +313,7 @@
 // mayTakeOver reports whether this instance is to become the acting one: if there is none,
 // after its turn, or once the acting one has been silent.
 func (ro *Roller) mayTakeOver(now timer.Instant) bool {
-	rank := slices.Index(ro.standbys, ro.self)
+	rank := slices.Index(ro.fleet.Standbys, ro.self)
 	if rank < 0 || !ro.needsWork() {
 		ro.needAt = 0
 		return false
@@ -286,7 +322,7 @@
 		ro.needAt = now
 	}
 	_, isPresent := ro.member(ro.st.Actor)
-	isPresent = isPresent || slices.Contains(ro.standbys, ro.st.Actor)
+	isPresent = isPresent || slices.Contains(ro.fleet.Standbys, ro.st.Actor)
 	wait := takeoverStep * timer.Span(rank)
 	if isPresent && ro.st.Actor != 0 {
 		wait += takeoverSpan
@@ -330,7 +366,7 @@
 		return true
 	case !ro.IsActing() || !ro.st.IsActive():
 		return false
-	case ro.st.Outcome == Running && (!now.Before(ro.deadlineAt) || ro.ju.Verdict() == Bad):
+	case ro.st.Outcome == Running && (!now.Before(ro.decideAt()) || ro.ju.Verdict() == Bad):
 		rollBack(next)
 		return true
 	}
@@ -347,6 +383,14 @@
 	}
 }
 
+// decideAt returns when a version that is not complete is rolled back.
+func (ro *Roller) decideAt() timer.Instant {
+	if ro.st.Phase == Moving || ro.st.Phase == Closing {
+		return ro.deadlineAt
+	}
+	return ro.deadlineAt.Add(-min(decideLead, ro.st.Order.Duration/8))
+}
+
 // begin takes up the order.
 func (ro *Roller) begin(next *State, now timer.Instant, wallAt int64) {
 	next.Order, next.Outcome, next.Phase, next.Step = ro.order, Running, Canary, 0
@@ -411,7 +455,7 @@
 // differs from that of their names.
 func (ro *Roller) serversOf(version string) []Member {
 	var servers []Member
-	for _, me := range ro.members {
+	for _, me := range ro.fleet.Members {
 		if me.Version == version {
 			servers = append(servers, me)
 		}
@@ -439,7 +483,11 @@
 		old += int(min(me.Weight, 1))
 	}
 	total := share / (1 - share) * FullShare * float64(old)
-	count := min(len(names), max(1, int(total/FullShare)))
+	count := max(1, int(total/FullShare))
+	if !ro.fleet.IsShared {
+		count = max(count, min(maxSplit, int(total/minShare)))
+	}
+	count = min(len(names), count)
 	if count == 0 {
 		return nil, 0
 	}
@@ -494,9 +542,9 @@
 // grantedTo returns an upper bound of what a canary has started, or false if it is not
 // known.
 func (ro *Roller) grantedTo(server string) (uint64, bool) {
-	i := slices.IndexFunc(ro.members, func(me Member) bool { return me.Server == server })
+	i := slices.IndexFunc(ro.fleet.Members, func(me Member) bool { return me.Server == server })
 	if i >= 0 {
-		if gv := ro.gates[ro.members[i].Incarnation]; gv != nil && gv.isKnown {
+		if gv := ro.gates[ro.fleet.Members[i].Incarnation]; gv != nil && gv.isKnown {
 			return max(gv.ceiling, gv.latest.Started), true
 		}
 	}
@@ -535,30 +583,44 @@
 // isMoved reports whether the map in force gives the old servers nothing, and each server
 // of the new version has obtained what it is to have.
 func (ro *Roller) isMoved() bool {
-	for _, me := range ro.members {
+	for _, me := range ro.fleet.Members {
 		isNew := me.Version == ro.st.Order.To
 		if !isNew && me.Version != "" && me.Weight > 0 {
 			return false
 		}
-		if !isNew {
-			continue
-		}
-		gv := ro.gates[me.Incarnation]
-		if gv == nil || !gv.isKnown || gv.latest.StateVersion < ro.st.Version || gv.latest.MapVersion < ro.mapVersion || gv.latest.Pending > 0 {
+		if isNew && !ro.hasObtained(me) {
 			return false
 		}
 	}
 	return true
 }
 
+// follows returns the latest report of a member that follows the state, or false if there is
+// none.
+func (ro *Roller) follows(me Member) (Report, bool) {
+	gv := ro.gates[me.Incarnation]
+	if gv == nil || !gv.isKnown || gv.latest.StateVersion < ro.st.Version {
+		return Report{}, false
+	}
+	return gv.latest, true
+}
+
+// hasObtained reports whether a member has obtained all that the map in force gives it.
+func (ro *Roller) hasObtained(me Member) bool {
+	re, ok := ro.follows(me)
+	return ok && re.MapVersion >= ro.fleet.MapVersion && re.Pending == 0
+}
+
+// hasEnded reports whether nothing runs on a member's server, and nothing will.
+func (ro *Roller) hasEnded(me Member) bool {
+	re, ok := ro.follows(me)
+	return ok && re.Running == 0 && re.Held == 0
+}
+
 // isClosed reports whether nothing runs on the servers of other versions, and none will.
 func (ro *Roller) isClosed() bool {
-	for _, me := range ro.members {
-		if me.Version == ro.st.Order.To || me.Version == "" {
-			continue
-		}
-		gv := ro.gates[me.Incarnation]
-		if gv == nil || !gv.isKnown || gv.latest.StateVersion < ro.st.Version || gv.latest.Running > 0 || gv.latest.Held > 0 {
+	for _, me := range ro.fleet.Members {
+		if me.Version != ro.st.Order.To && me.Version != "" && !ro.hasEnded(me) {
 			return false
 		}
 	}
@@ -591,8 +653,7 @@
 // isStopped reports whether all gates of the new version follow the rollback.
 func (ro *Roller) isStopped() bool {
 	for _, me := range ro.serversOf(ro.st.Order.To) {
-		gv := ro.gates[me.Incarnation]
-		if gv == nil || !gv.isKnown || gv.latest.StateVersion < ro.st.Version {
+		if _, ok := ro.follows(me); !ok {
 			return false
 		}
 	}
@@ -612,7 +673,7 @@
 	}
 	var polls []Poll
 	intervals := ro.pollIntervals()
-	for _, me := range ro.members {
+	for _, me := range ro.fleet.Members {
 		interval, ok := intervals[me.Incarnation]
 		if !ok {
 			continue
@@ -621,7 +682,7 @@
 			polls = append(polls, po)
 		}
 	}
-	for _, incarnation := range ro.standbys {
+	for _, incarnation := range ro.fleet.Standbys {
 		if _, isPolled := intervals[incarnation]; isPolled || incarnation == ro.self {
 			continue
 		}
@@ -643,15 +704,18 @@
 		}
 		return intervals
 	}
-	isAll := ro.st.Phase == Moving || ro.st.Phase == Closing
 	for i, me := range ro.serversOf(ro.st.InForce) {
 		if i < ro.sampled() {
 			intervals[me.Incarnation] = slowInterval
 		}
 	}
-	for _, me := range ro.members {
-		if isAll || me.Version == ro.st.Order.To && slices.Contains(ro.st.Canaries, me.Server) {
+	for _, me := range ro.fleet.Members {
+		isNew := me.Version == ro.st.Order.To
+		switch {
+		case isNew && slices.Contains(ro.st.Canaries, me.Server):
 			intervals[me.Incarnation] = pollInterval
+		case isNew && ro.st.Phase == Moving && !ro.hasObtained(me), !isNew && ro.st.Phase == Closing && !ro.hasEnded(me):
+			intervals[me.Incarnation] = closeInterval
 		}
 	}
 	return intervals
@@ -670,20 +734,20 @@
 		return Poll{}, false
 	}
 	gv.pollAt = now.Add(interval)
-	po := Poll{To: to, IsDone: !ro.needsWork()}
+	po := Poll{To: to, IsDone: !ro.needsWork(), IsStalled: ro.isStalled(now), HasState: gv.isKnown && gv.latest.StateVersion >= ro.st.Version}
+	po.Grant = Grant{Term: ro.st.Term, IsStopped: ro.st.IsActive() && ro.ju.Verdict() == Bad}
 	if me, ok := ro.member(to); ok && gv.isKnown && ro.st.AdmissionOf(me.Server, me.Version) == AdmitGranted {
-		ro.extend(gv, now)
-		po.Grant = Grant{Term: ro.st.Term, Ceiling: gv.ceiling}
+		po.Grant.Ceiling = ro.extend(gv, now)
 	}
 	return po, true
 }
 
 // extend raises the ceiling of a gate by what it may need until the next poll, within what
-// may be granted.
-func (ro *Roller) extend(gv *gateView, now timer.Instant) {
+// may be granted, and returns it. It is 0 if nothing may be started any more.
+func (ro *Roller) extend(gv *gateView, now timer.Instant) uint64 {
 	gv.ceiling = max(gv.ceiling, gv.latest.Started)
 	if !now.Before(ro.deadlineAt) || ro.ju.Verdict() == Bad {
-		return
+		return 0
 	}
 	budget := min(ro.limit(), float64(ro.st.Granted)) - ro.spent()
 	part := math.Ceil(budget / float64(max(1, len(ro.st.Canaries))))
@@ -691,6 +755,7 @@
 	if more := math.Floor(min(wanted, part, budget)); more >= 1 {
 		gv.ceiling += uint64(more)
 	}
+	return gv.ceiling
 }
 
 // Report applies the report of a gate.
@@ -709,7 +774,6 @@
 	if span > 0 {
 		gv.rate += 0.3 * (started*float64(timer.Second)/float64(span) - gv.rate)
 	}
-	ro.seen += started * ro.scale(me)
 	isNew := me.Version == ro.st.Order.To
 	if re.IsNew || !isNew && me.Version != ro.st.InForce || !ro.st.IsActive() || ro.st.Order.To == ro.st.InForce {
 		return
@@ -719,17 +783,38 @@
 	}
 }
 
-// scale returns how many requests of the service one of a member stands for, as not all old
-// servers are polled.
-func (ro *Roller) scale(me Member) float64 {
-	if me.Version != ro.st.InForce || ro.st.Phase != Canary && ro.st.Phase != Ramp {
-		return 1
+// estimate returns a lower bound of the requests that reached the service since the order,
+// by what its gates have started. A hot key raises the count of one server by far: each of
+// those polled counts at most twice the median.
+func (ro *Roller) estimate(starts func(gv *gateView) float64) float64 {
+	old := ro.serversOf(ro.st.InForce)
+	var polled []float64
+	total := 0.0
+	for _, me := range ro.fleet.Members {
+		gv := ro.gates[me.Incarnation]
+		switch {
+		case gv == nil || !gv.isKnown:
+		case me.Version == ro.st.InForce:
+			polled = append(polled, starts(gv))
+		case me.Version == ro.st.Order.To:
+			total += starts(gv)
+		}
+	}
+	if len(polled) == 0 {
+		return total
 	}
-	old, sampled := len(ro.serversOf(ro.st.InForce)), ro.sampled()
-	if old <= sampled {
-		return 1
+	slices.Sort(polled)
+	factor := 1.0
+	if len(polled) < len(old) {
+		factor = sampleMargin * float64(len(old)) / float64(len(polled))
+	}
+	for _, started := range polled {
+		if len(polled) < len(old) {
+			started = min(started, 2*polled[len(polled)/2])
+		}
+		total += factor * started
 	}
-	return sampleMargin * float64(old) / float64(sampled)
+	return total
 }
 
 // Evaluate compares the versions by the reports since the last evaluation. It is called at
@@ -739,23 +824,15 @@
 		return
 	}
 	ro.evaluateAt = now.Add(pollInterval)
-	servers, rate, started := 0, 0.0, 0.0
-	for _, me := range ro.members {
-		gv := ro.gates[me.Incarnation]
-		if gv == nil || !gv.isKnown {
-			continue
-		}
-		scale := ro.scale(me)
-		rate += scale * gv.rate
-		started += scale * float64(gv.latest.Started)
-		if me.Version == ro.st.Order.To && gv.latest.Started > 0 {
+	servers := 0
+	for _, me := range ro.serversOf(ro.st.Order.To) {
+		if gv := ro.gates[me.Incarnation]; gv != nil && gv.latest.Started > 0 {
 			servers++
 		}
 	}
-	ro.rate = rate
-	if ro.st.IsActive() {
-		// A successor learns from the gates what reached the service before its term.
-		ro.seen = max(ro.seen, started)
+	if ro.st.Phase == Canary || ro.st.Phase == Ramp {
+		ro.rate = ro.estimate(func(gv *gateView) float64 { return gv.rate })
+		ro.seen = max(ro.seen, ro.estimate(func(gv *gateView) float64 { return float64(gv.latest.Started) }))
 	}
 	ro.ju.Evaluate(servers)
 }
--- a/core/roller/roller_test.go
+++ b/core/roller/roller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -27,16 +28,19 @@
 	outcome          Outcome
 	killsActorAt     []timer.Span
 	withdrawnAt      timer.Span
+	cutAt            timer.Span // the acting instance can't reach the store any more
+	backAt           timer.Span // a second order names the old version
 	hasNoNew, isSame bool
 }
 
 // simServer is a server of the simulated service.
 type simServer struct {
-	me      Member
-	gate    *Gate
-	speed   float64
-	running int
-	recent  float64
+	me     Member
+	gate   *Gate
+	speed  float64
+	recent float64
+	// isSlow is set for a fifth of the time, in periods of 400 ms.
+	isSlow bool
 }
 
 // simulation is a service of old and new servers, the stored state, and three instances that
@@ -58,6 +62,7 @@
 	isStatus                        Outcome
 	steps                           []string
 	endedAt                         timer.Instant
+	cut                             uint64
 }
 
 func newSimulation(t *testing.T, seed uint64, fa fault) *simulation {
@@ -100,9 +105,15 @@
 				delete(si.rollers, si.stored.Actor)
 			}
 		}
+		if si.fault.cutAt > 0 && elapsed >= si.fault.cutAt && si.cut == 0 {
+			si.cut = si.stored.Actor
+		}
 		if si.fault.withdrawnAt > 0 && elapsed >= si.fault.withdrawnAt {
 			si.order = Order{}
 		}
+		if si.fault.backAt > 0 && elapsed >= si.fault.backAt {
+			si.order = Order{ID: 8, Service: "orders", To: "v1", Duration: duration}
+		}
 		si.traffic(elapsed)
 		si.control()
 	}
@@ -110,8 +121,10 @@
 
 func (si *simulation) traffic(elapsed timer.Span) {
 	for _, se := range si.servers {
-		se.running = 0
 		se.recent *= 0.97
+		if elapsed%(8*tick) == 0 {
+			se.isSlow = si.rd.Float64() < 0.2
+		}
 	}
 	total := uint32(0)
 	for _, se := range si.servers {
@@ -143,8 +156,8 @@
 	se.gate.Start()
 	se.recent += 0.03 * float64(timer.Second) / float64(tick)
 	route := []string{"a", "b"}[si.rd.IntN(2)]
-	latency, isBad := 0.1/se.speed, si.rd.Float64() < 0.01
-	if si.rd.Float64() < 0.2 {
+	latency, isBad := 0.1/se.speed*math.Exp(0.3*si.rd.NormFloat64()), si.rd.Float64() < 0.01
+	if se.isSlow {
 		latency *= 3
 	}
 	fa := si.fault
@@ -169,11 +182,11 @@
 		if si.stopBy != 0 && fa.outcome == RolledBack && si.now > si.stopBy {
 			si.t.Fatalf("a request reached the bad version at %v, 5 s after its 50th bad response", elapsed.Duration())
 		}
-	} else if si.isStatus == Complete && !fa.hasNoNew && !fa.isSame {
+	} else if si.isStatus == Complete && !fa.hasNoNew && !fa.isSame && fa.backAt == 0 {
 		si.t.Fatal("an old server got a request after complete")
 	}
-	if se.me.Version == "v2" && si.isStatus == RolledBack {
-		si.t.Fatal("the new version got a request after it was rolled back")
+	if se.me.Version == "v2" && (si.isStatus == RolledBack || fa.backAt > 0 && si.isStatus == Complete) {
+		si.t.Fatal("the new version got a request after the end")
 	}
 	se.gate.Finish(st.Order.ID, route, isBad, timer.Span(latency*float64(timer.Second)))
 }
@@ -193,16 +206,21 @@
 		if ro == nil {
 			continue
 		}
-		ro.SetMembers(members, 1, []uint64{1, 2, 3})
+		ro.SetFleet(Fleet{Members: members, MapVersion: 1, Standbys: []uint64{1, 2, 3}})
 		ro.SetOrder(si.order, uint64(si.now), si.now)
 		if si.now.Sub(si.storedAt) >= timer.Second/2 || si.stored.Actor == id+1 {
 			ro.Observe(si.stored, si.now, wallAt)
 		}
+		if id+1 == si.cut && !ro.IsActing() {
+			continue
+		}
 		for _, po := range ro.Polls(si.now) {
 			si.poll(ro, po)
 		}
 		ro.Evaluate(si.now)
-		if next, ok := ro.Propose(si.now, wallAt); ok && next.Version == si.stored.Version+1 {
+		if next, ok := ro.Propose(si.now, wallAt); ok && id+1 == si.cut {
+			ro.Wrote(true, si.now)
+		} else if ok && next.Version == si.stored.Version+1 {
 			if next.Phase != si.stored.Phase || next.Step != si.stored.Step {
 				si.steps = append(si.steps, fmt.Sprintf("%v %s %d", timer.Span(si.now).Duration(), next.Phase, next.Step))
 			}
@@ -221,7 +239,9 @@
 
 func (si *simulation) poll(ro *Roller, po Poll) {
 	if other := si.rollers[po.To]; other != nil {
-		other.Hear(ro.State().Term, po.IsDone, si.now)
+		if !po.IsStalled {
+			other.Hear(ro.State().Term, po.IsDone, si.now)
+		}
 	}
 	for _, se := range si.servers {
 		if se.me.Incarnation != po.To {
@@ -251,8 +271,12 @@
 		{name: "fails under load", rate: 400, fails: 0.5, aboveLoad: 5, outcome: RolledBack},
 		{name: "fails on one route", rate: 400, fails: 0.2, onRoute: "b", outcome: RolledBack},
 		{name: "slow", rate: 400, slow: 1, outcome: RolledBack},
+		{name: "slow later", rate: 400, slow: 1, after: late, outcome: RolledBack},
 		{name: "fails, acting instance lost", rate: 400, fails: 0.2, after: late, outcome: RolledBack, killsActorAt: []timer.Span{late}},
+		{name: "good, acting instance cut off", rate: 400, outcome: Complete, cutAt: duration / 3},
+		{name: "fails, acting instance cut off", rate: 400, fails: 0.3, after: late, outcome: RolledBack, cutAt: late},
 		{name: "withdrawn", rate: 400, outcome: RolledBack, withdrawnAt: late},
+		{name: "ordered back", rate: 400, outcome: Complete, backAt: duration / 4},
 		{name: "without a server", rate: 400, outcome: Complete, hasNoNew: true},
 		{name: "in force", rate: 400, outcome: Complete, isSame: true},
 	} {
--- a/core/roller/state.go
+++ b/core/roller/state.go
@@ -15,7 +15,7 @@
 //	ro := roller.New(self, roller.WithBounds(bounds))
 //	ro.Observe(state, now, wallAt)
 //	ro.SetOrder(order, configVersion, now)
-//	ro.SetMembers(members, mapVersion, standbys)
+//	ro.SetFleet(fleet)
 //	for _, po := range ro.Polls(now) { ... ro.Report(po.To, report, now) }
 //	if next, ok := ro.Propose(now, wallAt); ok { ... compare-and-set, then Observe }
 //	if st, ok := ro.StatusDue(now); ok { ... write, then ro.StatusWritten(st, now) }
--- a/instance/controller/rollouts.go
+++ b/instance/controller/rollouts.go
@@ -155,7 +155,9 @@
 	for _, me := range tb.Map.Members {
 		members = append(members, roller.Member{Incarnation: me.Incarnation, Server: me.BackendServer, Version: me.Version, Weight: me.Weight})
 	}
-	sr.ro.SetMembers(members, tb.Map.Version, standbysOf(limits.Map.Members))
+	sr.ro.SetFleet(roller.Fleet{
+		Members: members, MapVersion: tb.Map.Version, IsShared: tb.Map.Partitions == 0, Standbys: standbysOf(limits.Map.Members),
+	})
 }
 
 // standbysOf returns the instances that may act: of each data centre the one with the lowest
@@ -216,7 +218,10 @@
 	sr.polling[po.To] = true
 	request := &peerproto.RollOutRequest{
 		State: &peerproto.Document{Name: do.Name, Version: do.Version, Content: do.Compressed()},
-		To:    po.To, Term: st.Term, Ceiling: po.Grant.Ceiling, Done: po.IsDone,
+		To:    po.To, Term: st.Term, Ceiling: po.Grant.Ceiling, Stopped: po.Grant.IsStopped, Done: po.IsDone, Stalled: po.IsStalled,
+	}
+	if po.HasState {
+		request.State.Content = nil
 	}
 	co.spawn(func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, rollOutTimeout)
@@ -240,7 +245,7 @@
 		IsReady: an.GetReady(), IsCold: an.GetCold(), IsNew: an.GetNew(),
 	}
 	for _, rc := range an.GetRoutes() {
-		re.Routes[rc.GetRoute()] = roller.Counts{Good: rc.GetGood(), Bad: rc.GetBad(), Latency: timer.Span(rc.GetLatency())}
+		re.Routes[rc.GetRoute()] = roller.Counts{Good: rc.GetGood(), Bad: rc.GetBad(), Slow: rc.GetSlow(), Latency: timer.Span(rc.GetLatency())}
 	}
 	sr.ro.Report(ev.from, re, now)
 }
@@ -250,6 +255,7 @@
 	st := ev.state
 	sr := co.serviceRollOut(st.Service)
 	sr.isWriting = false
+	sr.ro.Wrote(ev.err != nil, now)
 	if ev.err != nil {
 		sr.nextStateAt = now.Add(rollOutBackoff)
 		co.lo.Warn("failed to write the state of a rollout", "service", st.Service, "version", st.Version, "phase", string(st.Phase), "error", ev.err)
@@ -266,6 +272,7 @@
 func (co *Controller) onStatusWritten(ev statusWritten, now timer.Instant) {
 	sr := co.serviceRollOut(ev.status.Service)
 	sr.isWriting = false
+	sr.ro.Wrote(ev.err != nil, now)
 	if ev.err != nil {
 		sr.nextStatusAt = now.Add(rollOutBackoff)
 		co.lo.Warn("failed to write the status of a rollout", "service", ev.status.Service, "outcome", string(ev.status.Outcome), "error", ev.err)
@@ -289,7 +296,7 @@
 		return
 	}
 	do := ev.request.GetState()
-	if do.GetVersion() > co.ds.held[do.GetName()].Version {
+	if len(do.GetContent()) > 0 && do.GetVersion() > co.ds.held[do.GetName()].Version {
 		content, err := encoder.Decompress(do.GetContent())
 		if err != nil {
 			co.lo.Error("document rejected", "document", do.GetName(), "version", do.GetVersion(), "error", err)
@@ -301,7 +308,9 @@
 	if st, ok := co.ds.rollOuts[service]; ok {
 		sr := co.serviceRollOut(service)
 		sr.ro.Observe(st, now, time.Now().UnixMilli())
-		sr.ro.Hear(ev.request.GetTerm(), ev.request.GetDone(), now)
+		if !ev.request.GetStalled() {
+			sr.ro.Hear(ev.request.GetTerm(), ev.request.GetDone(), now)
+		}
 		answer.StateVersion = st.Version
 	}
 	if tb := co.ds.tables[service]; tb != nil && service == co.self.Service {
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -156,6 +156,8 @@
 	condition    observedCondition
 	// versions is the part in rollouts, nil if they are off.
 	versions *roller.Gate
+	// abandonedUntil is the latest deadline of a request that was given up while it ran.
+	abandonedUntil timer.Instant
 	// isStartScheduled means that a timer will start queued requests on a cold
 	// server.
 	isStartScheduled bool
--- a/instance/gatekeeper/rollout.go
+++ b/instance/gatekeeper/rollout.go
@@ -57,7 +57,14 @@
 // finishVersion counts the response to a request. What did not run counts as none, nor does
 // what the caller gave up. The lock must be held.
 func (ga *Gatekeeper) finishVersion(ctx context.Context, jo *job, answer *peerproto.ForwardResponse, result result) {
-	if ga.versions == nil || jo.order == 0 || answer.GetOutcome() == OutcomeNotRun {
+	if ga.versions == nil {
+		return
+	}
+	if result == resultCancelled {
+		// The server may go on until the request's deadline.
+		ga.abandonedUntil = max(ga.abandonedUntil, jo.deadlineAt)
+	}
+	if jo.order == 0 || answer.GetOutcome() == OutcomeNotRun {
 		return
 	}
 	isLate := result == resultCancelled && errors.Is(ctx.Err(), context.DeadlineExceeded)
@@ -83,11 +90,14 @@
 	started, routes := ga.versions.Counts(st)
 	answer.Started = started
 	for route, cu := range routes {
-		answer.Routes = append(answer.Routes, &peerproto.RouteCounts{Route: route, Good: cu.Good, Bad: cu.Bad, Latency: int64(cu.Latency)})
+		answer.Routes = append(answer.Routes, &peerproto.RouteCounts{Route: route, Good: cu.Good, Bad: cu.Bad, Slow: cu.Slow, Latency: int64(cu.Latency)})
 	}
 	if ga.gate != nil {
 		answer.Running = uint32(ga.gate.Running())
 	}
+	if now.Before(ga.abandonedUntil) {
+		answer.Running++
+	}
 	answer.Ready = bs.ID != "" && bs.RefuseAt == 0 && !ga.isServerLeft(bs)
 	answer.Cold = now.Before(bs.ColdUntil)
 	answer.New = now.Sub(bs.Since) < newSpan
--- a/instance/router/peerserver.go
+++ b/instance/router/peerserver.go
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	if re.GetState().GetName() == controller.RollOutPrefix+ps.in.pu.Self().Service {
-		ps.in.ga.RollOut(roller.Grant{Term: re.GetTerm(), Ceiling: re.GetCeiling()}, answer)
+		ps.in.ga.RollOut(roller.Grant{Term: re.GetTerm(), Ceiling: re.GetCeiling(), IsStopped: re.GetStopped()}, answer)
 	}
 	return answer, nil
 }
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -238,6 +239,9 @@
 	})
 }
 
+// rollOutPhases lists the phases by their values in the metric.
+var rollOutPhases = []roller.Phase{roller.Stable, roller.Canary, roller.Ramp, roller.Moving, roller.Closing}
+
 func (ro *Router) registerGauges() {
 	ro.meter.Gauge("lease_valid", "1 if the instance's lease is valid.", func() float64 {
 		if in := ro.current.Load(); in != nil && in.pu.HasLease() {
@@ -262,6 +266,15 @@
 		}
 		return float64(in.ga.ThrottledRoutes())
 	})
+	if ro.rollOutStatus != nil {
+		ro.meter.Gauge("rollout_phase", "Phase of the rollout of the own service: 0 none, 1 canary, 2 ramp, 3 moving, 4 closing.", func() float64 {
+			in := ro.current.Load()
+			if in == nil {
+				return 0
+			}
+			return float64(max(0, slices.Index(rollOutPhases, in.pu.View().RollOuts[ro.se.BackendServer.Service].Phase)))
+		})
+	}
 	ro.meter.Gauge("control_sent_bytes", "Payload of control datagrams sent.", func() float64 {
 		return float64(ro.me.Counts().SentBytes)
 	})
--- a/standin/platformer/grants.go
+++ b/standin/platformer/grants.go
@@ -144,7 +144,7 @@
 		bs.endHold(from, time.Now())
 	}
 	bs.mu.Unlock()
-	wr.Header().Set("X-Handover", fmt.Sprintf("%s-%d", bs.id, gc.From))
+	wr.Header().Set("X-Handover", fmt.Sprintf("%s-%d", bs.ID(), gc.From))
 }
 
 // isWorking reports whether a request on the keys runs.
--- a/standin/platformer/server.go
+++ b/standin/platformer/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -90,7 +91,7 @@
 // runs a request only while it holds the request's key. It implements http.Handler
 // for the requests.
 type Server struct {
-	id        string
+	id        atomic.Pointer[string]
 	bornAt    int64
 	service   string
 	address   string
@@ -126,10 +127,11 @@
 // requests and control where it sends its heartbeats, both as IP:port.
 func NewServer(id, service, address, control string, opts ...ServerOption) *Server {
 	bs := &Server{
-		id: id, bornAt: time.Now().UnixMilli(), service: service, address: address, control: control, zone: "a", version: "v1",
+		bornAt: time.Now().UnixMilli(), service: service, address: address, control: control, zone: "a", version: "v1",
 		isSharded: true, serviceTime: 5 * time.Millisecond, released: [][3]any{}, maxToken: map[uint64]uint64{}, latestPeriod: map[uint64]int{},
 		client: &http.Client{Transport: &http.Transport{}},
 	}
+	bs.id.Store(&id)
 	for _, opt := range opts {
 		opt(bs)
 	}
@@ -154,8 +156,20 @@
 	return span, rand.Float64() < bs.fault.Fails
 }
 
+// Replace makes the server another run with an ID and a version, which holds no keys.
+func (bs *Server) Replace(id, version string) {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	bs.id.Store(&id)
+	bs.version, bs.bornAt, bs.sequence = version, time.Now().UnixMilli(), 0
+	for _, ho := range bs.holds {
+		bs.endHold(ho.From, time.Now())
+	}
+	bs.holds, bs.released = nil, [][3]any{}
+}
+
 // ID returns the server's id.
-func (bs *Server) ID() string { return bs.id }
+func (bs *Server) ID() string { return *bs.id.Load() }
 
 // HoldPeriods returns the periods in which the server held ranges, in order. The end
 // of a current period is that of the latest reply.
@@ -256,7 +270,7 @@
 	defer cancel()
 	sentAt := time.Now()
 	body, released := bs.encodeHeartbeat()
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bs.control+"/cornellanding/instances/"+bs.id+"/heartbeat", bytes.NewReader(body))
+	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bs.control+"/cornellanding/instances/"+bs.ID()+"/heartbeat", bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
@@ -343,7 +357,7 @@
 			isKept = isKept || ne.From == ho.From
 		}
 		if !isKept && time.Now().Before(ho.Until) {
-			bs.released = append(bs.released, [3]any{ho.From, ho.To, fmt.Sprintf("%s-%d", bs.id, ho.From)})
+			bs.released = append(bs.released, [3]any{ho.From, ho.To, fmt.Sprintf("%s-%d", bs.ID(), ho.From)})
 			bs.endHold(ho.From, now)
 			hasReleased = true
 		}
@@ -365,7 +379,7 @@
 	}
 	id := re.Header.Get("X-Request-Id")
 	wr.Header().Set("X-Request-Id", id)
-	if want := re.Header.Get("X-Expected-Instance"); want != "" && want != bs.id {
+	if want := re.Header.Get("X-Expected-Instance"); want != "" && want != bs.ID() {
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -394,7 +408,7 @@
 	}
 	bs.runs[index].HasFailed = hasFailed
 	bs.mu.Unlock()
-	wr.Header().Set("X-Server-Signature", bs.id+"."+id)
+	wr.Header().Set("X-Server-Signature", bs.ID()+"."+id)
 	if hasFailed {
 		wr.WriteHeader(http.StatusInternalServerError)
 	}
