Rollouts: tests of gates, maps, orders and statuses; heads of large bodies

A request with a large body was refused for its server's version only after the body had been sent. The gate now refuses its head.

--- a/core/folder/folder_test.go
+++ b/core/folder/folder_test.go
@@ -7,6 +7,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/roller"
 	"github.com/matryer/is"
 )
 
@@ -120,3 +121,33 @@
 		is.Equal(Fold(in)[0].Partitions, cas.want)
 	}
 }
+
+// TestVersionsWeigh guards against keys for servers of a version that is not in force, and a
+// service that loses the servers beside instances of a former program, which name no version.
+func TestVersionsWeigh(t *testing.T) {
+	is := is.New(t)
+	in := Input{Config: cataloguer.Config{Version: 1}, Maps: map[string]placer.Map{}, RollOuts: map[string]roller.State{}}
+	in.Config.Catalogue.Services = []cataloguer.Service{{Name: "counter", Class: cataloguer.Exclusive, Partitions: 16}}
+	for i, version := range []string{"v1", "v2", "v1", "", "v2"} {
+		ir := InstanceRow{BackendServer: fmt.Sprint("s", i), Service: "counter", Weight: placer.FullWeight, State: Active, Version: version, Lease: leaser.Row{Incarnation: uint64(i + 1)}}
+		in.Rows = append(in.Rows, ir)
+	}
+	first := FirstRollOuts(in)
+	is.Equal(len(first), 1)
+	is.Equal(first[0].InForce, "v1")
+	in.RollOuts["counter"] = first[0]
+	is.Equal(len(FirstRollOuts(in)), 0)
+	weights := func() (list []uint32) {
+		for _, me := range Fold(in)[0].Members {
+			list = append(list, me.Weight)
+		}
+		return list
+	}
+	is.Equal(weights(), []uint32{placer.FullWeight, 0, placer.FullWeight, placer.FullWeight, 0})
+	st := first[0]
+	st.Phase, st.Order, st.Canaries, st.Share = roller.Canary, roller.Order{ID: 1, To: "v2"}, []string{"s4"}, 1
+	in.RollOuts["counter"] = st
+	is.Equal(weights(), []uint32{placer.FullWeight, 0, placer.FullWeight, placer.FullWeight, 1})
+	in.RollOuts = nil // rollouts are off
+	is.Equal(weights()[1], uint32(placer.FullWeight))
+}
--- a/core/roller/roller_test.go
+++ b/core/roller/roller_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"cornellanding.example/core/timer"
@@ -27,6 +28,7 @@
 	rate             float64 // requests per second of the service
 	outcome          Outcome
 	killsActorAt     []timer.Span
+	killsActorIn     []Phase // as soon as it has stored the first step of the phase
 	withdrawnAt      timer.Span
 	cutAt            timer.Span // the acting instance can't reach the store any more
 	backAt           timer.Span // a second order names the old version
@@ -60,6 +62,7 @@
 	arrived, exposed, bads, refused int
 	stopBy                          timer.Instant
 	isStatus                        Outcome
+	killed                          map[Phase]bool
 	steps                           []string
 	endedAt                         timer.Instant
 	cut                             uint64
@@ -67,7 +70,7 @@
 
 func newSimulation(t *testing.T, seed uint64, fa fault) *simulation {
 	si := &simulation{
-		t: t, rd: rand.New(rand.NewPCG(seed, 1)), fault: fa, now: timer.Instant(timer.Second), known: map[string]State{}, rollers: map[uint64]*Roller{},
+		t: t, rd: rand.New(rand.NewPCG(seed, 1)), fault: fa, now: timer.Instant(timer.Second), known: map[string]State{}, rollers: map[uint64]*Roller{}, killed: map[Phase]bool{},
 		stored: State{Service: "orders", Version: 1, InForce: "v1", Phase: Stable},
 		order:  Order{ID: 7, Service: "orders", To: "v2", Duration: duration},
 	}
@@ -224,8 +227,14 @@
 			if next.Phase != si.stored.Phase || next.Step != si.stored.Step {
 				si.steps = append(si.steps, fmt.Sprintf("%v %s %d", timer.Span(si.now).Duration(), next.Phase, next.Step))
 			}
+			isNewPhase := next.Phase != si.stored.Phase
 			si.stored, si.storedAt = next, si.now
 			ro.Observe(next, si.now, wallAt)
+			if isNewPhase && slices.Contains(si.fault.killsActorIn, next.Phase) && !si.killed[next.Phase] {
+				si.killed[next.Phase] = true
+				delete(si.rollers, id+1)
+				continue
+			}
 		}
 		if su, ok := ro.StatusDue(si.now); ok && su.StateVersion == si.stored.Version {
 			if si.isStatus != su.Outcome {
@@ -265,6 +274,10 @@
 		{name: "good, little traffic", rate: 1, outcome: Complete},
 		{name: "good, no traffic", outcome: Complete},
 		{name: "good, acting instance lost", rate: 400, outcome: Complete, killsActorAt: kills},
+		{name: "good, acting instance lost with canary and ramp", rate: 400, outcome: Complete, killsActorIn: []Phase{Canary, Ramp}},
+		{name: "good, acting instance lost with move and close", rate: 400, outcome: Complete, killsActorIn: []Phase{Moving, Closing}},
+		{name: "good, acting instance lost before the status", rate: 400, outcome: Complete, killsActorIn: []Phase{Ramp, Stable}},
+		{name: "fails, acting instance lost before the status", rate: 400, fails: 0.3, after: late, outcome: RolledBack, killsActorIn: []Phase{Canary, Stable}},
 		{name: "fails at once", rate: 400, fails: 0.3, outcome: RolledBack},
 		{name: "fails later", rate: 400, fails: 0.3, after: late, outcome: RolledBack},
 		{name: "fails in the ramp", rate: 400, fails: 0.3, after: duration * 62 / 100, outcome: RolledBack},
--- a/instance/gatekeeper/link.go
+++ b/instance/gatekeeper/link.go
@@ -113,7 +113,10 @@
 	if ga.isDraining {
 		return refuse(admitter.CodeDraining, "this instance is stopping")
 	}
-	return ga.refuseIfServerUnavailable()
+	if refusal := ga.refuseIfServerUnavailable(); refusal != nil {
+		return refusal
+	}
+	return ga.refuseVersion()
 }
 
 // RefuseBody refuses a request that arrived at startedAt because its body was not admitted or
