Rollouts: fewer polls by the acting instance

With four canaries and eight old servers the acting instance made 30 calls a second. Canaries are now polled every 250 to 400 ms, old servers every 2 s and standbys every 700 ms, some 16 calls a second with four canaries.

--- a/core/roller/roller.go
+++ b/core/roller/roller.go
@@ -10,13 +10,17 @@
 )
 
 const (
-	// pollInterval separates polls of the gates of canaries, slowInterval those of the old
-	// servers that they are compared with, closeInterval those of servers that are to obtain
-	// or to end something, and reportInterval the reports to the instances that may take over.
+	// pollInterval separates polls of the gate of a canary, up to closeInterval where there are
+	// more than two: a grant must outlast a lost poll. canaryInterval then separates polls of
+	// any canary, which bounds the acting instance's work.
+	// slowInterval separates polls of the old servers that canaries are compared with,
+	// closeInterval those of servers that are to obtain or to end something, and
+	// reportInterval the reports to the instances that may take over.
 	pollInterval   = 250 * timer.Millisecond
-	slowInterval   = timer.Second
+	canaryInterval = pollInterval / 2
+	slowInterval   = 2 * timer.Second
 	closeInterval  = 400 * timer.Millisecond
-	reportInterval = 500 * timer.Millisecond
+	reportInterval = 700 * timer.Millisecond
 	// takeoverSpan is how long the acting instance may stay silent, and takeoverStep what
 	// each further instance waits in addition.
 	takeoverSpan = 2 * timer.Second
@@ -713,7 +717,7 @@
 		isNew := me.Version == ro.st.Order.To
 		switch {
 		case isNew && slices.Contains(ro.st.Canaries, me.Server):
-			intervals[me.Incarnation] = pollInterval
+			intervals[me.Incarnation] = min(closeInterval, max(pollInterval, canaryInterval*timer.Span(len(ro.st.Canaries))))
 		case isNew && ro.st.Phase == Moving && !ro.hasObtained(me), !isNew && ro.st.Phase == Closing && !ro.hasEnded(me):
 			intervals[me.Incarnation] = closeInterval
 		}
