Check of a configuration before it is sent

Cause: an operator learned of a hidden route, a limit that contradicts another or a withdrawn key only from refused callers.

--- a/cmd/cornellanding/main.go
+++ b/cmd/cornellanding/main.go
@@ -4,7 +4,7 @@
 //
 //	cornellanding serve --config vm.yaml
 //	cornellanding sidecar
-//	cornellanding check FILE...
+//	cornellanding check [--against FILE] [--strict] [--json] FILE...
 //	cornellanding catalogue apply|show|diff FILE
 //	cornellanding key grant|withdraw --workspace W
 //	cornellanding drain|return --backend-server B
@@ -35,12 +35,17 @@
 const (
 	exitFailed = 1
 	exitUsage  = 2
+	// exitInvalid is the status of check for a file with errors.
+	exitInvalid = 2
 )
 
 // errFailed makes a command exit with exitFailed without a message, because its
 // output already reports the failure.
 var errFailed = errors.New("failed")
 
+// errInvalid makes a command exit with exitInvalid without a message.
+var errInvalid = errors.New("invalid")
+
 func main() {
 	if len(os.Args) < 2 || os.Args[1] != sidecarName {
 		signaler.Release()
@@ -76,6 +81,8 @@
 		return exitUsage
 	case errors.Is(err, errFailed):
 		return exitFailed
+	case errors.Is(err, errInvalid):
+		return exitInvalid
 	default:
 		fmt.Fprintln(errOut, "cornellanding:", err)
 		return exitFailed
@@ -100,7 +107,7 @@
 	op := operator{streams: st}
 	add(nil, "serve", "Run the instance beside a backend server.", &serveCommand{streams: st})
 	add(nil, sidecarName, "Run the instance beside a backend server on the users' platform.", &sidecarCommand{streams: st})
-	add(nil, "check", "Validate settings or catalogues.", &checkCommand{streams: st})
+	add(nil, "check", "Check settings, catalogues or configurations before they are sent.", &checkCommand{streams: st})
 	add(nil, "demo", "Run a deployment on loopback with load and failures.", &demoCommand{streams: st})
 	catalogue := add(nil, "catalogue", "Apply, show or compare the catalogue.", &struct{}{})
 	add(catalogue, "apply", "Put a catalogue into force.", &catalogueApply{operator: op})
--- a/cmd/cornellanding/serve.go
+++ b/cmd/cornellanding/serve.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"cornellanding.example/instance/router"
-	"cornellanding.example/platform/adapter"
 	"cornellanding.example/wire/parser"
 )
 
@@ -36,51 +33,3 @@
 	defer stop()
 	return ro.Run(ctx)
 }
-
-type checkCommand struct {
-	*streams
-	Args struct {
-		Files []string `positional-arg-name:"FILE" required:"1"`
-	} `positional-args:"true" required:"true"`
-}
-
-// Execute implements flags.Commander.
-func (cc *checkCommand) Execute([]string) error {
-	isFailed := false
-	for _, file := range cc.Args.Files {
-		content, err := os.ReadFile(file)
-		if err == nil {
-			err = check(file, content)
-		}
-		if err != nil {
-			fmt.Fprintln(cc.err, err)
-			isFailed = true
-			continue
-		}
-		fmt.Fprintln(cc.out, file+": ok")
-	}
-	if isFailed {
-		return errFailed
-	}
-	return nil
-}
-
-// hasField reports whether a YAML file has a top-level field, by its text alone.
-func hasField(content []byte, field string) bool {
-	return bytes.HasPrefix(content, []byte(field+":")) || bytes.Contains(content, []byte("\n"+field+":"))
-}
-
-// check validates a settings file of the users' platform, a catalogue or a settings
-// file of the router. It distinguishes them by a field that only one of them has.
-func check(file string, content []byte) error {
-	if hasField(content, "node") {
-		_, err := adapter.ParseSettings(file, content)
-		return err
-	}
-	if hasField(content, "dataCentres") {
-		_, err := parser.ParseCatalogue(file, content)
-		return err
-	}
-	_, err := parser.ParseSettings(file, content)
-	return err
-}
