--- a/instance/accountant/conn.go
+++ b/instance/accountant/conn.go
@@ -56,9 +56,9 @@
 	// true until the first of them arrives.
 	isHeadOver bool
 	isIdle     bool
-	// headBytes and lines are the size of the head so far, and lineLength and lineStart
-	// the length and the first byte of its current line. charged is what was charged for
-	// it.
+	// headBytes and lines are the size of the head so far, lineLength and lineStart the
+	// length and the first byte of its current line, and charged what was charged for the
+	// head.
 	headBytes  int64
 	lines      int64
 	lineLength int
