--- a/instance/gatekeeper/calls.go
+++ b/instance/gatekeeper/calls.go
@@ -23,8 +23,13 @@
 
 func newCalls() calls { return calls{th: throttler.New(), routes: admitter.NewCallRoutes()} }
 
-// ObserveCall records the end of a call that the backend server made.
+// ObserveCall records the end of a call that the backend server made. Where workspaces are
+// configured it does nothing, so that no route is throttled: their rates limit the load
+// already, and throttling refused more there than it let through.
 func (ga *Gatekeeper) ObserveCall(ca throttler.Call) {
+	if len(ga.pu.View().Config.Catalogue.Workspaces) > 0 {
+		return
+	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.calls.isActive.Store(true)
--- a/instance/gatekeeper/calls_test.go
+++ b/instance/gatekeeper/calls_test.go
@@ -59,6 +59,21 @@
 	}
 }
 
+// TestCallsWithWorkspaces guards against throttling where workspaces are configured.
+func TestCallsWithWorkspaces(t *testing.T) {
+	is := is.New(t)
+	ga, clock := newShared(t, func(http.ResponseWriter, *http.Request) {})
+	vi := ga.pu.View()
+	config := vi.Config
+	config.Catalogue.Workspaces = []cataloguer.Workspace{{Name: "klaps"}}
+	ga.pu.Publish(publisher.NewView(config, vi.Tables))
+	for range 1000 {
+		clock.advance(10 * timer.Millisecond)
+		ga.ObserveCall(throttler.Call{Route: "photo-info", StartedAt: clock.Now(), IsFailed: true, IsOverload: true})
+	}
+	is.True(!ga.calls.isActive.Load())
+}
+
 // TestFailingCallsAreRefusedBeforeTheStart guards against runs that begin although their
 // calls fail, and against a refusal of a route of the same server that makes no calls.
 func TestFailingCallsAreRefusedBeforeTheStart(t *testing.T) {
