--- a/bench/loader/loader.go
+++ b/bench/loader/loader.go
@@ -265,6 +265,9 @@
 	if err != nil {
 		return true
 	}
+	// Without GetBody the client never sends the request again by itself, as it does with a
+	// GET on a kept connection that breaks: the copy might be refused after the first one ran.
+	hr.GetBody = nil
 	hr.Header.Set("Authorization", "Bearer "+lo.keys[re.Workspace])
 	answer, err := lo.client.Do(hr)
 	if err != nil {
