Account of connections: one place locks, drops and closes

Cause: four methods repeated how dropped holders' connections are removed under the lock and closed after it; the retry delay for lack of memory stood in three packages; a peer's body had its own copy of io.ReadFull. Change: Accountant.dropBy, accountant.RetryAfter, one constructor of refusals in the transfer. Result: tests of accountant, forwarder and router pass with the race detector.

--- a/instance/accountant/accountant.go
+++ b/instance/accountant/accountant.go
@@ -18,6 +18,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -35,6 +36,10 @@
 	logInterval = 5 * timer.Second
 )
 
+// RetryAfter is the retry delay to advise when no memory is left: clients that make no progress
+// are dropped after a second.
+const RetryAfter = timer.Second
+
 // Limits are the limits of one head and of the time between requests.
 type Limits struct {
 	// HeadBytes is the maximum size of a head in bytes.
@@ -70,14 +75,14 @@
 // Run closes connections that must end, until ctx ends.
 func (ac *Accountant) Run(ctx context.Context) {
 	for timer.Sleep(ctx, sweepInterval) {
-		ac.mu.Lock()
-		if ac.measurement != nil {
-			ac.measurement.apply(ac.account)
-		}
-		closing := ac.remove(ac.account.Expire(ac.clock.Now()))
-		ac.logDropped()
-		ac.mu.Unlock()
-		closeAll(closing)
+		ac.dropBy(func(account *reserver.Account, now timer.Instant) []reserver.ID {
+			if ac.measurement != nil {
+				ac.measurement.apply(account)
+			}
+			expired := account.Expire(now)
+			ac.logDropped()
+			return expired
+		})
 	}
 }
 
@@ -107,20 +112,19 @@
 	return ac.account.Dropped, ac.account.Refused
 }
 
-// remove returns the connections of dropped holders. The lock must be held.
-func (ac *Accountant) remove(dropped []reserver.ID) []*conn {
+// dropBy changes the account under the lock, and then closes the connections of the holders
+// that change returns as dropped.
+func (ac *Accountant) dropBy(change func(account *reserver.Account, now timer.Instant) (dropped []reserver.ID)) {
 	var closing []*conn
-	for _, id := range dropped {
-		if co := ac.conns[id]; co != nil {
-			closing = append(closing, co)
-			delete(ac.conns, id)
+	ac.update(func(account *reserver.Account, now timer.Instant) {
+		for _, id := range change(account, now) {
+			if co := ac.conns[id]; co != nil {
+				closing = append(closing, co)
+				delete(ac.conns, id)
+			}
 		}
-	}
-	return closing
-}
-
-func closeAll(conns []*conn) {
-	for _, co := range conns {
+	})
+	for _, co := range closing {
 		// The client may have closed it already.
 		_ = co.Conn.Close()
 	}
@@ -132,31 +136,26 @@
 		// A broken connection shows in the first read.
 		_ = tcp.SetWriteBuffer(writeBuffer)
 	}
-	now := ac.clock.Now()
-	co := &conn{Conn: inner, ac: ac, kind: kind}
-	ac.mu.Lock()
-	id, dropped, ok := ac.account.Open(kind, now.Add(ac.limits(kind).HeadTimeout), now)
-	closing := ac.remove(dropped)
-	if ok {
-		co.id = id
-		ac.conns[id] = co
-	}
-	ac.mu.Unlock()
-	closeAll(closing)
-	if !ok {
-		return nil
-	}
-	return co
+	var opened *conn
+	ac.dropBy(func(account *reserver.Account, now timer.Instant) []reserver.ID {
+		id, dropped, ok := account.Open(kind, now.Add(ac.limits(kind).HeadTimeout), now)
+		if ok {
+			opened = &conn{Conn: inner, ac: ac, kind: kind, id: id}
+			ac.conns[id] = opened
+		}
+		return dropped
+	})
+	return opened
 }
 
 // take charges bytes to a connection, or returns false.
 func (ac *Accountant) take(id reserver.ID, bytes int64) bool {
-	ac.mu.Lock()
-	dropped, ok := ac.account.Take(id, bytes, ac.clock.Now())
-	closing := ac.remove(dropped)
-	ac.mu.Unlock()
-	closeAll(closing)
-	return ok
+	isTaken := false
+	ac.dropBy(func(account *reserver.Account, now timer.Instant) (dropped []reserver.ID) {
+		dropped, isTaken = account.Take(id, bytes, now)
+		return dropped
+	})
+	return isTaken
 }
 
 // update changes the account under the lock.
@@ -194,8 +193,9 @@
 
 type holdKey struct{}
 
-// Attach makes a server, whose connections may be wrapped once more, report the states of its connections and replaces its time-outs and
-// its limit of a head by those of the account. It must be called before the server starts.
+// Attach makes a server, whose connections may be wrapped once more, report the states of its
+// connections, and replaces its time-outs and its limit of a head by those of the account. It
+// must be called before the server starts.
 func (ac *Accountant) Attach(server *http.Server) {
 	before := server.ConnContext
 	server.ConnContext = func(ctx context.Context, outer net.Conn) context.Context {
@@ -225,7 +225,7 @@
 		re = re.WithContext(context.WithValue(re.Context(), holdKey{}, hold))
 		if !hold.chargeHead(re.Header) {
 			wr.Header().Set("Connection", "close")
-			wr.Header().Set("Retry-After", "1")
+			wr.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter/timer.Second)))
 			http.Error(wr, "no memory is left for the request's head", http.StatusServiceUnavailable)
 			return
 		}
@@ -261,17 +261,14 @@
 	if ho.co == nil {
 		return true
 	}
-	ac := ho.co.ac
-	ac.mu.Lock()
-	if ho.co.request != ho.request {
-		ac.mu.Unlock()
-		return false
-	}
-	dropped, ok := ac.account.Take(ho.co.id, bytes, ac.clock.Now())
-	closing := ac.remove(dropped)
-	ac.mu.Unlock()
-	closeAll(closing)
-	return ok
+	isTaken := false
+	ho.co.ac.dropBy(func(account *reserver.Account, now timer.Instant) (dropped []reserver.ID) {
+		if ho.co.request == ho.request {
+			dropped, isTaken = account.Take(ho.co.id, bytes, now)
+		}
+		return dropped
+	})
+	return isTaken
 }
 
 // update changes the account if the hold is that of the current request.
--- a/instance/forwarder/body.go
+++ b/instance/forwarder/body.go
@@ -5,16 +5,11 @@
 	"io"
 	"net/http"
 
-	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/assembler"
 	"cornellanding.example/instance/gatekeeper"
 )
 
-// noMemoryRetryAfter is the retry delay advised when no memory was left for a body: clients
-// that make no progress are dropped after a second.
-const noMemoryRetryAfter = timer.Second
-
 // ReadBody reads the body of a caller's request of at most limit bytes, as far as the account
 // of its connection has room for it. After a refusal for lack of room the connection is closed
 // with the response, since the rest of the body isn't read.
@@ -28,7 +23,7 @@
 	case errors.Is(err, assembler.ErrNoRoom):
 		wr.Header().Set("Connection", "close")
 		return nil, &Refusal{
-			Status: http.StatusServiceUnavailable, Code: CodeNoMemory, Outcome: notRun, Reason: "no memory is left for the body", RetryAfter: noMemoryRetryAfter,
+			Status: http.StatusServiceUnavailable, Code: CodeNoMemory, Outcome: notRun, Reason: "no memory is left for the body", RetryAfter: accountant.RetryAfter,
 		}
 	case err != nil:
 		return nil, &Refusal{Status: http.StatusBadRequest, Code: CodeBadRequest, Outcome: notRun, Reason: "the body can't be read"}
--- a/instance/router/charge.go
+++ b/instance/router/charge.go
@@ -8,7 +8,6 @@
 	"sync"
 	"sync/atomic"
 
-	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/assembler"
 	"cornellanding.example/instance/gatekeeper"
@@ -25,9 +24,6 @@
 	// without a check: all control traffic, and requests that are cheaper to run than to
 	// refuse.
 	smallCall = 16 << 10
-	// noMemoryRetryAfter is the advised retry delay: clients that make no progress are
-	// dropped after a second.
-	noMemoryRetryAfter = timer.Second
 )
 
 // charge is what one call to another instance holds beside the request itself. It is safe for
@@ -187,8 +183,5 @@
 
 // refuseNoMemory is the answer to a request that was not run for lack of memory.
 func refuseNoMemory(re *peerproto.ForwardRequest) *peerproto.ForwardResponse {
-	return &peerproto.ForwardResponse{
-		RequestId: re.GetRequestId(), Outcome: gatekeeper.OutcomeNotRun, Code: gatekeeper.CodeNoMemory,
-		Reason: "no memory is left for the request", RetryAfter: int64(noMemoryRetryAfter),
-	}
+	return refuseTransfer(re, gatekeeper.CodeNoMemory, "no memory is left for the request", accountant.RetryAfter)
 }
--- a/instance/router/transfer.go
+++ b/instance/router/transfer.go
@@ -72,7 +72,7 @@
 		return nil, false, err
 	}
 	if len(head) > maxHead {
-		return refuseTransfer(rq, gatekeeper.CodeBadTarget, "the headers are too large for a request with a large body"), false, nil
+		return refuseTransfer(rq, gatekeeper.CodeBadTarget, "the headers are too large for a request with a large body", 0), false, nil
 	}
 	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+bodyPath, http.NoBody)
 	if err != nil {
@@ -106,13 +106,13 @@
 	if ok {
 		return nil
 	}
-	refusal := refuseTransfer(rq, admitter.CodeLinkFull, "the link of the VM where the request arrived can't send the body in time")
-	refusal.RetryAfter = int64(retryAfter)
-	return refusal
+	return refuseTransfer(rq, admitter.CodeLinkFull, "the link of the VM where the request arrived can't send the body in time", retryAfter)
 }
 
-func refuseTransfer(rq *peerproto.ForwardRequest, code, reason string) *peerproto.ForwardResponse {
-	return &peerproto.ForwardResponse{RequestId: rq.GetRequestId(), Outcome: gatekeeper.OutcomeNotRun, Code: code, Reason: reason}
+// refuseTransfer is the answer to a request that was not run. RetryAfter is the advised retry
+// delay, 0 for none.
+func refuseTransfer(rq *peerproto.ForwardRequest, code, reason string, retryAfter timer.Span) *peerproto.ForwardResponse {
+	return &peerproto.ForwardResponse{RequestId: rq.GetRequestId(), Outcome: gatekeeper.OutcomeNotRun, Code: code, Reason: reason, RetryAfter: int64(retryAfter)}
 }
 
 // wishOf returns the times of a request whose remaining times count from startedAt.
@@ -193,7 +193,7 @@
 	defer cancel()
 	hold := accountant.From(re.Context())
 	if !hold.Take(head.Length + int64(len(rq.GetHeaders()))*accountant.LineBytes) {
-		return bs.ga.RefuseBody(rq, gatekeeper.CodeNoMemory, "no memory is left for the body", noMemoryRetryAfter, startedAt)
+		return bs.ga.RefuseBody(rq, gatekeeper.CodeNoMemory, "no memory is left for the body", accountant.RetryAfter, startedAt)
 	}
 	tr := &transfer{bs: bs, re: re, rc: http.NewResponseController(wr), head: head, rq: rq}
 	if rf := tr.receive(ctx, startedAt); rf != nil {
@@ -249,7 +249,7 @@
 
 func (tr *transfer) receivePieces(ctx context.Context, bh *signer.BodyHash, startedAt timer.Instant) *bodyRefusal {
 	if tr.bs.inlet == nil {
-		return tr.read(tr.head.Length, bh)
+		return tr.receiveNext(tr.head.Length, bh)
 	}
 	if retryAfter, ok := tr.bs.inlet.fits(tr.head.Length, wishOf(tr.rq, startedAt), startedAt); !ok {
 		return &bodyRefusal{code: admitter.CodeLinkFull, reason: "the VM's link can't receive the body in time", retryAfter: retryAfter}
@@ -260,7 +260,7 @@
 	for tr.body.Len() < tr.head.Length {
 		select {
 		case limit := <-turns:
-			if rf := tr.read(limit, bh); rf != nil {
+			if rf := tr.receiveNext(limit, bh); rf != nil {
 				return rf
 			}
 			tr.bs.inlet.written(ticket, limit)
@@ -271,22 +271,22 @@
 	return nil
 }
 
-// read receives the next bytes of the body.
-func (tr *transfer) read(bytes int64, bh *signer.BodyHash) *bodyRefusal {
+// Read implements io.Reader for the body. Each call may last for pieceTimeout.
+func (tr *transfer) Read(into []byte) (int, error) {
+	_ = tr.rc.SetReadDeadline(time.Now().Add(pieceTimeout)) // a failure shows at Read
+	return tr.re.Body.Read(into)
+}
+
+// receiveNext receives the next bytes of the body.
+func (tr *transfer) receiveNext(bytes int64, bh *signer.BodyHash) *bodyRefusal {
 	for bytes > 0 {
 		piece := make([]byte, min(bytes, pieceSize))
-		filled := 0
-		for filled < len(piece) {
-			_ = tr.rc.SetReadDeadline(time.Now().Add(pieceTimeout)) // a failure shows at Read
-			count, err := tr.re.Body.Read(piece[filled:])
-			filled += count
-			switch {
-			case filled == len(piece):
-			case errors.Is(err, os.ErrDeadlineExceeded):
-				return incomplete("the body stopped for a second")
-			case err != nil:
-				return incomplete("the connection broke before the whole body")
-			}
+		_, err := io.ReadFull(tr, piece)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return incomplete("the body stopped for a second")
+		case err != nil:
+			return incomplete("the connection broke before the whole body")
 		}
 		_, _ = bh.Write(piece) // never fails
 		tr.body.Append(piece)
