Gauges of the current incarnation share their guard

Cause: seven gauges repeated the check that Run has started an incarnation. Change: Router.incarnationGauge.

--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -242,36 +242,34 @@
 // rollOutPhases lists the phases by their values in the metric.
 var rollOutPhases = []roller.Phase{roller.Stable, roller.Canary, roller.Ramp, roller.Moving, roller.Closing}
 
+// incarnationGauge registers a gauge of the current incarnation, which is 0 before Run.
+func (ro *Router) incarnationGauge(name, help string, read func(in *incarnation) float64) {
+	ro.meter.Gauge(name, help, func() float64 {
+		if in := ro.current.Load(); in != nil {
+			return read(in)
+		}
+		return 0
+	})
+}
+
 func (ro *Router) registerGauges() {
-	ro.meter.Gauge("lease_valid", "1 if the instance's lease is valid.", func() float64 {
-		if in := ro.current.Load(); in != nil && in.pu.HasLease() {
+	ro.incarnationGauge("lease_valid", "1 if the instance's lease is valid.", func(in *incarnation) float64 {
+		if in.pu.HasLease() {
 			return 1
 		}
 		return 0
 	})
-	ro.meter.Gauge("config_version", "Version of the configuration in force.", func() float64 {
-		in := ro.current.Load()
-		if in == nil {
-			return 0
-		}
+	ro.incarnationGauge("config_version", "Version of the configuration in force.", func(in *incarnation) float64 {
 		return float64(in.pu.View().Config.Version)
 	})
 	if ro.se.Features.Pacing {
 		ro.registerStanding()
 	}
-	ro.meter.Gauge("throttled_routes", "Routes of the own backend server that are throttled because their calls fail.", func() float64 {
-		in := ro.current.Load()
-		if in == nil {
-			return 0
-		}
+	ro.incarnationGauge("throttled_routes", "Routes of the own backend server that are throttled because their calls fail.", func(in *incarnation) float64 {
 		return float64(in.ga.ThrottledRoutes())
 	})
 	if ro.rollOutStatus != nil {
-		ro.meter.Gauge("rollout_phase", "Phase of the rollout of the own service: 0 none, 1 canary, 2 ramp, 3 moving, 4 closing.", func() float64 {
-			in := ro.current.Load()
-			if in == nil {
-				return 0
-			}
+		ro.incarnationGauge("rollout_phase", "Phase of the rollout of the own service: 0 none, 1 canary, 2 ramp, 3 moving, 4 closing.", func(in *incarnation) float64 {
 			return float64(max(0, slices.Index(rollOutPhases, in.pu.View().RollOuts[ro.se.BackendServer.Service].Phase)))
 		})
 	}
@@ -285,11 +283,8 @@
 		ro.registerLinkGauges()
 	}
 	if ro.se.Features.ServerMemory {
-		ro.meter.Gauge("server_body_bound_bytes", "Bytes of large requests that the backend server may hold.", func() float64 {
-			if in := ro.current.Load(); in != nil {
-				return float64(in.ga.BodyBound())
-			}
-			return 0
+		ro.incarnationGauge("server_body_bound_bytes", "Bytes of large requests that the backend server may hold.", func(in *incarnation) float64 {
+			return float64(in.ga.BodyBound())
 		})
 	}
 	if ro.ac != nil {
@@ -319,15 +314,14 @@
 // registerStanding registers the gauges of how the backend server compares with the others
 // of its service.
 func (ro *Router) registerStanding() {
-	standing := func() pacer.Standing {
-		if in := ro.current.Load(); in != nil {
-			st, _ := in.ga.Standing()
-			return st
-		}
-		return pacer.Standing{}
-	}
-	ro.meter.Gauge("server_speed", "Speed of the backend server relative to the median of its service, 0 if it is not known.", func() float64 { return standing().Speed })
-	ro.meter.Gauge("server_load", "Work that arrives at the backend server relative to the mean of its service, 0 if it is not known.", func() float64 { return standing().Load })
+	ro.incarnationGauge("server_speed", "Speed of the backend server relative to the median of its service, 0 if it is not known.", func(in *incarnation) float64 {
+		st, _ := in.ga.Standing()
+		return st.Speed
+	})
+	ro.incarnationGauge("server_load", "Work that arrives at the backend server relative to the mean of its service, 0 if it is not known.", func(in *incarnation) float64 {
+		st, _ := in.ga.Standing()
+		return st.Load
+	})
 }
 
 // Counts returns the totals of the control datagrams.
