Schedule gives the retry delay; checks of cold servers have one interval

Cause: gate and throttler both turned a place into a retry delay, with a constant each; the pacer repeated the gatekeeper's interval of checks, and the two had to agree. Change: scheduler.Schedule.RetryAfter, pacer.CheckInterval.

--- a/core/admitter/places.go
+++ b/core/admitter/places.go
@@ -5,18 +5,13 @@
 	"cornellanding.example/core/timer"
 )
 
-// returnWaitShare is the share of the time to its deadline that a refused caller waits before
-// it returns. A later time is of no use to it.
-const returnWaitShare = 3
-
 // KeepPlaces sets whether each refusal for load names a time that is reserved for the
 // request. Requests that return then, known by their fingerprints, go before others of their
 // kind. Otherwise all are told when the queues are expected to be empty.
 func (ga *Gate) KeepPlaces(isKept bool) { ga.keepsPlaces = isKept }
 
 // Reserve returns the retry delay to advise to a request that is refused: until a place that
-// is reserved for it, behind the requests that wait now. If there is none in the time that
-// its caller waits, it is told the end of the schedule, by when the overload may be over. It
+// is reserved for it, behind the requests that wait now, see scheduler.Schedule.RetryAfter. It
 // returns 0 if no places are kept.
 func (ga *Gate) Reserve(rq Request, now timer.Instant) timer.Span {
 	if !ga.keepsPlaces {
@@ -24,16 +19,8 @@
 	}
 	queue := queueOf(rq)
 	cost, count := ga.queuedBefore(queue + 1)
-	window := scheduler.Window{
-		From:  now.Add(ga.spanOf(cost, count, now)),
-		Until: now.Add(rq.DeadlineAt.Sub(now) / returnWaitShare),
-	}
 	place := scheduler.Place{Fingerprint: rq.Fingerprint, Rank: kindOf(rq), Cost: ga.costOf(rq)}
-	at, ok := ga.places.Reserve(place, window, ga.capacity(now), now)
-	if !ok {
-		return scheduler.Horizon
-	}
-	return at.Sub(now)
+	return ga.places.RetryAfter(place, now.Add(ga.spanOf(cost, count, now)), rq.DeadlineAt, ga.capacity(now), now)
 }
 
 // capacity returns the expected time of requests, in nanoseconds, that the server works off
--- a/core/pacer/cold.go
+++ b/core/pacer/cold.go
@@ -7,6 +7,11 @@
 	"cornellanding.example/core/timer"
 )
 
+// CheckInterval is the shortest interval of checks whether a busy server has turned cold. One
+// that does so without a start says it in its next heartbeat only, up to 1.5 s later: at 80
+// requests a second, no more than 12 start until the next check.
+const CheckInterval = 150 * timer.Millisecond
+
 const (
 	// coldWindow is the span in which the starts on a cold server are bounded. The bound
 	// holds for any second at the server; requests sent a little apart may arrive closer
@@ -16,6 +21,13 @@
 	// adds to the rate, and lowerFactor scales the rate at one that doesn't.
 	raisePerSuccess = 0.1
 	lowerFactor     = 0.7
+	// busyShareOfBound is the share of the bound from which a server counts as busy. Below
+	// it the bound holds even if the server is cold and nobody knows.
+	busyShareOfBound = 0.8
+	// checkShare is the share of the bound that may start between two checks whether the
+	// server has turned cold. Those that start in the same second before the check count
+	// too, so that the rest is for them and for late timers.
+	checkShare = 0.4
 	// A response keeps pace if it takes no more than paceFactor of what is usual on the
 	// server's peers. All servers are three times slower for some of the time.
 	paceFactor = 3.5
@@ -56,27 +68,18 @@
 	return &Pacer{bound: bound, blockedUntil: now.Add(coldWindow)}
 }
 
-// busyShareOfBound is the share of the bound from which a server counts as busy. Below it the
-// bound holds even if the server is cold and nobody knows.
-const busyShareOfBound = 0.8
-
-// IsBusy reports whether requests have lately started on the server at nearly the rate that
+// isBusy reports whether requests have lately started on the server at nearly the rate that
 // the bound allows on a cold one, so that a server that turns cold must be noticed at once.
-func (pa *Pacer) IsBusy(now timer.Instant) bool {
+func (pa *Pacer) isBusy(now timer.Instant) bool {
 	needed := max(1, int(busyShareOfBound*float64(pa.bound.most())))
 	return len(pa.starts) >= needed && now.Sub(pa.starts[len(pa.starts)-needed]) <= coldWindow
 }
 
-// checkShare is the share of the bound that may start between two checks whether the server
-// has turned cold. Those that start in the same second before the check count too, so that
-// the rest is for them and for late timers.
-const checkShare = 0.4
-
 // IsCheckDue reports whether the server should be checked again at now after a check at
 // checkedAt: it is busy, and as many requests have started since as checkShare allows, or
 // will have at the present rate before the shortest interval has passed once more.
 func (pa *Pacer) IsCheckDue(checkedAt, now timer.Instant) bool {
-	if !pa.IsBusy(now) {
+	if !pa.isBusy(now) {
 		return false
 	}
 	since := 0
@@ -86,13 +89,10 @@
 		}
 	}
 	elapsed := max(now.Sub(checkedAt), timer.Millisecond)
-	expected := float64(since) * (1 + float64(checkLead)/float64(elapsed))
+	expected := float64(since) * (1 + float64(CheckInterval)/float64(elapsed))
 	return expected >= checkShare*float64(pa.bound.most())
 }
 
-// checkLead is how long it takes until a check that isn't made now may be made.
-const checkLead = 150 * timer.Millisecond
-
 // SetRate applies a changed rate of the configuration.
 func (pa *Pacer) SetRate(perS float64) {
 	if perS != pa.bound.PerS {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -37,6 +37,9 @@
 	// caller's timer and the way to the server.
 	earlyBy = 20 * timer.Millisecond
 	lateBy  = 150 * timer.Millisecond
+	// waitShare is the divisor of the time to its deadline that gives how long a refused caller
+	// waits before it returns. A later time is of no use to it.
+	waitShare = 3
 	// maxPlaces bounds the places, beyond what a server of 500 requests a second gives.
 	maxPlaces = 512
 )
@@ -82,6 +85,17 @@
 	return 0, false
 }
 
+// RetryAfter returns the retry delay to advise to a refused request: until a place that it
+// reserves, from a time on, while the caller waits. If there is none, that is the end of the
+// schedule, by when the overload may be over.
+func (sc *Schedule) RetryAfter(pl Place, from, deadlineAt timer.Instant, perSecond float64, now timer.Instant) timer.Span {
+	at, ok := sc.Reserve(pl, Window{From: from, Until: now.Add(deadlineAt.Sub(now) / waitShare)}, perSecond, now)
+	if !ok {
+		return Horizon
+	}
+	return at.Sub(now)
+}
+
 // hasRoom reports whether a place in the slot at a time fits with those in a span that ends
 // with the slot. A request larger than the span's capacity needs an empty one.
 func (sc *Schedule) hasRoom(pl Place, at timer.Instant, span timer.Span, perSecond float64) bool {
--- a/core/throttler/control.go
+++ b/core/throttler/control.go
@@ -54,9 +54,6 @@
 	futileSpan      = 5 * timer.Second
 	minPause        = 5 * timer.Second
 	maxPause        = 160 * timer.Second
-	// returnWaitShare is the share of the time to its deadline that a refused caller waits
-	// before it returns.
-	returnWaitShare = 3
 	// burstSpan is the time whose admissions may be saved up.
 	burstSpan = 100 * timer.Millisecond
 )
@@ -115,16 +112,9 @@
 
 // reserve returns the time until the place of a refused request.
 func (co *control) reserve(rq Request, now timer.Instant) timer.Span {
-	window := scheduler.Window{
-		From:  now.Add(timer.Span((1 - co.tokens) / co.rate * float64(timer.Second))),
-		Until: now.Add(rq.DeadlineAt.Sub(now) / returnWaitShare),
-	}
+	from := now.Add(timer.Span((1 - co.tokens) / co.rate * float64(timer.Second)))
 	place := scheduler.Place{Fingerprint: rq.Fingerprint, Rank: rq.Priority, Cost: 1}
-	at, ok := co.places.Reserve(place, window, co.rate, now)
-	if !ok {
-		return scheduler.Horizon
-	}
-	return at.Sub(now)
+	return co.places.RetryAfter(place, from, rq.DeadlineAt, co.rate, now)
 }
 
 func (co *control) cancel() {
--- a/instance/gatekeeper/coldcheck.go
+++ b/instance/gatekeeper/coldcheck.go
@@ -6,14 +6,11 @@
 	"net/http"
 	"time"
 
+	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/timer"
 )
 
 const (
-	// coldCheckInterval is the shortest interval of health checks of a busy server. One that
-	// turns cold without a start says so in its next heartbeat only, up to 1.5 s later: at
-	// 80 requests a second, no more than 12 start until the next check.
-	coldCheckInterval = 150 * time.Millisecond
 	// coldCheckTimeout bounds a health check, and maxHealthBody how much of its answer is
 	// read, so that the connection can be reused.
 	coldCheckTimeout = time.Second
@@ -37,7 +34,7 @@
 		return
 	}
 	checkedAt := ga.pu.Now()
-	for timer.Sleep(ctx, coldCheckInterval) {
+	for timer.Sleep(ctx, pacer.CheckInterval.Duration()) {
 		if path, serverID, isDue := ga.coldCheckDue(checkedAt); isDue {
 			checkedAt = ga.pu.Now()
 			if left, ok := ga.bs.checkCold(ctx, reader, path, serverID); ok {
--- a/instance/gatekeeper/coldcheck_test.go
+++ b/instance/gatekeeper/coldcheck_test.go
@@ -68,7 +68,7 @@
 		ga.Forward(ctx, rq)
 	}
 	send()
-	time.Sleep(2 * coldCheckInterval)
+	time.Sleep(2 * pacer.CheckInterval.Duration())
 	is.Equal(checks.Load(), int64(0)) // one request
 	for range 20 {
 		send()
