Gatekeeper: one check of ownership and server, one lock to complete an answer

Cause: a request's head repeated the ownership check and the order of the server's refusals; each answer took the lock four times. Change: partitionOf, refuseByServer, complete.

--- a/instance/gatekeeper/calls.go
+++ b/instance/gatekeeper/calls.go
@@ -119,17 +119,12 @@
 		return false
 	}
 	ga.calls.routes.Observe(rq.GetRoute(), rq.GetCallerService())
-	return ga.calls.routes.IsCall(rq.GetRoute(), ga.fleetShare)
+	return ga.isCallRoute(rq)
 }
 
-// isCallRoute reports whether requests on the route of rq are calls.
+// isCallRoute reports whether requests on the route of rq are calls. The lock must be held.
 func (ga *Gatekeeper) isCallRoute(rq *peerproto.ForwardRequest) bool {
-	if !ga.seesCallers(rq) {
-		return false
-	}
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	return ga.calls.routes.IsCall(rq.GetRoute(), ga.fleetShare)
+	return ga.seesCallers(rq) && ga.calls.routes.IsCall(rq.GetRoute(), ga.fleetShare)
 }
 
 // fleetShare returns the part of the instances that run a service, or 1 if it is not known.
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -200,6 +200,11 @@
 func (ga *Gatekeeper) Load() (running, waiting, limit int) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	return ga.load()
+}
+
+// load is Load with the lock held.
+func (ga *Gatekeeper) load() (running, waiting, limit int) {
 	if ga.gate == nil {
 		return 0, 0, 0
 	}
@@ -239,23 +244,27 @@
 	took := ga.pu.Now().Sub(startedAt)
 	ga.observe(OutcomeName(answer.GetOutcome()), answer.GetCode(), took)
 	answer.RequestId = rq.GetRequestId()
+	isSampled := ga.complete(rq, answer)
+	if answer.GetOutcome() != OutcomeAnswered || isSampled {
+		ga.log(rq, answer, took)
+	}
+	return answer
+}
+
+// complete adds what the gate reports to an answer. It returns whether the answer is one of
+// those that are logged in any case.
+func (ga *Gatekeeper) complete(rq *peerproto.ForwardRequest, answer *peerproto.ForwardResponse) (isSampled bool) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
 	answer.CallRoute = ga.isCallRoute(rq)
-	running, waiting, _ := ga.Load()
+	running, waiting, _ := ga.load()
 	answer.Running, answer.Waiting = uint32(running), uint32(waiting)
 	ga.report(rq.GetRoute(), answer)
-	ga.log(rq, answer, took)
-	return answer
+	ga.decided++
+	return ga.sampleEvery > 0 && ga.decided%ga.sampleEvery == 0
 }
 
-// log logs every request that was not answered and a sample of the others.
 func (ga *Gatekeeper) log(rq *peerproto.ForwardRequest, answer *peerproto.ForwardResponse, took timer.Span) {
-	ga.mu.Lock()
-	ga.decided++
-	isSampled := ga.sampleEvery > 0 && ga.decided%ga.sampleEvery == 0
-	ga.mu.Unlock()
-	if answer.GetOutcome() == OutcomeAnswered && !isSampled {
-		return
-	}
 	ga.lo.Info("request handled by gatekeeper", "requestId", rq.GetRequestId(), "route", rq.GetRoute(), "workspace", rq.GetWorkspace(),
 		"outcome", OutcomeName(answer.GetOutcome()), "code", answer.GetCode(), "reason", answer.GetReason(),
 		"status", answer.GetStatus(), "attempt", rq.GetAttempt(), "repeatShare", rq.GetRepeatShare(), "key", rq.GetKey(),
@@ -304,15 +313,25 @@
 	defer cancel()
 	body := Body(ctx, rq)
 	jo := &job{rq: rq, body: body, sv: sv, deadlineAt: ga.pu.Now().Add(timer.Span(rq.GetRemaining())), fingerprint: fingerprintWith(rq, body)}
-	if sv.Class == cataloguer.Exclusive {
-		jo.partition = ga.pu.View().Tables[sv.Name].Partition(rq.GetKey())
-		if !ga.pu.Owns(sv.Name, jo.partition) {
-			return refuse(CodeNotOwner, "this instance does not own the key")
-		}
+	if jo.partition, refusal = ga.partitionOf(sv, rq.GetKey()); refusal != nil {
+		return refusal
 	}
 	return ga.runOnce(ctx, jo)
 }
 
+// partitionOf returns the partition of a key of an exclusive service, 0 for a shared one, or a
+// refusal if this instance does not own it.
+func (ga *Gatekeeper) partitionOf(sv cataloguer.Service, key string) (uint32, *peerproto.ForwardResponse) {
+	if sv.Class != cataloguer.Exclusive {
+		return 0, nil
+	}
+	partition := ga.pu.View().Tables[sv.Name].Partition(key)
+	if !ga.pu.Owns(sv.Name, partition) {
+		return 0, refuse(CodeNotOwner, "this instance does not own the key")
+	}
+	return partition, nil
+}
+
 func (jo *job) admissionRequest() admitter.Request {
 	rq := admitter.Request{
 		Route: jo.rq.GetRoute(), Workspace: jo.rq.GetWorkspace(), Priority: cataloguer.Priority(jo.rq.GetPriority()), DeadlineAt: jo.deadlineAt,
@@ -573,10 +592,7 @@
 		return refuse(admitter.CodeDeadline, "the deadline passed before the start"), false
 	}
 	ga.mu.Lock()
-	refusal := ga.refuseIfServerUnavailable()
-	if refusal == nil {
-		refusal = ga.refuseVersion()
-	}
+	refusal := ga.refuseByServer()
 	if refusal == nil {
 		jo.startedAt, jo.order = ga.pu.Now(), ga.startVersion()
 	}
--- a/instance/gatekeeper/link.go
+++ b/instance/gatekeeper/link.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"cornellanding.example/core/admitter"
-	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/shaper"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/wire/peerproto"
@@ -105,18 +104,15 @@
 	if refusal != nil {
 		return refusal
 	}
-	if sv.Class == cataloguer.Exclusive && !ga.pu.Owns(sv.Name, ga.pu.View().Tables[sv.Name].Partition(rq.GetKey())) {
-		return refuse(CodeNotOwner, "this instance does not own the key")
+	if _, refusal := ga.partitionOf(sv, rq.GetKey()); refusal != nil {
+		return refusal
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if ga.isDraining {
 		return refuse(admitter.CodeDraining, "this instance is stopping")
 	}
-	if refusal := ga.refuseIfServerUnavailable(); refusal != nil {
-		return refusal
-	}
-	return ga.refuseVersion()
+	return ga.refuseByServer()
 }
 
 // RefuseBody refuses a request that arrived at startedAt because its body was not admitted or
--- a/instance/gatekeeper/pace.go
+++ b/instance/gatekeeper/pace.go
@@ -57,13 +57,11 @@
 	}
 }
 
-// report adds to an answer what is measured of the backend server.
+// report adds to an answer what is measured of the backend server. The lock must be held.
 func (ga *Gatekeeper) report(route string, answer *peerproto.ForwardResponse) {
 	if ga.cm == nil {
 		return
 	}
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
 	now := ga.pu.Now()
 	median, _ := ga.cm.Typical(route, now)
 	answer.TypicalRun = uint32(min(median/timer.Microsecond, math.MaxUint32))
--- a/instance/gatekeeper/server.go
+++ b/instance/gatekeeper/server.go
@@ -26,6 +26,15 @@
 	}
 }
 
+// refuseByServer returns a refusal if the backend server, or its version, gets no request now,
+// or else nil. The lock must be held.
+func (ga *Gatekeeper) refuseByServer() *peerproto.ForwardResponse {
+	if refusal := ga.refuseIfServerUnavailable(); refusal != nil {
+		return refusal
+	}
+	return ga.refuseVersion()
+}
+
 // applyServerState applies the end of the cold start that the backend server
 // announces. A heartbeat from before the latest overload is ignored, as it would
 // replace the cold period that began with the overload. It returns a refusal if the
