--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -79,17 +79,23 @@
 		answer, err := co.peers.Sync(ctx, from.Address, request)
 		ev := synced{from: from.Incarnation, err: err}
 		for _, do := range answer.GetNewer() {
-			content, err := encoder.Decompress(do.GetContent())
+			fetched, err := decompress(do)
 			if err != nil {
 				ev.err = err
 				continue
 			}
-			ev.documents = append(ev.documents, Document{Name: do.GetName(), Version: do.GetVersion(), Content: content})
+			ev.documents = append(ev.documents, fetched)
 		}
 		return ev
 	})
 }
 
+// decompress returns a document that a peer sent.
+func decompress(do *peerproto.Document) (Document, error) {
+	content, err := encoder.Decompress(do.GetContent())
+	return Document{Name: do.GetName(), Version: do.GetVersion(), Content: content}, err
+}
+
 func (co *Controller) onSynced(ev synced, now timer.Instant) {
 	delete(co.isSyncing, ev.from)
 	co.onDocuments(documentsFetched{documents: ev.documents}, now)
--- a/instance/controller/rollouts.go
+++ b/instance/controller/rollouts.go
@@ -297,11 +297,11 @@
 	}
 	do := ev.request.GetState()
 	if len(do.GetContent()) > 0 && do.GetVersion() > co.ds.held[do.GetName()].Version {
-		content, err := encoder.Decompress(do.GetContent())
+		sent, err := decompress(do)
 		if err != nil {
 			co.lo.Error("document rejected", "document", do.GetName(), "version", do.GetVersion(), "error", err)
 		} else {
-			co.onDocuments(documentsFetched{documents: []Document{{Name: do.GetName(), Version: do.GetVersion(), Content: content}}}, now)
+			co.onDocuments(documentsFetched{documents: []Document{sent}}, now)
 		}
 	}
 	service, _ := cutRollOut(do.GetName())
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -164,7 +164,7 @@
 		_, err := encoder.DecodeQuarantine(ro.Value)
 		return Document{Name: ro.Key, Version: ro.Version, Content: ro.Value}, err
 	}
-	if strings.HasPrefix(ro.Key, RollOutPrefix) {
+	if _, ok := cutRollOut(ro.Key); ok {
 		st, err := encoder.DecodeRollOut(ro.Value)
 		return Document{Name: ro.Key, Version: st.Version, Content: ro.Value}, err
 	}
@@ -385,7 +385,7 @@
 		}
 	}
 	for _, ro := range agreed {
-		service, isRollOut := strings.CutPrefix(ro.Key, RollOutPrefix)
+		service, isRollOut := cutRollOut(ro.Key)
 		if _, ok := in.RollOuts[service]; isRollOut && !ok {
 			// Without it, no weight is known that the version may have.
 			_, err := encoder.DecodeRollOut(ro.Value)
@@ -404,7 +404,7 @@
 		in.Config = co
 		return err
 	}
-	if strings.HasPrefix(do.Name, RollOutPrefix) {
+	if _, ok := cutRollOut(do.Name); ok {
 		st, err := encoder.DecodeRollOut(do.Content)
 		in.RollOuts[st.Service] = st
 		return err
--- a/wire/parser/catalogue.go
+++ b/wire/parser/catalogue.go
@@ -129,19 +129,7 @@
 	for _, one := range joined.Unwrap() {
 		var fe *cataloguer.FieldError
 		if errors.As(one, &fe) {
-			doc.fail(doc.lineOf(fe.Field), fe.Field, fe.Value, fe.Reason)
+			doc.fail(lineOf(doc.root, fe.Field), fe.Field, fe.Value, fe.Reason)
 		}
 	}
 }
-
-// lineOf returns the line of a field or, if the field is absent, of the innermost object
-// that would contain it.
-func (doc *document) lineOf(field string) int {
-	for field != "" {
-		if line, ok := doc.lines[field]; ok {
-			return line
-		}
-		field = field[:max(0, strings.LastIndexByte(field, '.'))]
-	}
-	return 1
-}
--- a/wire/parser/locator.go
+++ b/wire/parser/locator.go
@@ -15,7 +15,11 @@
 	if err := yaml.Unmarshal(content, &root); err != nil || len(root.Content) == 0 {
 		return 0
 	}
-	node := root.Content[0]
+	return lineOf(root.Content[0], field)
+}
+
+// lineOf is FieldLine for a file's root entry.
+func lineOf(node *yaml.Node, field string) int {
 	line := node.Line
 	for _, step := range strings.FieldsFunc(field, func(ch rune) bool { return ch == '.' || ch == '[' || ch == ']' }) {
 		next, at := childOf(node, step)
--- a/wire/parser/reader.go
+++ b/wire/parser/reader.go
@@ -46,11 +46,11 @@
 	return value
 }
 
-// document collects the errors of one file and the line of each field, by its path.
+// document collects the errors of one file.
 type document struct {
-	file  string
-	lines map[string]int
-	errs  []error
+	file string
+	root *yaml.Node
+	errs []error
 }
 
 // object is one YAML mapping of the file. The methods that read a field add an error to doc
@@ -67,7 +67,7 @@
 // parseDocument parses a file into its root object. If the file as a whole is invalid, the
 // document has an error and the object is empty.
 func parseDocument(file string, content []byte) (*document, *object) {
-	doc := &document{file: file, lines: map[string]int{}}
+	doc := &document{file: file}
 	if len(content) > MaxFileSize {
 		doc.fail(1, "", fmt.Sprint(len(content)), fmt.Sprintf("is larger than %d bytes", MaxFileSize))
 		return doc, doc.empty("")
@@ -81,7 +81,8 @@
 	if err := de.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
 		doc.fail(1, "", "", "holds more than one YAML document")
 	}
-	return doc, doc.object("", root.Content[0])
+	doc.root = root.Content[0]
+	return doc, doc.object("", doc.root)
 }
 
 func (doc *document) empty(path string) *object {
@@ -95,7 +96,6 @@
 func (doc *document) object(path string, node *yaml.Node) *object {
 	ob := doc.empty(path)
 	ob.line = node.Line
-	doc.lines[path] = node.Line
 	if node.Kind != yaml.MappingNode {
 		doc.fail(node.Line, path, node.Value, "must be a mapping")
 		return ob
@@ -107,7 +107,6 @@
 			doc.fail(name.Line, join(path, name.Value), value.Value, "is a duplicate field")
 		}
 		ob.fields[name.Value] = value
-		doc.lines[join(path, name.Value)] = name.Line
 	}
 	return ob
 }
