Logs: which configuration decided a request, when one came in force and from whom

Cause: an instance other than the reader logged no change of its configuration, a failed fetch left no line, the version in a request's line was that of the moment of the answer, and a gate logged none; the hypotheses of the incident could not be told apart. Change: lines "configuration in force" and "failed to fetch documents"; the entry's version travels with a forwarded request and is logged at both ends.

--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -477,6 +477,7 @@
 		isChanged = isChanged || applied
 	}
 	if isChanged {
+		co.logConfig(before, ev.from, now)
 		co.noteConfigRead(before, now)
 		co.onChange(now)
 		co.followRollOuts(rollOutsBefore, now)
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -54,7 +54,9 @@
 	isTable bool
 	// isPoll marks the end of a periodic poll of the table.
 	isPoll bool
-	err    error
+	// from is the incarnation of the peer that sent the documents, 0 for any other source.
+	from uint64
+	err  error
 }
 
 // rowCommitted carries this instance's row as found after a write.
@@ -94,6 +96,7 @@
 // synced ends a fetch of documents from a peer.
 type synced struct {
 	from      uint64
+	startedAt timer.Instant
 	documents []Document
 	err       error
 }
--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -69,6 +69,7 @@
 		return
 	}
 	co.isSyncing[from.Incarnation] = true
+	now := co.pu.Now()
 	request := &peerproto.SyncRequest{}
 	for name, version := range co.ds.versions() {
 		request.Have = append(request.Have, &peerproto.DocumentVersion{Name: name, Version: version})
@@ -77,7 +78,7 @@
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
 		answer, err := co.peers.Sync(ctx, from.Address, request)
-		ev := synced{from: from.Incarnation, err: err}
+		ev := synced{from: from.Incarnation, startedAt: now, err: err}
 		for _, do := range answer.GetNewer() {
 			fetched, err := decompress(do)
 			if err != nil {
@@ -98,7 +99,11 @@
 
 func (co *Controller) onSynced(ev synced, now timer.Instant) {
 	delete(co.isSyncing, ev.from)
-	co.onDocuments(documentsFetched{documents: ev.documents}, now)
+	if ev.err != nil {
+		co.lo.Warn("failed to fetch documents", "from", ev.from, "config", co.ds.config.Version,
+			"took", now.Sub(ev.startedAt).Duration().String(), "error", ev.err)
+	}
+	co.onDocuments(documentsFetched{documents: ev.documents, from: ev.from}, now)
 }
 
 // isPoller reports whether this instance polls the table, or the external
--- a/instance/controller/status.go
+++ b/instance/controller/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/core/warner"
 )
@@ -80,6 +81,17 @@
 	}
 }
 
+// logConfig logs which configuration came in force and who sent it, 0 for this instance's own
+// read, together with the age of the latest successful read known until then.
+func (co *Controller) logConfig(before cataloguer.Config, from uint64, now timer.Instant) {
+	if before.Version == co.ds.config.Version {
+		return
+	}
+	age, hasRead := co.fr.ReadAge(now)
+	co.lo.Info("configuration in force", "config", co.ds.config.Version, "before", before.Version, "origin", co.ds.config.Origin,
+		"from", from, "hasRead", hasRead, "readAge", age.Duration().String())
+}
+
 // observe updates all warnings.
 func (co *Controller) observe(now timer.Instant) {
 	co.updateShare(now)
--- a/instance/forwarder/answer.go
+++ b/instance/forwarder/answer.go
@@ -52,7 +52,7 @@
 	if fo.isSampled() {
 		fo.lo.Info("request answered", "requestId", ca.id, "route", ca.route.Name, "service", ca.service, "workspace", ca.workspace,
 			"backendServer", ca.servedBy, "status", status, "attempts", ca.attempts,
-			"config", fo.so.View().Config.Version, "took", fo.so.Now().Sub(ca.startedAt).Duration().String())
+			"config", ca.config, "took", fo.so.Now().Sub(ca.startedAt).Duration().String())
 	}
 	fo.observe(ca, "", status)
 }
@@ -60,7 +60,7 @@
 func (fo *Forwarder) logRefusal(ca *call, rf Refusal) {
 	fo.lo.Info("request refused", "requestId", ca.id, "route", ca.route.Name, "service", ca.service, "workspace", ca.workspace,
 		"code", rf.Code, "outcome", rf.Outcome, "reason", rf.Reason, "backendServer", ca.servedBy, "attempts", ca.attempts,
-		"config", fo.so.View().Config.Version, "took", fo.so.Now().Sub(ca.startedAt).Duration().String())
+		"config", ca.config, "took", fo.so.Now().Sub(ca.startedAt).Duration().String())
 	fo.observe(ca, rf.Code, rf.Status)
 }
 
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -407,7 +407,7 @@
 		Remaining: int64(remaining), IdempotencyKey: ca.idemKey, Attempt: uint32(ca.attempts), To: to.Incarnation,
 		Idempotent: ca.idempotent, Priority: uint32(ca.priority), Crashes: ca.crashes.Load(),
 		Host: ca.host, CallerService: ca.callerService, TargetRemaining: int64(ca.targetLeft(fo.so.Now())),
-		RepeatShare: ca.repeatShare, Refused: ca.wasRefused.Load(),
+		RepeatShare: ca.repeatShare, Refused: ca.wasRefused.Load(), ConfigVersion: ca.config,
 	}
 	if ca.body.Pieces() > 1 {
 		ctx = gatekeeper.WithBody(ctx, ca.body)
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -229,7 +229,7 @@
 		if rt.Prefix != "" {
 			continue
 		}
-		mu.HandleFunc(rt.Method+" "+rt.Path, func(wr http.ResponseWriter, re *http.Request) { fo.serve(wr, re, rt) })
+		mu.HandleFunc(rt.Method+" "+rt.Path, func(wr http.ResponseWriter, re *http.Request) { fo.serve(wr, re, rt, vi.Config.Version) })
 	}
 	mu.HandleFunc("/", fo.serveUnknown)
 	fo.mux.Store(mu)
@@ -247,8 +247,10 @@
 
 // call is the state of one request from a caller.
 type call struct {
-	id     string
-	route  cataloguer.Route
+	id    string
+	route cataloguer.Route
+	// config is the version of the configuration that chose the route.
+	config uint64
 	method string
 	// service is the route's service, or the one chosen by its traffic split.
 	service string
@@ -307,10 +309,11 @@
 	return &call{id: hex.EncodeToString(id[:]), startedAt: now, body: &assembler.Body{}, crashes: &atomic.Uint32{}, arrivals: &atomic.Int32{}, wasRefused: &atomic.Bool{}}
 }
 
-// serve handles a request on a route by method and path.
-func (fo *Forwarder) serve(wr http.ResponseWriter, re *http.Request, rt cataloguer.Route) {
+// serve handles a request on a route by method and path of a version of the configuration.
+func (fo *Forwarder) serve(wr http.ResponseWriter, re *http.Request, rt cataloguer.Route, version uint64) {
 	ca := newCall(fo.so.Now())
 	ca.setRoute(rt)
+	ca.config = version
 	if rf := fo.refuseIfStopping(); rf != nil {
 		fo.refuse(wr, ca, *rf)
 		return
--- a/instance/forwarder/request.go
+++ b/instance/forwarder/request.go
@@ -106,6 +106,7 @@
 		return nil, rf
 	}
 	vi := fo.so.View()
+	ca.config = vi.Config.Version
 	if vi.Config.Version == 0 {
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Code: CodeStarting, Reason: "the instance has no catalogue yet", RetryAfter: defaultRetryAfter}
 	}
--- a/instance/forwarder/request_test.go
+++ b/instance/forwarder/request_test.go
@@ -424,7 +424,7 @@
 	is.Equal(rf.Code, CodeStopping)
 	is.True(!rf.MayHaveRun())
 	rec := httptest.NewRecorder()
-	fo.serve(rec, httptest.NewRequest(http.MethodGet, "/order/17", nil), cataloguer.Route{Name: "order", Service: "keys"})
+	fo.serve(rec, httptest.NewRequest(http.MethodGet, "/order/17", nil), cataloguer.Route{Name: "order", Service: "keys"}, 1)
 	var wire wireRefusal
 	is.NoErr(json.Unmarshal(rec.Body.Bytes(), &wire))
 	is.Equal([]any{rec.Code, wire.Code, wire.Outcome}, []any{http.StatusServiceUnavailable, CodeStopping, "notRun"})
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -268,6 +268,7 @@
 	ga.lo.Info("request handled by gatekeeper", "requestId", rq.GetRequestId(), "route", rq.GetRoute(), "workspace", rq.GetWorkspace(),
 		"outcome", OutcomeName(answer.GetOutcome()), "code", answer.GetCode(), "reason", answer.GetReason(),
 		"status", answer.GetStatus(), "attempt", rq.GetAttempt(), "repeatShare", rq.GetRepeatShare(), "key", rq.GetKey(),
+		"entryConfig", rq.GetConfigVersion(), "config", ga.pu.View().Config.Version,
 		"running", answer.GetRunning(), "waiting", answer.GetWaiting(),
 		"leaseLeft", ga.pu.LeaseUntil().Sub(ga.pu.Now()).Duration().String(), "took", took.Duration().String())
 }
