Controller: an instance that no reader has informed reads the configuration itself

What callers saw: requests decided by a configuration more than 3 s older than one that was acknowledged, refused with 404 for a route that had been added, at an instance that had lost nothing itself. Cause: an instance hears of versions from its watchers and from those it watches, and reads the store only if it is among the three lowest incarnations of its data centre. Change: if neither a read nor attempts by a majority of the data centres are known within 1.2 s, the instance reads by itself, whatever its rank. While the store is away the attempts of the readers are known, so nobody else joins them.

--- a/core/freshener/freshener.go
+++ b/core/freshener/freshener.go
@@ -178,8 +178,22 @@
 // HasContact reports whether read attempts by a majority of the data centres, made
 // within the limit before now, are known. Only then may the instance commit a change.
 func (fr *Freshener) HasContact(now timer.Instant) bool {
+	return fr.hasAttempts(now, fr.limit)
+}
+
+// hasAttempts reports whether read attempts by a majority of the data centres, made within
+// the span before now, are known.
+func (fr *Freshener) hasAttempts(now timer.Instant, span timer.Span) bool {
 	at, ok := fr.majorityAttemptAt()
-	return ok && now.Sub(at) < fr.limit
+	return ok && now.Sub(at) < span
+}
+
+// IsUninformed reports whether neither a successful read nor read attempts by a majority of
+// the data centres are known that were made within the span before now. No instance that
+// reads the table has then told of it, whether the table answers or not.
+func (fr *Freshener) IsUninformed(now timer.Instant, span timer.Span) bool {
+	age, hasRead := fr.ReadAge(now)
+	return (!hasRead || age >= span) && !fr.hasAttempts(now, span)
 }
 
 // ReadAge returns the time from the latest successful read to now, or false if none is
--- a/core/freshener/freshener_test.go
+++ b/core/freshener/freshener_test.go
@@ -87,3 +87,20 @@
 	fr.RecordAttempt("b", seconds(5), true)
 	is.Equal(fr.FreshUntil(), seconds(9))
 }
+
+// TestUninformed: a table that is down for the readers is known to be read, and an instance
+// that hears of no reader is not informed.
+func TestUninformed(t *testing.T) {
+	is := is.New(t)
+	const span = 1200 * timer.Millisecond
+	fr := New(three, limit)
+	is.True(fr.IsUninformed(seconds(0), span))
+	fr.RecordAttempt("a", seconds(0), true)
+	is.True(!fr.IsUninformed(seconds(1), span))
+	is.True(fr.IsUninformed(seconds(1.2), span))
+	fr.RecordAttempt("a", seconds(1), false)
+	is.True(fr.IsUninformed(seconds(1.2), span)) // one data centre may be cut off
+	fr.RecordAttempt("b", seconds(1), false)
+	is.True(!fr.IsUninformed(seconds(1.2), span)) // a majority tries in vain
+	is.True(fr.IsUninformed(seconds(2.2), span))
+}
--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -108,8 +108,9 @@
 
 // isPoller reports whether this instance polls the table, or the external
 // configuration source, for its data centre. The members with the lowest
-// incarnations do, all instances that are not members yet, and for a while those to
-// which a failed poller of the external source delegated.
+// incarnations do, all instances that are not members yet, and of the external source
+// for a while those to which a failed poller delegated and any that no poller has
+// informed.
 func (co *Controller) isPoller() bool {
 	if !co.isJoined || co.isMissing() {
 		return true
@@ -121,7 +122,8 @@
 		}
 	}
 	if co.configs != nil {
-		return lower < co.configPollers() || co.pu.Now().Before(co.pollUntil)
+		now := co.pu.Now()
+		return lower < co.configPollers() || now.Before(co.pollUntil) || co.fr.IsUninformed(now, lateReadAge)
 	}
 	return lower < pollersPerDataCentre
 }
