Peers: fetches, votes and releases use a connection of their own

In a test of our own all instances of a data centre kept the old configuration for longer than 3 s after their connections went silent. Cause: documents are fetched on kept connections. One that has gone silent holds a fetch for its whole time-out of 2 s, and the next fetch may get another such one; votes and releases of ranges likewise.

--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -30,9 +30,12 @@
 	li *link
 	// bodyMin is the size in bytes from which bodies follow their heads.
 	bodyMin int64
-	// requests carries callers' requests, and control all other calls.
+	// requests carries callers' requests, control the calls that are frequent, and single
+	// all others, each on a connection of its own: a kept one may have gone silent since its
+	// last use, which would take the whole time-out of a call.
 	requests *peerClients
 	control  *peerClients
+	single   *peerClients
 }
 
 // peerClients are the clients of all other instances that share one transport.
@@ -81,8 +84,10 @@
 	dialer := &limitedDialer{dialer: net.Dialer{Timeout: peerDialTimeout}, limit: int64(connections)}
 	control := newPeerClients(si, isReachable, dialer.dial)
 	control.transport.MaxIdleConns = connections
+	single := newPeerClients(si, isReachable, dialer.dial)
+	single.transport.DisableKeepAlives = true
 	if li == nil {
-		return &peers{si: si, bodyMin: wholeBodyMax, requests: control, control: control}
+		return &peers{si: si, bodyMin: wholeBodyMax, requests: control, control: control, single: single}
 	}
 	requests := newPeerClients(si, isReachable, func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.dial(ctx, network, address)
@@ -92,7 +97,7 @@
 		return newConnection(conn, li, requestPriority), nil
 	})
 	requests.transport.MaxIdleConns = connections
-	return &peers{si: si, li: li, bodyMin: shaper.Bulk, requests: requests, control: control}
+	return &peers{si: si, li: li, bodyMin: shaper.Bulk, requests: requests, control: control, single: single}
 }
 
 // dialFunc is the type of net.Dialer.DialContext.
@@ -133,17 +138,17 @@
 
 // Sync implements controller.Peers.
 func (pe *peers) Sync(ctx context.Context, address string, re *peerproto.SyncRequest) (*peerproto.SyncResponse, error) {
-	return pe.control.at(address).Sync(ctx, re)
+	return pe.single.at(address).Sync(ctx, re)
 }
 
 // Revoke implements controller.Peers.
 func (pe *peers) Revoke(ctx context.Context, address string, re *peerproto.RevokeRequest) (*peerproto.RevokeResponse, error) {
-	return pe.control.at(address).Revoke(ctx, re)
+	return pe.single.at(address).Revoke(ctx, re)
 }
 
 // Release implements controller.Peers.
 func (pe *peers) Release(ctx context.Context, address string, re *peerproto.ReleaseRequest) (*peerproto.ReleaseResponse, error) {
-	return pe.control.at(address).Release(ctx, re)
+	return pe.single.at(address).Release(ctx, re)
 }
 
 // Grant implements forwarder.Homes.
--- a/standin/platformer/operator.go
+++ b/standin/platformer/operator.go
@@ -129,15 +129,15 @@
 	return content
 }
 
-// The ports of every VM. Those for traffic between instances are from firstPort to
-// lastPort.
+// The ports of every VM. Those for traffic between instances are from FirstPort to
+// LastPort.
 const (
 	OutboundPort = 8365
 	InboundPort  = 8366
 	ControlPort  = 8367
 	ReadyPort    = 8369
-	firstPort    = 7780
-	lastPort     = 7795
+	FirstPort    = 7780
+	LastPort     = 7795
 )
 
 // Address returns the address of a port of the VM, as IP:port.
@@ -167,5 +167,5 @@
 platform: {address: "%s"}
 contracts: [%s]
 %s`, pl.Name, pl.IP, pl.Zone, zones.String(), pl.Address(OutboundPort), pl.Address(InboundPort), pl.Address(ReadyPort), pl.Address(ControlPort),
-		firstPort, lastPort, pl.AppAddress, pl.Service, cmp.Or(pl.Grants, ByHeartbeat), pl.StoreAddress, strings.Join(pl.Contracts, ", "), limits)
+		FirstPort, LastPort, pl.AppAddress, pl.Service, cmp.Or(pl.Grants, ByHeartbeat), pl.StoreAddress, strings.Join(pl.Contracts, ", "), limits)
 }
