TestServerMemory waits for the crash that it is about

Cause: it failed once beside a busy machine ("crashed, as nothing was known of its memory"; not again in 150 runs, 120 of them eight side by side): eight requests had to meet within 300 ms. Change: the fake server holds requests until it has crashed once; the codes of the first round are logged. All checks stay.

--- a/instance/gatekeeper/bodies_test.go
+++ b/instance/gatekeeper/bodies_test.go
@@ -19,20 +19,25 @@
 	"github.com/matryer/is"
 )
 
-// newCrashingGate returns a gate before a server that holds each request for 300 ms, long enough
-// for requests that are sent together to meet there on a busy machine too, and resets
-// all connections when it holds more than its memory.
+// newCrashingGate returns a gate before a server that holds each request for 300 ms and resets
+// all connections when it holds more than its memory. All requests but the first are held until
+// it has once done so, so that those sent together meet there on a busy machine too.
 func newCrashingGate(t *testing.T, memory int64) *Gatekeeper {
 	t.Helper()
 	pu := publisher.New(timer.BootClock{}, publisher.Self{BackendServer: "a", Service: "media", Incarnation: incarnation})
-	var held, crashedAt atomic.Int64
+	const crashLimit = 20 * time.Second
+	var held, crashedAt, arrived atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, re *http.Request) {
 		arrivedAt := time.Now().UnixNano()
 		defer held.Add(-re.ContentLength)
 		if held.Add(re.ContentLength) > memory {
 			crashedAt.Store(time.Now().UnixNano())
 		}
+		isFirst := arrived.Add(1) == 1
 		time.Sleep(300 * time.Millisecond)
+		for deadline := time.Now().Add(crashLimit); !isFirst && crashedAt.Load() == 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
 		if crashedAt.Load() >= arrivedAt {
 			panic(http.ErrAbortHandler)
 		}
@@ -77,6 +82,7 @@
 		return counts
 	}
 	first := codes(1)
+	t.Log(first)
 	is.True(first[CodeLost] > 0) // crashed, as nothing was known of its memory
 	for round := range 3 {
 		later := codes(2 + round)
