A gate refuses what an outdated configuration decided, and its answers say which it has

What callers saw: the record of the incident: a request that its entry decided by version 16 ran at a server of the old service, 3.0 s after version 20 was acknowledged; the gate may have had version 20 all the while. Cause: a decision taken at the entry and carried out at the gate was bound by the entry's version only, and no request or answer told either of the other's. Change: a forwarded request names the version by which it was decided. A gate that has had a newer one for a second refuses it as not run; its answers name its own version. An entry that reads a newer one in any answer fetches it from that peer, and decides a refused request again, once it has it.

--- a/instance/controller/calls.go
+++ b/instance/controller/calls.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/placer"
 	"cornellanding.example/wire/peerproto"
 )
 
@@ -26,6 +27,15 @@
 	}
 }
 
+// ReportNewerConfig makes the instance fetch the configuration from a peer that has the given
+// version, if it is newer than its own. It is dropped if the event queue is full.
+func (co *Controller) ReportNewerConfig(from placer.Member, version uint64) {
+	select {
+	case co.events <- newerConfigSeen{from: from, version: version}:
+	default:
+	}
+}
+
 // call posts an event and waits for its reply. It returns the context's error if
 // ctx ends first, and that of Run if Run returns first.
 func call[R any](ctx context.Context, co *Controller, reply <-chan R, ev event) (R, error) {
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -420,6 +420,10 @@
 		co.onRollOutWritten(ev, now)
 	case statusWritten:
 		co.onStatusWritten(ev, now)
+	case newerConfigSeen:
+		if ev.version > co.ds.config.Version {
+			co.fetchFrom(ev.from)
+		}
 	case statusRequested:
 		ev.reply <- co.status(now)
 	default:
@@ -477,7 +481,7 @@
 		isChanged = isChanged || applied
 	}
 	if isChanged {
-		co.logConfig(before, ev.from, now)
+		co.noteConfig(before, ev.from, now)
 		co.noteConfigRead(before, now)
 		co.onChange(now)
 		co.followRollOuts(rollOutsBefore, now)
--- a/instance/controller/documents.go
+++ b/instance/controller/documents.go
@@ -69,6 +69,9 @@
 	// byIncarnation indexes the members of the limits service's map, which are
 	// all instances.
 	byIncarnation map[uint64]placer.Member
+	// configStarts is as in publisher.View. It is replaced, never changed, since request
+	// handlers read it.
+	configStarts []publisher.ConfigStart
 	// hash covers the names and versions of the documents that peers exchange. They
 	// compare it to detect that one of them lacks a version.
 	hash uint32
@@ -211,7 +214,7 @@
 		tables[service] = tb
 	}
 	vi := publisher.NewView(ds.config, tables)
-	vi.RollOuts = ds.rollOuts
+	vi.RollOuts, vi.ConfigStarts = ds.rollOuts, ds.configStarts
 	return vi
 }
 
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -167,6 +167,12 @@
 	err      error
 }
 
+// newerConfigSeen says that a peer has the version of the configuration.
+type newerConfigSeen struct {
+	from    placer.Member
+	version uint64
+}
+
 // statusRequested requests a copy of the control state.
 type statusRequested struct {
 	reply chan<- Status
@@ -213,6 +219,7 @@
 func (takeoverEnded) isEvent()      {}
 func (mapsFolded) isEvent()         {}
 func (synced) isEvent()             {}
+func (newerConfigSeen) isEvent()    {}
 func (stopRequested) isEvent()      {}
 func (stopStepDone) isEvent()       {}
 func (suspectReported) isEvent()    {}
--- a/instance/controller/server_test.go
+++ b/instance/controller/server_test.go
@@ -256,3 +256,18 @@
 	is.True(bs.RefuseAt != 0)
 	is.True(bs.RefuseAt <= sc.clk.Now())
 }
+
+// TestNewerConfigIsFetched guards against an instance that learns from an answer that its
+// configuration is outdated, and waits for a datagram all the same.
+func TestNewerConfigIsFetched(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 1)
+	sc.ds.config.Version = 16
+	peer := placer.Member{Incarnation: 2, Address: "127.0.0.1:2"}
+	sc.ReportNewerConfig(peer, 16)
+	sc.handle(<-sc.events)
+	is.True(!sc.isSyncing[peer.Incarnation])
+	sc.ReportNewerConfig(peer, 20)
+	sc.handle(<-sc.events)
+	is.True(sc.isSyncing[peer.Incarnation])
+}
--- a/instance/controller/status.go
+++ b/instance/controller/status.go
@@ -6,6 +6,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/core/warner"
+	"cornellanding.example/instance/publisher"
 )
 
 // Kinds of the warnings in Status.
@@ -81,12 +82,13 @@
 	}
 }
 
-// logConfig logs which configuration came in force and who sent it, 0 for this instance's own
-// read, together with the age of the latest successful read known until then.
-func (co *Controller) logConfig(before cataloguer.Config, from uint64, now timer.Instant) {
+// noteConfig notes when a configuration came in force, and logs it with the peer that sent it,
+// 0 for this instance's own read, and the age of the latest successful read known until then.
+func (co *Controller) noteConfig(before cataloguer.Config, from uint64, now timer.Instant) {
 	if before.Version == co.ds.config.Version {
 		return
 	}
+	co.ds.configStarts = publisher.AddConfigStart(co.ds.configStarts, publisher.ConfigStart{Version: co.ds.config.Version, At: now})
 	age, hasRead := co.fr.ReadAge(now)
 	co.lo.Info("configuration in force", "config", co.ds.config.Version, "before", before.Version, "origin", co.ds.config.Origin,
 		"from", from, "hasRead", hasRead, "readAge", age.Duration().String())
--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -75,9 +75,7 @@
 
 // dispatch forwards a request until it is answered or finally refused.
 func (fo *Forwarder) dispatch(ctx context.Context, ca *call) (*peerproto.ForwardResponse, *Refusal) {
-	hold := accountant.From(ctx)
-	hold.PassOn()
-	defer hold.Give(ca.body.Len())
+	accountant.From(ctx).PassOn()
 	if ca.workspace == "" {
 		// Backend servers' calls carry no workspace key.
 		ca.repeatShare = fo.callerRepeats()
@@ -264,7 +262,7 @@
 	}
 	switch at.answer.GetCode() {
 	case admitter.CodeOverloaded, admitter.CodeServerLimit, admitter.CodeExposure, admitter.CodeCallsRefused, admitter.CodeLinkFull, admitter.CodeServerMemory, admitter.CodeDeadline, admitter.CodeQuarantined, admitter.CodeDuplicate,
-		gatekeeper.CodeIdempotencyKeyReused, gatekeeper.CodeDeduperFull, gatekeeper.CodeBadTarget, gatekeeper.CodeNoMemory:
+		gatekeeper.CodeConfigOutdated, gatekeeper.CodeIdempotencyKeyReused, gatekeeper.CodeDeduperFull, gatekeeper.CodeBadTarget, gatekeeper.CodeNoMemory:
 		return true
 	case gatekeeper.CodeLost, gatekeeper.CodeCrashed:
 		return !ca.idempotent
@@ -282,6 +280,10 @@
 		Status: statusOf(at.answer.GetCode()), Code: at.answer.GetCode(), Reason: at.answer.GetReason(),
 		Outcome: gatekeeper.OutcomeName(at.answer.GetOutcome()), RetryAfter: timer.Span(at.answer.GetRetryAfter()),
 	}
+	if rf.Code == gatekeeper.CodeConfigOutdated {
+		// The newer configuration arrives within a fetch from a peer.
+		rf.RetryAfter = defaultRetryAfter
+	}
 	return nil, rf
 }
 
@@ -416,6 +418,7 @@
 	}
 	answer, wasSent, err := fo.gates.Forward(ctx, to.Address, rq)
 	fo.learnCallRoute(ca, answer)
+	fo.noticeConfig(to, answer)
 	if answer.GetCode() == gatekeeper.CodeCrashed {
 		ca.crashes.Add(1)
 	}
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/assembler"
@@ -152,6 +153,9 @@
 	// callerRepeats is as in WithCallerRepeats.
 	callerRepeats func() float64
 	calls         calls
+	// newerConfig is as in WithNewerConfig, and noticedAt when it was last called.
+	newerConfig func(from placer.Member, version uint64)
+	noticedAt   atomic.Int64
 
 	muxMu      sync.Mutex
 	mux        atomic.Pointer[http.ServeMux]
@@ -163,7 +167,7 @@
 	if so == nil || gates == nil || homes == nil {
 		return nil, errors.New("forwarder: source, gates and homes are needed")
 	}
-	fo := &Forwarder{so: so, gates: gates, shares: newShares(so, homes), balancers: newBalancers(), isHedging: true, retries: newBudgets(), callerRepeats: func() float64 { return 0 }, lo: hclog.NewNullLogger()}
+	fo := &Forwarder{so: so, gates: gates, shares: newShares(so, homes), balancers: newBalancers(), isHedging: true, retries: newBudgets(), callerRepeats: func() float64 { return 0 }, newerConfig: func(placer.Member, uint64) {}, lo: hclog.NewNullLogger()}
 	for _, opt := range opts {
 		opt(fo)
 	}
@@ -259,9 +263,11 @@
 	callerService string
 	priority      cataloguer.Priority
 	workspace     string
-	key           string
-	startedAt     timer.Instant
-	deadlineAt    timer.Instant
+	// hasToken means that the workspace's bucket gave a token, or that none is needed.
+	hasToken   bool
+	key        string
+	startedAt  timer.Instant
+	deadlineAt timer.Instant
 	// giveUpAt is until when a request that has not run waits for a token and is
 	// retried, 0 for its deadline.
 	giveUpAt   timer.Instant
@@ -337,6 +343,7 @@
 		fo.refuse(wr, ca, *rf)
 		return
 	}
+	defer func() { accountant.From(re.Context()).Give(ca.body.Len()) }()
 	answer, rf := fo.dispatch(ctx, ca)
 	if rf != nil {
 		fo.refuse(wr, ca, *rf)
--- a/instance/forwarder/request.go
+++ b/instance/forwarder/request.go
@@ -10,6 +10,7 @@
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/assembler"
 	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/instance/publisher"
@@ -85,13 +86,17 @@
 }
 
 // Do serves a request that a transport has read. It returns either an answer or a
-// refusal.
+// refusal. It decides again if a gate finds that the configuration was outdated.
 func (fo *Forwarder) Do(ctx context.Context, rq Request) (*Answer, *Refusal) {
 	ca := newCall(fo.so.Now())
 	if rq.ID != "" {
 		ca.id = rq.ID
 	}
+	defer func() { accountant.From(ctx).Give(ca.body.Len()) }()
 	answer, rf := fo.do(ctx, ca, rq)
+	for fo.mustDecideAgain(ctx, ca, rf) {
+		answer, rf = fo.do(ctx, ca, rq)
+	}
 	if rf != nil {
 		settled := ca.withOutcome(*rf)
 		fo.logRefusal(ca, settled)
@@ -115,6 +120,9 @@
 		return nil, &Refusal{Status: http.StatusNotFound, Code: CodeUnknownRoute, Reason: "no route has this host and prefix"}
 	}
 	ca.setRoute(rt)
+	if ca.mayHaveRun && !ca.idempotent {
+		return nil, &Refusal{Status: http.StatusBadGateway, Code: CodeLost, Reason: "the request may have run and is no longer idempotent"}
+	}
 	ca.key, ca.target, ca.host, ca.headers = rq.Key, rq.Target, rq.Host, rq.Headers
 	if rq.Body != nil {
 		ca.body = rq.Body
@@ -132,8 +140,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ca.deadlineAt.Sub(fo.so.Now()).Duration())
 	defer cancel()
-	if rf := fo.limit(ctx, ca); rf != nil {
-		return nil, rf
+	if !ca.hasToken {
+		if rf := fo.limit(ctx, ca); rf != nil {
+			return nil, rf
+		}
+		ca.hasToken = true
 	}
 	return fo.dispatch(ctx, ca)
 }
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -59,6 +59,9 @@
 	// CodeKeyRejected means that the backend server received the request and rejected
 	// it, because it does not hold the key or has been restarted.
 	CodeKeyRejected = "backendServerRejectedKey"
+	// CodeConfigOutdated means that the entry instance chose the service by a configuration
+	// that is no longer in force here.
+	CodeConfigOutdated = "configurationOutdated"
 )
 
 // queuePerSlot is the queue length per slot for a backend server that announces its
@@ -257,6 +260,7 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	answer.CallRoute = ga.isCallRoute(rq)
+	answer.ConfigVersion = ga.pu.View().Config.Version
 	running, waiting, _ := ga.load()
 	answer.Running, answer.Waiting = uint32(running), uint32(waiting)
 	ga.report(rq.GetRoute(), answer)
@@ -295,6 +299,10 @@
 	if rq.GetTo() != self.Incarnation {
 		return cataloguer.Service{}, refuse(CodeWrongIncarnation, "this instance is another incarnation")
 	}
+	// Instances of older builds name no configuration.
+	if version := rq.GetConfigVersion(); version != 0 && ga.pu.View().IsOutdated(version, ga.pu.Now()) {
+		return cataloguer.Service{}, refuse(CodeConfigOutdated, fmt.Sprintf("configuration %d, by which the request was decided, is no longer in force", version))
+	}
 	sv, ok := ga.pu.View().Services[rq.GetService()]
 	if !ok || rq.GetService() != self.Service {
 		return cataloguer.Service{}, refuse(CodeUnknownService, "this instance does not serve "+rq.GetService())
--- a/instance/publisher/publisher.go
+++ b/instance/publisher/publisher.go
@@ -45,6 +45,9 @@
 	Tables           map[string]*placer.Table
 	// RollOuts holds the states of the services' versions. It is nil if rollouts are off.
 	RollOuts map[string]roller.State
+	// ConfigStarts lists when the latest versions of the configuration came in force here,
+	// oldest first.
+	ConfigStarts []ConfigStart
 }
 
 // NewView indexes a configuration and its maps.
--- /dev/null
+++ b/instance/publisher/starts.go
@@ -0,0 +1,37 @@
+package publisher
+
+import (
+	"slices"
+
+	"cornellanding.example/core/timer"
+)
+
+// OutdatedSpan is for how long a gate still takes requests that were decided by an older
+// configuration than its own: a change takes less than that to spread.
+const OutdatedSpan = timer.Second
+
+// ConfigStart is when a version of the configuration came in force at this instance.
+type ConfigStart struct {
+	Version uint64
+	At      timer.Instant
+}
+
+// AddConfigStart returns the starts with a further one. Of those that are older than
+// OutdatedSpan at that time only the latest is kept, since it makes all before it outdated.
+func AddConfigStart(starts []ConfigStart, last ConfigStart) []ConfigStart {
+	for len(starts) > 1 && last.At.Sub(starts[1].At) >= OutdatedSpan {
+		starts = starts[1:]
+	}
+	return append(slices.Clone(starts), last)
+}
+
+// IsOutdated reports whether this instance has had a newer configuration than the version for
+// OutdatedSpan or longer.
+func (vi *View) IsOutdated(version uint64, now timer.Instant) bool {
+	for _, cs := range vi.ConfigStarts {
+		if cs.Version > version {
+			return now.Sub(cs.At) >= OutdatedSpan
+		}
+	}
+	return false
+}
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -156,6 +156,7 @@
 	forwarderOptions := append([]forwarder.Option{
 		forwarder.WithLogger(ro.lo), forwarder.WithLogSampling(se.Log.SampleEvery), forwarder.WithObserver(ro.meter),
 		forwarder.WithCallerRepeats(func() float64 { return ro.current.Load().ga.RepeatShare() }),
+		forwarder.WithNewerConfig(func(from placer.Member, version uint64) { ro.current.Load().co.ReportNewerConfig(from, version) }),
 		forwarder.WithCallObserver(func(ca throttler.Call) { ro.current.Load().ga.ObserveCall(ca) }),
 	}, ro.forwarderOptions...)
 	if ro.se.Features.Pacing {
