No denial by a configuration that may have been replaced

Cause: an unknown route or key was denied by whatever configuration was held. A denial is only true if that one is the newest. Change: if the latest known read is older than configApplyS, such a request gets 503 with Retry-After in place of 404 or 401. Requests that the configuration allows are served as before, so that an outage of the store stops none.

--- a/core/freshener/freshener.go
+++ b/core/freshener/freshener.go
@@ -196,6 +196,9 @@
 	return (!hasRead || age >= span) && !fr.hasAttempts(now, span)
 }
 
+// ReadAt returns when the latest known successful read was sent, 0 if none is known.
+func (fr *Freshener) ReadAt() timer.Instant { return fr.readAt }
+
 // ReadAge returns the time from the latest successful read to now, or false if none is
 // known.
 func (fr *Freshener) ReadAge(now timer.Instant) (timer.Span, bool) {
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -254,7 +254,7 @@
 	if co.fr == nil {
 		co.fr = freshener.New(nil, co.freshness, freshener.Strict(co.isFreshnessStrict))
 	}
-	co.pu.SetFreshUntil(co.fr.FreshUntil())
+	co.publishFreshness()
 	var err error
 	co.ho, err = leaser.NewHolder(leaser.HolderIncarnation(co.self.Incarnation), leaser.HolderTerm(co.leaseTerm))
 	if err != nil {
@@ -508,7 +508,7 @@
 // table or of the external configuration source.
 func (co *Controller) recordReadAttempt(ev documentsFetched) {
 	co.fr.RecordAttempt(co.self.DataCentre, ev.readAt, ev.err == nil)
-	co.pu.SetFreshUntil(co.fr.FreshUntil())
+	co.publishFreshness()
 }
 
 func dataCentreNames(cat cataloguer.Catalogue) []string {
--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -59,7 +59,14 @@
 		report.ReadAge = timer.Span(age-1) * timer.Millisecond
 	}
 	co.fr.Merge(report, sentAt)
+	co.publishFreshness()
+}
+
+// publishFreshness publishes until when withdrawn keys are known, and as of when the
+// configuration.
+func (co *Controller) publishFreshness() {
 	co.pu.SetFreshUntil(co.fr.FreshUntil())
+	co.pu.SetReadAt(co.fr.ReadAt())
 }
 
 // fetchFrom fetches the documents of which a peer holds newer versions. At most one
--- a/instance/forwarder/forwarder.go
+++ b/instance/forwarder/forwarder.go
@@ -55,6 +55,9 @@
 	CodeStarting          = "starting"
 	CodeStopping          = "stopping"
 	CodeNoMemory          = gatekeeper.CodeNoMemory
+	// CodeNotConfirmed means that the configuration held allows no such request and may
+	// have been replaced.
+	CodeNotConfirmed = "configurationNotConfirmed"
 )
 
 // Headers between callers and the instance, and the lengths of their values.
@@ -77,6 +80,9 @@
 	// IsFresh reports whether the knowledge of withdrawn keys is recent enough to
 	// accept a workspace key.
 	IsFresh() bool
+	// ReadAt returns the instant as of which the configuration is known to be the newest, 0
+	// if it is not known.
+	ReadAt() timer.Instant
 }
 
 // GateClient forwards requests to the admission control in front of the backend
@@ -156,6 +162,8 @@
 	// newerConfig is as in WithNewerConfig, and noticedAt when it was last called.
 	newerConfig func(from placer.Member, version uint64)
 	noticedAt   atomic.Int64
+	// denialLimit is as in WithDenialLimit.
+	denialLimit timer.Span
 
 	muxMu      sync.Mutex
 	mux        atomic.Pointer[http.ServeMux]
@@ -455,11 +463,11 @@
 		return &Refusal{Status: http.StatusServiceUnavailable, Code: CodeKeysNotFresh, Reason: "the knowledge of withdrawn keys is too old", RetryAfter: timer.Second}
 	}
 	if !ok {
-		return &Refusal{Status: http.StatusUnauthorized, Code: CodeUnknownKey, Reason: "a workspace key is needed"}
+		return fo.deny(http.StatusUnauthorized, CodeUnknownKey, "a workspace key is needed")
 	}
 	workspace, ok := fo.so.View().WorkspacesByKey[sha256.Sum256([]byte(key))]
 	if !ok {
-		return &Refusal{Status: http.StatusUnauthorized, Code: CodeUnknownKey, Reason: "the workspace key is not known"}
+		return fo.deny(http.StatusUnauthorized, CodeUnknownKey, "the workspace key is not known")
 	}
 	ca.workspace = workspace
 	if ws := fo.so.View().WorkspacesByName[workspace]; ws.HasPriority {
--- a/instance/forwarder/outdated.go
+++ b/instance/forwarder/outdated.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"cornellanding.example/core/placer"
@@ -23,6 +24,24 @@
 	return func(fo *Forwarder) { fo.newerConfig = newerConfig }
 }
 
+// WithDenialLimit sets for how long after the configuration was last known to be the newest a
+// request may be denied for an unknown route or key. After that it is refused for a while,
+// since the configuration may have been replaced. The default 0 sets no limit.
+func WithDenialLimit(span timer.Span) Option {
+	return func(fo *Forwarder) { fo.denialLimit = span }
+}
+
+// deny refuses a request that the configuration does not allow.
+func (fo *Forwarder) deny(status int, code, reason string) *Refusal {
+	if fo.denialLimit > 0 && fo.so.Now().Sub(fo.so.ReadAt()) >= fo.denialLimit {
+		return &Refusal{
+			Status: http.StatusServiceUnavailable, Code: CodeNotConfirmed, RetryAfter: timer.Second,
+			Reason: reason + ", and the configuration was not read for too long to be sure",
+		}
+	}
+	return &Refusal{Status: status, Code: code, Reason: reason}
+}
+
 // noticeConfig compares the configuration of a peer that answered with this instance's.
 func (fo *Forwarder) noticeConfig(from placer.Member, answer *peerproto.ForwardResponse) {
 	version := answer.GetConfigVersion()
--- a/instance/forwarder/outdated_test.go
+++ b/instance/forwarder/outdated_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/gatekeeper"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/peerproto"
@@ -88,3 +89,32 @@
 	is.True(rf.RetryAfter > 0)
 	is.Equal(len(fl.seen), 1)
 }
+
+// TestNoDenialWithoutNewsOfTheConfiguration guards against a 404 or 401 for a route or key that
+// was added while the instance could not learn of it.
+func TestNoDenialWithoutNewsOfTheConfiguration(t *testing.T) {
+	const limit = 2 * timer.Second
+	for name, cas := range map[string]struct {
+		age    timer.Span
+		change func(rq *Request)
+		status int
+		code   string
+	}{
+		"unknown route, read lately": {age: limit / 2, change: func(rq *Request) { rq.Path = "/other/" }, status: http.StatusNotFound, code: CodeUnknownRoute},
+		"unknown route":              {age: 2 * limit, change: func(rq *Request) { rq.Path = "/other/" }, status: http.StatusServiceUnavailable, code: CodeNotConfirmed},
+		"unknown key, read lately":   {age: limit / 2, change: func(rq *Request) { rq.Authorization = "Bearer x" }, status: http.StatusUnauthorized, code: CodeUnknownKey},
+		"unknown key":                {age: 2 * limit, change: func(rq *Request) { rq.Authorization = "Bearer x" }, status: http.StatusServiceUnavailable, code: CodeNotConfirmed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fo, fl := newFleet(t, WithDenialLimit(limit))
+			fl.pu.SetReadAt(fl.Now().Add(-cas.age))
+			rq := toPath("/page/x")
+			cas.change(&rq)
+			_, rf := fo.Do(context.Background(), rq)
+			is.Equal([]any{rf.Status, rf.Code}, []any{cas.status, cas.code})
+			is.Equal(rf.RetryAfter > 0, cas.status == http.StatusServiceUnavailable)
+			is.True(!rf.MayHaveRun())
+		})
+	}
+}
--- a/instance/forwarder/request.go
+++ b/instance/forwarder/request.go
@@ -117,7 +117,7 @@
 	}
 	rt, ok := fo.index.find(vi, rq.Host, rq.Path)
 	if !ok {
-		return nil, &Refusal{Status: http.StatusNotFound, Code: CodeUnknownRoute, Reason: "no route has this host and prefix"}
+		return nil, fo.deny(http.StatusNotFound, CodeUnknownRoute, "no route has this host and prefix")
 	}
 	ca.setRoute(rt)
 	if ca.mayHaveRun && !ca.idempotent {
--- a/instance/forwarder/request_test.go
+++ b/instance/forwarder/request_test.go
@@ -39,6 +39,7 @@
 func (fl *fleet) View() *publisher.View { return fl.pu.View() }
 func (fl *fleet) Now() timer.Instant    { return fl.pu.Now() }
 func (fl *fleet) IsFresh() bool         { return true }
+func (fl *fleet) ReadAt() timer.Instant { return fl.pu.ReadAt() }
 
 func (fl *fleet) Forward(ctx context.Context, address string, rq *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
 	fl.mu.Lock()
--- a/instance/publisher/publisher.go
+++ b/instance/publisher/publisher.go
@@ -112,6 +112,7 @@
 	view       atomic.Pointer[View]
 	leaseUntil atomic.Int64
 	freshUntil atomic.Int64
+	readAt     atomic.Int64
 	isStopping atomic.Bool
 	// refuseLongFrom is as in SetStopping.
 	refuseLongFrom atomic.Int64
@@ -167,6 +168,14 @@
 // IsFresh reports whether the known set of withdrawn keys is recent enough.
 func (pu *Publisher) IsFresh() bool { return pu.clock.Now().Before(pu.FreshUntil()) }
 
+// SetReadAt sets the instant as of which the configuration is known to be the newest, 0 if it
+// is not known.
+func (pu *Publisher) SetReadAt(at timer.Instant) { pu.readAt.Store(int64(at)) }
+
+// ReadAt returns the instant as of which the configuration is known to be the newest, 0 if it is
+// not known.
+func (pu *Publisher) ReadAt() timer.Instant { return timer.Instant(pu.readAt.Load()) }
+
 // SetStopping marks that a planned stop has begun. From refuseLongFrom on, no request is
 // to be taken that the end of the instance may break off.
 func (pu *Publisher) SetStopping(refuseLongFrom timer.Instant) {
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -548,6 +548,9 @@
 // IsFresh implements forwarder.Source.
 func (so *source) IsFresh() bool { return so.ro.current.Load().pu.IsFresh() }
 
+// ReadAt implements forwarder.Source.
+func (so *source) ReadAt() timer.Instant { return so.ro.current.Load().pu.ReadAt() }
+
 // localPeers serves requests addressed to this instance without an RPC: those to the
 // admission control of its backend server and to the token buckets that it owns.
 type localPeers struct {
--- a/standin/platformer/operator.go
+++ b/standin/platformer/operator.go
@@ -160,7 +160,7 @@
 zones:
 %slisten: {outbound: "%s", inbound: "%s", ready: "%s", control: "%s"}
 portRange: [%d, %d]
-bounds: ["holdMaxS=10", "graceS=6", "revokeS=5", "retryBudgetRatio=0.2", "budgetSlack=62"]
+bounds: ["configApplyS=2", "holdMaxS=10", "graceS=6", "revokeS=5", "retryBudgetRatio=0.2", "budgetSlack=62"]
 appAddr: "%s"
 service: %s
 grants: %s
