Controller: an instance that no reader has informed reads the maps too

A joined instance reads the maps every 10 s only, since peers spread them. Change: with its own read of the configuration it reads the maps, once a second at most. Result: TestUninformedInstanceReadsMaps, which fails without the change.

--- a/instance/controller/configs.go
+++ b/instance/controller/configs.go
@@ -35,6 +35,10 @@
 		// Nothing is served before there are maps, so a change need not be known.
 		return
 	}
+	if co.isJoined && co.fr.IsUninformed(now, lateReadAge) {
+		// Nobody has told of the maps either.
+		co.requestMapRead(now)
+	}
 	co.isPollingConfig = true
 	origin := co.ds.config.Origin
 	wait := configWait
--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -164,7 +164,8 @@
 
 // requestMapRead schedules a read of the table with the maps, at most once per
 // pollInterval. It is used when a peer that the maps don't name holds other
-// documents: it has just joined, and its documents can't be fetched yet.
+// documents: it has just joined, and its documents can't be fetched yet. It is also
+// used when no poller has informed this instance.
 func (co *Controller) requestMapRead(now timer.Instant) {
 	if co.isMapReadDue || co.isFetching || now.Before(co.mapReadAt.Add(pollInterval)) {
 		return
--- a/instance/controller/server_test.go
+++ b/instance/controller/server_test.go
@@ -271,3 +271,25 @@
 	sc.handle(<-sc.events)
 	is.True(sc.isSyncing[peer.Incarnation])
 }
+
+// TestUninformedInstanceReadsMaps guards against an instance that goes on sending requests by
+// old maps while all that would tell it of new ones have gone.
+func TestUninformedInstanceReadsMaps(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 9)
+	sc.isJoined = true
+	ma := placer.NewMap(folder.LimitsService, 8).NextVersion(0)
+	for _, incarnation := range []uint64{1, 2, 3, 9} {
+		ma = ma.WithMember(placer.Member{BackendServer: name(incarnation), Incarnation: incarnation, DataCentre: "x", Weight: placer.FullWeight})
+	}
+	sc.apply(t, ma)
+	sc.fr.SetDataCentres([]string{"x"})
+	sc.fr.RecordAttempt("x", sc.clk.Now(), true)
+	sc.nextPollAt = sc.clk.Now().Add(mapsInterval)
+	sc.pollConfig(sc.clk.Now())
+	is.True(!sc.isMapReadDue)
+	sc.clk.Advance(lateReadAge)
+	sc.pollConfig(sc.clk.Now())
+	is.True(sc.isMapReadDue)
+	is.True(!sc.clk.Now().Before(sc.nextPollAt))
+}
