Outdated decisions: not after a body's transfer, and not if the entry would decide the same

Cause: the gate checked the version at a request's head and again after its body, which took longer than a change may take to spread. A call that had waited at the entry, for a token or another server, likewise named the version of its first decision. Change: the gate checks at the head only; the entry names the version in force when it sends, if the route there leads to the same service and kind.

--- a/instance/forwarder/dispatch.go
+++ b/instance/forwarder/dispatch.go
@@ -403,6 +403,7 @@
 			Outcome: gatekeeper.OutcomeNotRun, Code: CodeDeadline, Reason: "the deadline passed",
 		}}
 	}
+	fo.renew(ca)
 	rq := &peerproto.ForwardRequest{
 		RequestId: ca.id, Route: ca.route.Name, Service: ca.service, Workspace: ca.workspace, Key: ca.key,
 		Method: ca.method, PathAndQuery: ca.target, Headers: ca.headers,
--- a/instance/forwarder/outdated.go
+++ b/instance/forwarder/outdated.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/gatekeeper"
+	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/peerproto"
 )
 
@@ -55,6 +59,34 @@
 	}
 }
 
+// renew makes the configuration in force the one by which a call is decided, if it decides the
+// same. The call may have waited for a token or for another server since its decision.
+func (fo *Forwarder) renew(ca *call) {
+	vi := fo.so.View()
+	if vi.Config.Version == ca.config {
+		return
+	}
+	rt, ok := fo.routeIn(vi, ca)
+	isPart := func(sp cataloguer.Split) bool { return sp.Service == ca.service }
+	if ok && rt.Idempotent == ca.idempotent && (rt.Service == ca.service || slices.ContainsFunc(rt.Splits, isPart)) {
+		ca.config = vi.Config.Version
+	}
+}
+
+// routeIn returns the route of a call in a view.
+func (fo *Forwarder) routeIn(vi *publisher.View, ca *call) (cataloguer.Route, bool) {
+	if ca.route.Prefix != "" {
+		path, _, _ := strings.Cut(ca.target, "?")
+		return fo.index.find(vi, ca.host, path)
+	}
+	for _, rt := range vi.Config.Catalogue.Routes {
+		if rt.Prefix == "" && rt.Method == ca.route.Method && rt.Path == ca.route.Path {
+			return rt, true
+		}
+	}
+	return cataloguer.Route{}, false
+}
+
 // mustDecideAgain reports whether a request was refused since it was decided by an outdated
 // configuration, once this instance has a newer one. It returns false if the request can't wait
 // for that.
--- a/instance/forwarder/outdated_test.go
+++ b/instance/forwarder/outdated_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/gatekeeper"
@@ -73,6 +75,41 @@
 	}
 }
 
+// TestWaitingCallFollowsTheConfiguration guards against a call that waited at the entry while the
+// configuration changed, and is refused as outdated though it would be decided the same.
+func TestWaitingCallFollowsTheConfiguration(t *testing.T) {
+	for name, cas := range map[string]struct {
+		change func(rt *cataloguer.Route)
+		sent   uint64
+	}{
+		"same service":    {change: func(rt *cataloguer.Route) { rt.Timeout *= 2 }, sent: 2},
+		"another service": {change: func(rt *cataloguer.Route) { rt.Service = "keys" }, sent: 1},
+		"another kind":    {change: func(rt *cataloguer.Route) { rt.Idempotent = false }, sent: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fo, fl := newFleet(t)
+			// The configuration changes while the call waits for a token.
+			fl.grant = func() *peerproto.GrantResponse {
+				vi := *fl.pu.View()
+				vi.Config.Version = 2
+				vi.Config.Catalogue.Routes = slices.Clone(vi.Config.Catalogue.Routes)
+				for i := range vi.Config.Catalogue.Routes {
+					cas.change(&vi.Config.Catalogue.Routes[i])
+				}
+				fl.pu.Publish(&vi)
+				return &peerproto.GrantResponse{Immediate: 1, Tokens: 5}
+			}
+			fl.set(func(context.Context, *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+				return answered("ok")
+			}, "a", "b")
+			_, rf := fo.Do(context.Background(), toPath("/page/x"))
+			is.Equal(rf, nil)
+			is.Equal(fl.seen[0].GetConfigVersion(), cas.sent)
+		})
+	}
+}
+
 // TestOutdatedEntryRefuses guards against an entry instance that holds a request until its
 // deadline since it can't get the configuration that a gate asks for.
 func TestOutdatedEntryRefuses(t *testing.T) {
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -299,10 +299,6 @@
 	if rq.GetTo() != self.Incarnation {
 		return cataloguer.Service{}, refuse(CodeWrongIncarnation, "this instance is another incarnation")
 	}
-	// Instances of older builds name no configuration.
-	if version := rq.GetConfigVersion(); version != 0 && ga.pu.View().IsOutdated(version, ga.pu.Now()) {
-		return cataloguer.Service{}, refuse(CodeConfigOutdated, fmt.Sprintf("configuration %d, by which the request was decided, is no longer in force", version))
-	}
 	sv, ok := ga.pu.View().Services[rq.GetService()]
 	if !ok || rq.GetService() != self.Service {
 		return cataloguer.Service{}, refuse(CodeUnknownService, "this instance does not serve "+rq.GetService())
@@ -313,7 +309,23 @@
 	return sv, nil
 }
 
+// refuseOutdated returns a refusal of a request that was decided by an outdated configuration, or
+// nil.
+func (ga *Gatekeeper) refuseOutdated(rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
+	version := rq.GetConfigVersion()
+	// Instances of older builds name no configuration.
+	if version == 0 || !ga.pu.View().IsOutdated(version, ga.pu.Now()) {
+		return nil
+	}
+	return refuse(CodeConfigOutdated, fmt.Sprintf("configuration %d, by which the request was decided, is no longer in force", version))
+}
+
 func (ga *Gatekeeper) forward(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
+	if !hasBody(ctx) { // else RefuseHead has checked it, before the body took its time
+		if refusal := ga.refuseOutdated(rq); refusal != nil {
+			return refusal
+		}
+	}
 	sv, refusal := ga.serviceOf(ctx, rq)
 	if refusal != nil {
 		return refusal
@@ -379,12 +391,17 @@
 
 // Body returns the body of a request that is forwarded with the context, see WithBody.
 func Body(ctx context.Context, rq *peerproto.ForwardRequest) *assembler.Body {
-	if body, ok := ctx.Value(bodyKey{}).(*assembler.Body); ok {
-		return body
+	if hasBody(ctx) {
+		return ctx.Value(bodyKey{}).(*assembler.Body)
 	}
 	return assembler.New(rq.GetBody())
 }
 
+func hasBody(ctx context.Context) bool {
+	_, ok := ctx.Value(bodyKey{}).(*assembler.Body)
+	return ok
+}
+
 // fingerprint hashes the route, method, path and query, key and body of a request. A
 // copy under another request ID has the same fingerprint.
 func fingerprint(rq *peerproto.ForwardRequest) uint64 {
--- a/instance/gatekeeper/link.go
+++ b/instance/gatekeeper/link.go
@@ -100,6 +100,9 @@
 }
 
 func (ga *Gatekeeper) refuseHead(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
+	if refusal := ga.refuseOutdated(rq); refusal != nil {
+		return refusal
+	}
 	sv, refusal := ga.serviceOf(ctx, rq)
 	if refusal != nil {
 		return refusal
