Gatekeeper: one look for the body of a context

Cause: the check whether a body followed its head looked the context up once, and Body did so twice. Change: bodyOf serves both. Result: behaviour unchanged; tests of gatekeeper on heads, bodies and outdated decisions pass.

--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -321,7 +321,8 @@
 }
 
 func (ga *Gatekeeper) forward(ctx context.Context, rq *peerproto.ForwardRequest) *peerproto.ForwardResponse {
-	if !hasBody(ctx) { // else RefuseHead has checked it, before the body took its time
+	// Where a body followed its head, RefuseHead checked before the body took its time.
+	if _, hasBody := bodyOf(ctx); !hasBody {
 		if refusal := ga.refuseOutdated(rq); refusal != nil {
 			return refusal
 		}
@@ -391,15 +392,16 @@
 
 // Body returns the body of a request that is forwarded with the context, see WithBody.
 func Body(ctx context.Context, rq *peerproto.ForwardRequest) *assembler.Body {
-	if hasBody(ctx) {
-		return ctx.Value(bodyKey{}).(*assembler.Body)
+	if body, ok := bodyOf(ctx); ok {
+		return body
 	}
 	return assembler.New(rq.GetBody())
 }
 
-func hasBody(ctx context.Context) bool {
-	_, ok := ctx.Value(bodyKey{}).(*assembler.Body)
-	return ok
+// bodyOf returns the body of WithBody, or false if there is none.
+func bodyOf(ctx context.Context) (*assembler.Body, bool) {
+	body, ok := ctx.Value(bodyKey{}).(*assembler.Body)
+	return body, ok
 }
 
 // fingerprint hashes the route, method, path and query, key and body of a request. A
