Tests: one fake of a server that streams without end

Cause: the tests of endless bytes at the gate and from a peer's address each had their own listener that writes until it is closed. Change: emulator.Streamer serves both; cases and checks stay.

--- a/instance/gatekeeper/endless_test.go
+++ b/instance/gatekeeper/endless_test.go
@@ -2,43 +2,15 @@
 
 import (
 	"context"
-	"net"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"cornellanding.example/standin/emulator"
 	"github.com/matryer/is"
 )
 
-// streamer accepts connections and writes a start and then a piece again and again,
-// until the client closes the connection.
-func streamer(t *testing.T, start, piece string, pause time.Duration) (address string, closed <-chan struct{}) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { listener.Close() })
-	ended := make(chan struct{}, 16)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, err := conn.Write([]byte(start))
-				for err == nil {
-					_, err = conn.Write([]byte(piece))
-					time.Sleep(pause)
-				}
-				ended <- struct{}{}
-			}()
-		}
-	}()
-	return listener.Addr().String(), ended
-}
-
 // TestEndlessAnswers checks that bytes without end in an answer's head or body end with
 // a true outcome within the request's time, in bounded memory, and close the connection.
 func TestEndlessAnswers(t *testing.T) {
@@ -65,9 +37,11 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address, closed := streamer(t, tc.start, tc.piece, tc.pause)
+			st, err := emulator.NewStreamer(tc.start, tc.piece, tc.pause)
+			is.NoErr(err)
+			defer st.Close()
 			ga := newGate(t)
-			ga.Gatekeeper, _ = New(ga.pu, address)
+			ga.Gatekeeper, _ = New(ga.pu, st.Address())
 			rq := request("1", "")
 			rq.Remaining = int64(2 * time.Second)
 			var before, after runtime.MemStats
@@ -81,7 +55,7 @@
 			running, waiting, _ := ga.Load()
 			is.Equal([]int{running, waiting}, []int{0, 0}) // the slot is free
 			select {
-			case <-closed:
+			case <-st.Closed():
 			case <-time.After(5 * time.Second):
 				t.Fatal("the connection was not closed")
 			}
--- a/instance/router/endless_test.go
+++ b/instance/router/endless_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"cornellanding.example/standin/emulator"
 	"cornellanding.example/wire/peerproto"
 	"cornellanding.example/wire/signer"
 	"github.com/matryer/is"
@@ -40,7 +40,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address := stream(t, cas.start, cas.piece)
+			st, err := emulator.NewStreamer(cas.start, cas.piece, 0)
+			is.NoErr(err)
+			defer st.Close()
 			si, err := signer.New([]byte("0123456789abcdef"))
 			is.NoErr(err)
 			pe := newPeers(si, func(string) bool { return true }, nil)
@@ -49,11 +51,11 @@
 			startedAt := time.Now()
 			for _, call := range []func(ctx context.Context) error{
 				func(ctx context.Context) error {
-					_, _, err := pe.Forward(ctx, address, &peerproto.ForwardRequest{RequestId: "1"})
+					_, _, err := pe.Forward(ctx, st.Address(), &peerproto.ForwardRequest{RequestId: "1"})
 					return err
 				},
 				func(ctx context.Context) error {
-					_, err := pe.Sync(ctx, address, &peerproto.SyncRequest{})
+					_, err := pe.Sync(ctx, st.Address(), &peerproto.SyncRequest{})
 					return err
 				},
 			} {
@@ -67,31 +69,6 @@
 	}
 }
 
-// stream accepts connections and writes a start and then a piece again and again, until the
-// other side closes the connection.
-func stream(t *testing.T, start, piece string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, err := conn.Write([]byte(start))
-				for err == nil {
-					_, err = conn.Write([]byte(piece))
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // watchHeap samples the heap until the function that it returns is called, which returns by how
 // many bytes it grew at the most.
 func watchHeap() (peak func() int64) {
