Crowder: one start and one check of the limits for both crowd tests

Cause: the test of endless answers repeated the settings of the fleet and the two checks of what the processes hold. Change: start and checkLimits serve both; the checks are the same.

--- a/bench/crowder/crowder_test.go
+++ b/bench/crowder/crowder_test.go
@@ -35,11 +35,7 @@
 	for _, cr := range append(crowder.Crowds(), crowder.CompleteHeads()) {
 		t.Run(cr.Name, func(t *testing.T) {
 			is := is.New(t)
-			fl, err := crowder.Start(t.Context(), crowder.Settings{
-				Program: program, Folder: t.TempDir(), MemoryMB: memoryMB, MaxFDs: maxFDs,
-				Limits: platformer.Limits{MaxHeaderBytes: crowder.MaxHeaderBytes, MaxBodyBytes: crowder.MaxBodyBytes, HeaderTimeoutS: 2, IdleTimeoutS: 10},
-			})
-			is.NoErr(err)
+			fl := start(t, program)
 			defer fl.Close()
 			wa := watch(fl)
 			held := cr.Send(fl.Entry())
@@ -52,14 +48,31 @@
 			t.Logf("clients %d, broken %d, peaks %+v", cr.Clients, held.Broken, peaks)
 			is.NoErr(err)       // every process lives
 			is.NoErr(answerErr) // an ordinary request is answered
-			for _, us := range peaks {
-				is.True(us.PeakBytes <= memoryMB<<20) // resident memory stays within the limit
-				is.True(us.Descriptors <= maxFDs)     // descriptors stay within the limit
-			}
+			checkLimits(t, peaks)
 		})
 	}
 }
 
+// start starts a fleet with the limits of the crowds.
+func start(t *testing.T, program string) *crowder.Fleet {
+	t.Helper()
+	fl, err := crowder.Start(t.Context(), crowder.Settings{
+		Program: program, Folder: t.TempDir(), MemoryMB: memoryMB, MaxFDs: maxFDs,
+		Limits: platformer.Limits{MaxHeaderBytes: crowder.MaxHeaderBytes, MaxBodyBytes: crowder.MaxBodyBytes, HeaderTimeoutS: 2, IdleTimeoutS: 10},
+	})
+	is.New(t).NoErr(err)
+	return fl
+}
+
+func checkLimits(t *testing.T, peaks map[string]crowder.Usage) {
+	t.Helper()
+	is := is.New(t)
+	for _, us := range peaks {
+		is.True(us.PeakBytes <= memoryMB<<20) // resident memory stays within the limit
+		is.True(us.Descriptors <= maxFDs)     // descriptors stay within the limit
+	}
+}
+
 // build builds the program without the race detector, which multiplies the memory.
 func build(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "cornellanding")
@@ -112,12 +125,7 @@
 func TestEndlessAnswers(t *testing.T) {
 	const requests = 24
 	program := build(t)
-	is := is.New(t)
-	fl, err := crowder.Start(t.Context(), crowder.Settings{
-		Program: program, Folder: t.TempDir(), MemoryMB: memoryMB, MaxFDs: maxFDs,
-		Limits: platformer.Limits{MaxHeaderBytes: crowder.MaxHeaderBytes, MaxBodyBytes: crowder.MaxBodyBytes, HeaderTimeoutS: 2, IdleTimeoutS: 10},
-	})
-	is.NoErr(err)
+	fl := start(t, program)
 	defer fl.Close()
 	for _, way := range crowder.EndlessAnswers() {
 		for _, isBehind := range []bool{false, true} {
@@ -139,10 +147,7 @@
 				for _, status := range statuses {
 					is.True(way.HasAnswer || status == 0 || status >= http.StatusInternalServerError)
 				}
-				for _, us := range peaks {
-					is.True(us.PeakBytes <= memoryMB<<20) // resident memory stays within the limit
-					is.True(us.Descriptors <= maxFDs)     // descriptors stay within the limit
-				}
+				checkLimits(t, peaks)
 			})
 		}
 	}
