Logs: what a release of partitions rests on

An instance that releases partitions now logs the map, the server's latest heartbeat with its age and the number of ranges that it lists, and the time since its own start: one line a release request that is answered with partitions.

--- a/instance/controller/ownership.go
+++ b/instance/controller/ownership.go
@@ -298,5 +298,25 @@
 			answer.Buckets = append(answer.Buckets, co.buckets.Export(pt)...)
 		}
 	}
+	co.logRelease(re, answer)
 	return answer
 }
+
+// logRelease logs the release of partitions with what it rests on: the latest heartbeat of
+// the backend server and the time since this instance started.
+func (co *Controller) logRelease(re *peerproto.ReleaseRequest, answer *peerproto.ReleaseResponse) {
+	if len(answer.GetReleased()) == 0 {
+		return
+	}
+	now := co.pu.Now()
+	facts := []any{
+		"service", re.GetService(), "map", re.GetMapVersion(), "released", len(answer.GetReleased()), "asked", len(re.GetPartitions()),
+		"startedAgo", now.Sub(co.startedAt).Duration().String(),
+	}
+	if co.tracksHolds(re.GetService()) {
+		hb, heardAt := co.re.LatestHeartbeat()
+		facts = append(facts, "server", hb.ID, "serverState", co.re.State(now).String(), "sequence", hb.Sequence, "listed", len(hb.Holds),
+			"heardAgo", now.Sub(heardAt).Duration().String())
+	}
+	co.lo.Info("partitions released to their new owners", facts...)
+}
