Registrar: grants of a former instance end by proof, not by the first heartbeat

A heartbeat may have been sent before the process started; its seq and start don't tell.

Change: what a former instance may have granted is free once a heartbeat lists a token that only this instance can have granted, once its term has passed, or if the map's history never assigned it to a former incarnation on the VM. So that callers don't wait for that after many restarts, a range that the server lists stands for the releases of all owners up to its token's version, and the first heartbeat is answered once map and lease are there.

No further calls to the server or the store.

Four cases of TestIsFree asked for the former rule (a range is free by the first heartbeat that doesn't list it): they now ask that it is not free until proved, with a case for each proof. TestPredecessorsHoldIsNotReleased has a predecessor in the map now, and a late heartbeat. TestServerKeepsItsKeysWhileAnotherRunLeaves applies a map, as a reply now waits for one.

--- a/core/placer/history_test.go
+++ b/core/placer/history_test.go
@@ -91,7 +91,7 @@
 		}
 		tb := NewTable(ma)
 		for _, me := range ma.Members {
-			got, want := tb.PriorOwners(me.Incarnation), naivePrior(tb, me.Incarnation)
+			got, want := tb.PriorOwners(me.Incarnation, nil), naivePrior(tb, me.Incarnation)
 			if fmt.Sprint(got) != fmt.Sprint(want) {
 				t.Fatalf("prior owners %v, want %v", got, want)
 			}
@@ -121,7 +121,7 @@
 	for b.Loop() {
 		tb := NewTable(ma)
 		self := ma.Members[5].Incarnation
-		tb.PriorOwners(self)
+		tb.PriorOwners(self, nil)
 		for _, pt := range tb.OwnedBy(self) {
 			tb.OwnerLosses(pt)
 		}
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -90,14 +90,14 @@
 	two := mapOf(64, 2)
 	joined := two.NextVersion(0).WithMember(Member{BackendServer: "server-2", Incarnation: 3, Weight: FullWeight})
 	before, after := NewTable(two), NewTable(joined)
-	prior := after.PriorOwners(3)
+	prior := after.PriorOwners(3, nil)
 	is.True(len(prior) > 0)
 	for pt, list := range prior {
 		was, _ := before.Owner(pt)
 		is.True(slices.Contains(list, was)) // the owner before the join releases
 	}
 	removed := NewTable(joined.NextVersion(0).WithoutMember("server-0", 1))
-	for _, list := range removed.PriorOwners(3) {
+	for _, list := range removed.PriorOwners(3, nil) {
 		for _, me := range list {
 			is.True(me.Incarnation != 1) // a removed member need not release
 		}
@@ -110,7 +110,34 @@
 		}
 	}
 	settled := joined.WithSettled(joined.Version)
-	is.Equal(len(NewTable(settled).PriorOwners(3)), 0) // nothing is left to release
+	is.Equal(len(NewTable(settled).PriorOwners(3, nil)), 0) // nothing is left to release
+}
+
+// TestHeldPartitionsNeedNoRelease checks which prior owners are left out because the
+// backend server of a restarted member is known to hold the partition, and which
+// partitions a former incarnation owned.
+func TestHeldPartitionsNeedNoRelease(t *testing.T) {
+	is := is.New(t)
+	two := mapOf(64, 2) // versions 1 and 2
+	joined := two.NextVersion(0).WithMember(Member{BackendServer: "server-2", Incarnation: 3, Weight: FullWeight})
+	restarted := joined.NextVersion(0).WithoutMember("server-2", 3).WithMember(Member{BackendServer: "server-2", Incarnation: 9, Weight: FullWeight})
+	at := func(version uint64) func(uint32) uint64 { return func(uint32) uint64 { return version } }
+	tb := NewTable(restarted)
+	is.True(len(tb.PriorOwners(9, nil)) > 0)
+	is.Equal(len(tb.PriorOwners(9, at(joined.Version))), 0) // the former incarnation had obtained them
+	is.Equal(len(tb.PriorOwners(9, at(joined.Version-1))), len(tb.PriorOwners(9, nil)))
+	for pt := range uint32(64) {
+		owner, _ := tb.Owner(pt)
+		is.Equal(tb.OwnedByFormer(pt, "server-2", 9), owner.Incarnation == 9)
+		is.Equal(tb.OwnedByFormer(pt, "server-0", 1), false)
+	}
+
+	// A partition that moved away and back must be released by its owner in between.
+	away := restarted.NextVersion(0).WithMember(Member{BackendServer: "server-2", Incarnation: 9})
+	back := NewTable(away.NextVersion(0).WithMember(Member{BackendServer: "server-2", Incarnation: 9, Weight: FullWeight}))
+	is.True(len(back.PriorOwners(9, at(restarted.Version))) > 0)
+	is.True(len(back.PriorOwners(9, at(away.Version))) > 0)
+	is.Equal(len(back.PriorOwners(9, at(back.Map.Version))), 0)
 }
 
 func TestExplain(t *testing.T) {
--- a/core/placer/range_test.go
+++ b/core/placer/range_test.go
@@ -48,7 +48,7 @@
 	tb := NewTable(second)
 	moved := tb.OwnedBy(3)
 	is.True(len(moved) > 0)
-	prior := tb.PriorOwners(3)
+	prior := tb.PriorOwners(3, nil)
 	for _, pt := range moved {
 		is.Equal(len(prior[pt]), 1)
 		is.Equal(prior[pt][0].Incarnation, uint64(2))
@@ -57,6 +57,6 @@
 		is.Equal(former.Incarnation, uint64(2))
 	}
 	for _, pt := range tb.OwnedBy(2) {
-		is.Equal(len(tb.PriorOwners(2)[pt]), 0) // no other member held it
+		is.Equal(len(tb.PriorOwners(2, nil)[pt]), 0) // no other member held it
 	}
 }
--- a/core/placer/table.go
+++ b/core/placer/table.go
@@ -235,14 +235,26 @@
 // member was replaced by another incarnation of the same backend server, that one
 // must release in its place, because the server may still hold what the former
 // instance granted it.
-func (tb *Table) PriorOwners(incarnation uint64) map[uint32][]Member {
+//
+// HeldAt returns a version of the map under which the backend server of the incarnation is
+// known to have held a partition, or 0. By then, all owners that lost the partition up to
+// that version had released it, so that they are left out. HeldAt may be nil.
+func (tb *Table) PriorOwners(incarnation uint64, heldAt func(pt uint32) uint64) map[uint32][]Member {
 	prior := map[uint32][]Member{}
 	oh := tb.ownerHistory()
 	for _, pt := range tb.OwnedBy(incarnation) {
+		known := uint64(0)
+		if heldAt != nil {
+			known = heldAt(pt)
+		}
 		for i, index := range oh.ownersOf(pt) {
 			if i == 0 || index < 0 {
 				continue
 			}
+			// Generation i ended with the version that introduced the one after it.
+			if oh.gens[i-1].Version <= known {
+				break
+			}
 			live, ok := tb.Map.Member(oh.gens[i].Members[index].BackendServer)
 			if !ok || live.Incarnation == incarnation || slices.Contains(prior[pt], live) {
 				continue
@@ -253,6 +265,26 @@
 	return prior
 }
 
+// OwnedByFormer reports whether another incarnation of the backend server owned a
+// partition at a version since the settled one. Earlier owners have released theirs, so
+// that without one the backend server holds the partition only if the given incarnation
+// granted it.
+func (tb *Table) OwnedByFormer(pt uint32, backendServer string, incarnation uint64) bool {
+	if int(pt) >= len(tb.owners) {
+		return false
+	}
+	oh := tb.ownerHistory()
+	for i, index := range oh.ownersOf(pt) {
+		if index < 0 {
+			continue
+		}
+		if me := oh.gens[i].Members[index]; me.BackendServer == backendServer && me.Incarnation != incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // OwnerLoss records that a partition moved at map version Version from an owner whose
 // incarnation is no longer a member.
 type OwnerLoss struct {
--- a/core/registrar/grant.go
+++ b/core/registrar/grant.go
@@ -41,6 +41,7 @@
 	re.recordFirstEpoch(wanted)
 	for _, pt := range granted {
 		ps := &re.partitions[pt]
+		ps.isGranted = true
 		// The server's hold starts when it sent the heartbeat, which was before now.
 		ps.heldUntil = max(ps.heldUntil, now.Add(span+span/driftShare))
 		token, _ := highestToken(holds, re.ranges[pt])
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -170,6 +170,8 @@
 type partitionState struct {
 	// heldUntil is an upper bound for the end of the server's hold.
 	heldUntil timer.Instant
+	// isGranted is set once this instance has granted the partition to any run.
+	isGranted bool
 	// isListed reports that the latest heartbeat listed the partition under token.
 	isListed bool
 	token    uint64
@@ -244,10 +246,10 @@
 }
 
 // formerUntil returns an upper bound for the end of all holds that a former instance
-// granted and that a heartbeat which may be late does not list, 0 if there are none. A
-// heartbeat may have been sent before Start and arrive late, even from a former run. So
-// that of a leaving run, or the first one of a later run, proves nothing before one lease
-// term has passed, unless heartbeats are known to be current.
+// granted and that a heartbeat which may be late does not list, 0 if there are none. Any
+// heartbeat may have been sent before Start and arrive late, from a former run or the
+// present one. So none proves that a range is not held before one lease term has passed,
+// unless heartbeats are known to be current.
 func (re *Registrar) formerUntil() timer.Instant {
 	if re.isCurrent {
 		return 0
@@ -302,7 +304,7 @@
 func (re *Registrar) clearHolds(heldUntil timer.Instant) {
 	for pt := range re.partitions {
 		ps := re.partitions[pt]
-		cleared := partitionState{receivedHandover: ps.receivedHandover, epoch: ps.epoch, heldUntil: heldUntil}
+		cleared := partitionState{receivedHandover: ps.receivedHandover, epoch: ps.epoch, heldUntil: heldUntil, isGranted: ps.isGranted}
 		// A grant of a former instance may still be applied after a release.
 		cleared.order.unansweredUntil = heldUntil
 		cleared.order.inFlight, cleared.order.isGranting = ps.order.inFlight, ps.order.isGranting
@@ -313,11 +315,6 @@
 // recordHolds updates the partitions by the ranges that a heartbeat lists as held and
 // as released.
 func (re *Registrar) recordHolds(hb Heartbeat) {
-	// The last heartbeat of a replaced run may arrive late, and says that it leaves.
-	unlistedUntil := timer.Instant(0)
-	if re.IsLeaving() {
-		unlistedUntil = re.formerUntil()
-	}
 	for pt := range re.partitions {
 		re.partitions[pt].isListed, re.partitions[pt].token = false, 0
 	}
@@ -331,7 +328,7 @@
 	for pt := range re.partitions {
 		ps := &re.partitions[pt]
 		if !ps.isListed {
-			ps.heldUntil = unlistedUntil
+			ps.heldUntil = min(ps.heldUntil, re.formerUntil())
 			continue
 		}
 		ps.epoch = max(ps.epoch, ps.token>>restartBits)
@@ -405,12 +402,24 @@
 // LatestHeartbeat returns the latest applied heartbeat and when it was received.
 func (re *Registrar) LatestHeartbeat() (Heartbeat, timer.Instant) { return re.latest, re.heartbeatAt }
 
+// ExcludeFormer records that no former instance can have granted the partition, so that
+// the server holds it only if this instance granted it or a heartbeat lists it. It has no
+// effect if holds are granted by orders, since a grant may take effect late.
+func (re *Registrar) ExcludeFormer(pt uint32) {
+	if int(pt) >= len(re.partitions) || re.UsesOrders() {
+		return
+	}
+	if ps := &re.partitions[pt]; !ps.isGranted && !ps.isListed {
+		ps.heldUntil = 0
+	}
+}
+
 // IsFree reports whether the server provably does not hold the partition at now. A
-// partition without a range is free once a heartbeat of a run that does not leave has
-// arrived, or one lease term after Start.
+// partition without a range is free one lease term after Start, or once heartbeats are
+// known to be current.
 func (re *Registrar) IsFree(pt uint32, now timer.Instant) bool {
 	if int(pt) >= len(re.partitions) {
-		return re.isKnown && !re.IsLeaving() || !now.Before(re.formerUntil())
+		return !now.Before(re.formerUntil())
 	}
 	ps := &re.partitions[pt]
 	if re.UsesOrders() {
@@ -422,6 +431,15 @@
 // MayHold reports whether the server may hold the partition at now.
 func (re *Registrar) MayHold(pt uint32, now timer.Instant) bool { return !re.IsFree(pt, now) }
 
+// HeldAt returns the latest map version in a fencing token under which the server is known
+// to have held the partition, by a grant of this instance or a heartbeat of any age, or 0.
+func (re *Registrar) HeldAt(pt uint32) uint64 {
+	if int(pt) >= len(re.partitions) {
+		return 0
+	}
+	return re.partitions[pt].epoch
+}
+
 // ReleasedHandover returns the hand-over string that the server left for a partition
 // that it has released, or "".
 func (re *Registrar) ReleasedHandover(pt uint32) string {
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -72,19 +72,27 @@
 		"no heartbeat, within a term":          {do: func(*Registrar) {}, at: 12 * second},
 		"no heartbeat, after a term":           {do: func(*Registrar) {}, at: 13 * second, isFree: true},
 		"heartbeat, held":                      {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1, held), 11*second) }, at: 12 * second},
-		"heartbeat, not held":                  {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second) }, at: 11 * second, isFree: true},
+		"heartbeat, not held, may be late":     {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second) }, at: 12 * second},
+		"the same, after a term":               {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second) }, at: 13 * second, isFree: true},
+		"the same, never granted before":       {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second); re.ExcludeFormer(0) }, at: 11 * second, isFree: true},
+		"never granted before, but listed":     {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1, held), 11*second); re.ExcludeFormer(0) }, at: 12 * second},
+		"never granted before, granted now":    {do: func(re *Registrar) { grant(re); re.ExcludeFormer(0) }, at: 13 * second},
 		"current heartbeat, not held":          {do: func(re *Registrar) { granted(re); re.ApplyHeartbeat(beat(3), 11*second) }, at: 11 * second, isFree: true},
 		"late draining one of a former run":    {do: lateHeartbeat, at: 11 * second},
 		"the same, then one that lists holds":  {do: func(re *Registrar) { lateHeartbeat(re); re.ApplyHeartbeat(beat(1, held), 12*second) }, at: 12 * second},
-		"the same, then one that lists none":   {do: func(re *Registrar) { lateHeartbeat(re); re.ApplyHeartbeat(beat(1), 12*second) }, at: 12 * second, isFree: true},
-		"the same, after a term":               {do: lateHeartbeat, at: 13 * second, isFree: true},
+		"the same, then one that lists none":   {do: func(re *Registrar) { lateHeartbeat(re); re.ApplyHeartbeat(beat(1), 12*second) }, at: 12 * second},
+		"late draining one, after a term":      {do: lateHeartbeat, at: 13 * second, isFree: true},
 		"address refuses, heartbeat after all": {do: func(re *Registrar) { granted(re); re.MarkDown(); re.ApplyHeartbeat(beat(3, grantedHold), 12*second) }, at: 14 * second},
 		"granted, reply in flight":             {do: grant, at: 12 * second},
 		"granted, hold ended":                  {do: grant, at: 15 * second, isFree: true},
 		"granted, server restarts": {do: func(re *Registrar) {
-			grant(re)
+			granted(re)
 			re.ApplyHeartbeat(Heartbeat{ID: "s2", StartedAt: 2, Sequence: 1}, 12*second)
 		}, at: 12 * second, isFree: true},
+		"granted, later run's heartbeat may be late too": {do: func(re *Registrar) {
+			grant(re)
+			re.ApplyHeartbeat(Heartbeat{ID: "s2", StartedAt: 2, Sequence: 1}, 12*second)
+		}, at: 12 * second},
 		"granted, address refuses": {do: func(re *Registrar) { grant(re); re.MarkDown() }, at: 12 * second, isFree: true},
 		"granted, leaving server stops listening": {do: func(re *Registrar) {
 			grant(re)
@@ -93,8 +101,9 @@
 			re.ApplyHeartbeat(leaving, 12*second)
 			re.MarkDown()
 		}, at: 12 * second},
-		"released, requests running": {do: func(re *Registrar) { grant(re); re.ApplyHeartbeat(beat(2, held), 12*second) }, at: 12 * second},
-		"released":                   {do: func(re *Registrar) { grant(re); re.ApplyHeartbeat(beat(2), 12*second) }, at: 12 * second, isFree: true},
+		"released, requests running":         {do: func(re *Registrar) { grant(re); re.ApplyHeartbeat(beat(2, held), 12*second) }, at: 12 * second},
+		"released":                           {do: func(re *Registrar) { granted(re); re.ApplyHeartbeat(beat(3), 12*second) }, at: 12 * second, isFree: true},
+		"granted, next heartbeat lists none": {do: func(re *Registrar) { grant(re); re.ApplyHeartbeat(beat(2), 12*second) }, at: 12 * second},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -135,6 +144,19 @@
 	is.New(t).True(!re.IsFree(0, 12*second))
 }
 
+// TestLateHeartbeatOfThePresentRunFreesNothing delivers the first heartbeat of the present
+// run to an instance that started after the server had got ranges from a former one. It
+// guards against two servers that hold the same keys.
+func TestLateHeartbeatOfThePresentRunFreesNothing(t *testing.T) {
+	is := is.New(t)
+	re := newRegistrar(t)
+	re.ApplyHeartbeat(beat(1), 11*second)
+	is.True(!re.IsFree(0, 11*second))
+	re.ApplyHeartbeat(beat(8, Hold{Range: placer.Range{From: 0, To: 9}, FencingToken: 7}), 12*second)
+	is.True(!re.IsFree(0, 12*second))
+	is.True(re.IsFree(0, 13*second)) // the former instance's grants have ended
+}
+
 // TestHoldEndsBeforeLease checks that holds end before the instance's lease even if the
 // server's clock runs as slow as allowed.
 func TestHoldEndsBeforeLease(t *testing.T) {
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -301,6 +301,7 @@
 		co.tick(now)
 	}
 	co.publishLease()
+	co.replyIfAcquired(now)
 	next := co.nextTick(now)
 	if isDue || next < co.nextTickAt {
 		co.nextTickAt = next
--- a/instance/controller/leaving_test.go
+++ b/instance/controller/leaving_test.go
@@ -141,6 +141,7 @@
 func TestServerKeepsItsKeysWhileAnotherRunLeaves(t *testing.T) {
 	is := is.New(t)
 	sc := newSidecar(t, 1).joined()
+	sc.apply(t, mapWith(numbered(32), 1))
 	sc.beat(nil, nil)
 	sc.settleRow()
 	sc.tableStore.table.(*fakeTable).faults = []string{"refused"}
--- a/instance/controller/ownership.go
+++ b/instance/controller/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/limiter"
@@ -79,7 +80,7 @@
 		}
 	}
 	ow.pending = map[uint32]map[uint64]bool{}
-	prior := tb.PriorOwners(co.self.Incarnation)
+	prior := tb.PriorOwners(co.self.Incarnation, co.heldAt(ow))
 	for pt := range owned {
 		if co.pu.Epoch(ow.service, pt) != 0 {
 			continue
@@ -94,11 +95,40 @@
 		co.acquireIfReleased(ow, pt)
 	}
 	co.replyIfDraining(ow)
+	co.replyIfAcquired(co.pu.Now())
 	co.tickForOrders(ow)
 	co.lo.Info("partition map applied", "service", ow.service, "map", tb.Map.Version, "members", len(tb.Map.Members),
 		"owned", len(owned), "pending", len(ow.pending))
 }
 
+// heldAt returns the argument of placer.Table.PriorOwners for a service.
+func (co *Controller) heldAt(ow *ownership) func(pt uint32) uint64 {
+	if !co.tracksHolds(ow.service) {
+		return nil
+	}
+	return co.re.HeldAt
+}
+
+// acquireHeld acquires the pending partitions whose prior owners have released them according
+// to what the backend server holds. A former instance obtained them, and only this VM's
+// former instance can tell.
+func (co *Controller) acquireHeld(ow *ownership) {
+	tb := co.ds.tables[ow.service]
+	if len(ow.pending) == 0 || !co.tracksHolds(ow.service) || tb.Map.Version != ow.version {
+		return
+	}
+	prior := tb.PriorOwners(co.self.Incarnation, co.re.HeldAt)
+	for pt, waits := range ow.pending {
+		for holder := range waits {
+			isPrior := slices.ContainsFunc(prior[pt], func(me placer.Member) bool { return me.Incarnation == holder })
+			if !isPrior {
+				delete(waits, holder)
+			}
+		}
+		co.acquireIfReleased(ow, pt)
+	}
+}
+
 func (co *Controller) drop(ow *ownership, pt uint32) {
 	co.pu.Drop(ow.service, pt)
 	delete(ow.releasing, pt)
@@ -120,7 +150,6 @@
 		co.importBuckets(ow, tb, pt)
 	}
 	co.pu.Acquire(ow.service, pt, tb.Map.Version)
-	co.replyIfAcquired(ow)
 	co.tickForOrders(ow)
 }
 
@@ -274,6 +303,7 @@
 		ow.releasedBy[pt][ev.holder] = true
 		co.acquireIfReleased(ow, pt)
 	}
+	co.replyIfAcquired(co.pu.Now())
 }
 
 // onRelease answers with those of the requested partitions that this instance does
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -34,6 +34,8 @@
 	reply     chan<- registrar.Reply
 	abandoned <-chan struct{}
 	replyAt   timer.Instant
+	// awaitsKeys means that the reply is delayed until the server can be granted its keys.
+	awaitsKeys bool
 	// storeBy is until when the reply waits for the server's leaving to be stored.
 	storeBy timer.Instant
 }
@@ -128,6 +130,9 @@
 		co.serverSince = now
 		co.withdrawOrderedHolds()
 	}
+	if ow := co.ownerships[co.self.Service]; ow != nil {
+		co.acquireHeld(ow)
+	}
 	if co.heldHeartbeat != nil && co.mayAcknowledge() {
 		co.heldHeartbeat.reply <- registrar.Reply{}
 	}
@@ -140,8 +145,8 @@
 	case co.usesOrders():
 	case hb.IsDraining && !wasDraining:
 		co.heldHeartbeat.replyAt = now.Add(drainReplyTimeout)
-	case !hb.IsDraining && co.isAcquiring():
-		co.heldHeartbeat.replyAt = now.Add(acquireReplyTimeout)
+	case !hb.IsDraining && (co.isAcquiring() || !hb.OmitsHolds && !co.isInMap()):
+		co.heldHeartbeat.replyAt, co.heldHeartbeat.awaitsKeys = now.Add(acquireReplyTimeout), true
 	}
 	co.replyIfDue(now)
 }
@@ -161,12 +166,25 @@
 	return ow != nil && len(ow.pending) > 0
 }
 
-// replyIfAcquired replies to the held heartbeat once no partition is pending.
-func (co *Controller) replyIfAcquired(ow *ownership) {
-	if co.heldHeartbeat != nil && co.tracksHolds(ow.service) && len(ow.pending) == 0 {
-		co.heldHeartbeat.replyAt = 0
-		co.replyIfDue(co.pu.Now())
+// isInMap reports whether the map of this instance's service has it as a member, so that it
+// knows which partitions it is to serve.
+func (co *Controller) isInMap() bool {
+	tb := co.ds.tables[co.self.Service]
+	if tb == nil {
+		return false
 	}
+	_, ok := tb.Map.ByIncarnation(co.self.Incarnation)
+	return ok
+}
+
+// replyIfAcquired replies to a held heartbeat that awaits keys once this instance has its
+// lease and no partition is pending.
+func (co *Controller) replyIfAcquired(now timer.Instant) {
+	if co.heldHeartbeat == nil || !co.heldHeartbeat.awaitsKeys || !now.Before(co.ho.Deadline()) || !co.isInMap() || co.isAcquiring() {
+		return
+	}
+	co.heldHeartbeat.replyAt = 0
+	co.replyIfDue(now)
 }
 
 // replyIfDue replies to the held heartbeat, when that is due, with all partitions
@@ -297,10 +315,19 @@
 	if !co.pu.IsIdle(service, pt) || co.pu.Epoch(service, pt) != 0 {
 		return false
 	}
-	if !co.tracksHolds(service) {
-		return true
+	return !co.mayServerHold(service, pt, co.pu.Now())
+}
+
+// mayServerHold reports whether the backend server may hold a partition, by a grant of this
+// instance or of a former one on this VM.
+func (co *Controller) mayServerHold(service string, pt uint32, now timer.Instant) bool {
+	if !co.tracksHolds(service) || co.re.IsFree(pt, now) {
+		return false
+	}
+	if tb := co.ds.tables[service]; tb != nil && !tb.OwnedByFormer(pt, co.self.BackendServer, co.self.Incarnation) {
+		co.re.ExcludeFormer(pt)
 	}
-	return co.re.IsFree(pt, co.pu.Now())
+	return co.re.MayHold(pt, now)
 }
 
 // handoverOf returns the hand-over value that the backend server gave when it
@@ -315,12 +342,9 @@
 // serverHolds reports whether the backend server may hold any partition of the
 // service.
 func (co *Controller) serverHolds(ow *ownership) bool {
-	if !co.tracksHolds(ow.service) {
-		return false
-	}
 	now := co.pu.Now()
 	for pt := range co.ds.tables[ow.service].Map.Partitions {
-		if co.re.MayHold(pt, now) {
+		if co.mayServerHold(ow.service, pt, now) {
 			return true
 		}
 	}
--- a/instance/controller/server_test.go
+++ b/instance/controller/server_test.go
@@ -172,15 +172,82 @@
 func TestPredecessorsHoldIsNotReleased(t *testing.T) {
 	is := is.New(t)
 	sc := newSidecar(t, 1)
-	ma := mapWith(numbered(32), 1, 2)
+	predecessor := placer.Member{BackendServer: name(1), Incarnation: 7, Weight: placer.FullWeight}
+	ma := numbered(32).NextVersion(0).WithMember(predecessor)
+	ma = mapWith(ma.NextVersion(0).WithoutMember(name(1), 7), 1)
+	ma = mapWith(ma, 2)
 	sc.apply(t, ma)
 	pt := placer.NewTable(ma).OwnedBy(2)[0]
 	request := &peerproto.ReleaseRequest{Service: "counter", MapVersion: ma.Version, Partitions: []uint32{pt}, Holder: 1}
 	is.Equal(len(sc.onRelease(request).GetReleased()), 0)
+	sc.beat(nil, nil) // may have been sent before the predecessor's grants
+	is.Equal(len(sc.onRelease(request).GetReleased()), 0)
 	sc.clk.Advance(3 * timer.Second)
 	is.Equal(len(sc.onRelease(request).GetReleased()), 1) // a lease term has passed
 }
 
+// TestPartitionsOfNoPredecessorAreReleased guards against a wait for grants that no former
+// instance can have made, after every restart.
+func TestPartitionsOfNoPredecessorAreReleased(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 1)
+	ma := mapWith(numbered(32), 1, 2)
+	sc.apply(t, ma)
+	sc.beat(nil, nil)
+	pt := placer.NewTable(ma).OwnedBy(2)[0]
+	request := &peerproto.ReleaseRequest{Service: "counter", MapVersion: ma.Version, Partitions: []uint32{pt}, Holder: 1}
+	is.Equal(len(sc.onRelease(request).GetReleased()), 1)
+}
+
+// TestHoldsOfServerStandForReleases restarts the instance beside a server that holds its
+// keys. It guards against a wait for other instances that released these keys long ago and
+// may have started again themselves.
+func TestHoldsOfServerStandForReleases(t *testing.T) {
+	is := is.New(t)
+	moved := mapWith(mapWith(numbered(32), 2), 1)
+	former := newSidecar(t, 1)
+	former.apply(t, moved)
+	owned := placer.NewTable(moved).OwnedBy(1)
+	former.onReleaseAnswered(releaseAnswered{service: "counter", holder: 2, answer: &peerproto.ReleaseResponse{Released: owned}})
+	reply, ok := former.beat(nil, nil)
+	is.True(ok)
+	is.Equal(len(reply.Holds), len(owned))
+
+	me, _ := moved.Member(name(1))
+	restarted := moved.NextVersion(0).WithoutMember(me.BackendServer, 1)
+	me.Incarnation = 11
+	restarted = restarted.WithMember(me)
+	next := former.successor(11)
+	next.apply(t, restarted)
+	is.Equal(len(next.ownerships["counter"].pending), len(owned))
+	next.seq = former.seq
+	_, ok = next.beat(reply.Holds[1:], nil)
+	is.True(!ok) // one partition is not known to be released
+	is.Equal(len(next.ownerships["counter"].pending), 1)
+	next.seq++
+	_, ok = next.beat(reply.Holds, nil)
+	is.True(ok)
+	is.Equal(len(next.ownerships["counter"].pending), 0)
+}
+
+// TestFirstHeartbeatAwaitsTheMap guards against a server that has to wait for its second
+// heartbeat after a restart until it gets its keys.
+func TestFirstHeartbeatAwaitsTheMap(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 1)
+	reply := make(chan registrar.Reply, 1)
+	sc.handle(heartbeatReceived{reply: reply, heartbeat: registrar.Heartbeat{ID: "s1", StartedAt: 1, Sequence: 1, Slots: 4}})
+	is.Equal(len(reply), 0)
+	sc.apply(t, mapWith(numbered(32), 1))
+	is.Equal(len((<-reply).Holds), 32)
+
+	late := newSidecar(t, 1)
+	late.handle(heartbeatReceived{reply: reply, heartbeat: registrar.Heartbeat{ID: "s1", StartedAt: 1, Sequence: 1, Slots: 4}})
+	late.clk.Advance(acquireReplyTimeout)
+	late.replyIfDue(late.clk.Now())
+	is.Equal(len((<-reply).Holds), 0) // the server gives up on a later reply
+}
+
 // TestWeightFollowsServer sets the weight to 0 while the server is absent, silent or
 // refuses connections, so that others get its keys.
 func TestWeightFollowsServer(t *testing.T) {
