Registrar: a deregistration is not bound to a run that has ended

Cause: the call names an ID only, and was taken for that of the run heard last, though that had crashed. The late heartbeat of the present run, with another start, then made the server ready. Evidence: in the logs the state is down when the deregistration is logged with isPresent true.

Change: the notice is bound to a run only if that is heard and not known to have ended. Otherwise it stays open, whatever serves under the ID is leaving, and the next heartbeat binds it. A later run that is heard sooner after the notice than a server exits counts, too.

Tests: TestNoticeOfAnUnheardRunBinds failed before (state down), and so did three new cases of TestLeaveNoticeHoldsForLateHeartbeats.

--- a/core/registrar/leaving.go
+++ b/core/registrar/leaving.go
@@ -28,19 +28,34 @@
 	ServerRun
 	// expiresAt is used only while StartedAt is not known.
 	expiresAt timer.Instant
+	// laterRunsUntil is until when a later run with the ID that is first heard counts as the
+	// one that gave the notice, 0 if none does.
+	laterRunsUntil timer.Instant
 }
 
 // MarkLeaving records that the run of the server with this ID announced its end outside a
 // heartbeat. It reports whether that is the run of the latest heartbeat. The notice also
 // holds for heartbeats of that run that arrive later.
+//
+// The call names no start. If the run that was heard under the ID has ended or is silent,
+// the notice may be that of a later run whose heartbeats are late: it stays open for the
+// next heartbeat with the ID, and until then whatever serves under that ID is leaving. A
+// server serves on for at least DrainServeSpan after its first notice, so that another run
+// that is heard within that time was running when the notice was given.
 func (re *Registrar) MarkLeaving(id string, now timer.Instant) bool {
-	isLatest := re.isKnown && re.latest.ID == id
-	run := ServerRun{ID: id}
-	if isLatest {
-		run.StartedAt = re.latest.StartedAt
+	latest := ServerRun{ID: re.latest.ID, StartedAt: re.latest.StartedAt}
+	isHeard := re.isKnown && latest.ID == id && !re.isDown
+	switch {
+	case isHeard && re.hasNotice(latest):
+		// A server that drains also says when it exits.
+		re.addNotice(leaveNotice{ServerRun: latest})
+	case isHeard && now.Sub(re.heartbeatAt) <= silentAfter:
+		re.addNotice(leaveNotice{ServerRun: latest, laterRunsUntil: now.Add(DrainServeSpan)})
+	default:
+		re.addNotice(leaveNotice{ServerRun: ServerRun{ID: id}, expiresAt: now.Add(unboundTerm)})
+		return false
 	}
-	re.addNotice(run, now)
-	return isLatest
+	return true
 }
 
 // RestoreLeaving adds the runs that a former instance returned from Leaving. They count as
@@ -49,10 +64,10 @@
 	latest := re.notices
 	re.notices = nil
 	for _, ru := range runs {
-		re.addNotice(ru, now)
+		re.addNotice(leaveNotice{ServerRun: ru, expiresAt: now.Add(unboundTerm)})
 	}
 	for _, no := range latest {
-		re.addNotice(no.ServerRun, now)
+		re.addNotice(no)
 	}
 	if re.isKnown {
 		re.bindNotices(re.latest, now)
@@ -72,33 +87,46 @@
 // HasLeaveNotice reports whether any run of the server has announced its end.
 func (re *Registrar) HasLeaveNotice() bool { return len(re.notices) > 0 }
 
-func (re *Registrar) addNotice(run ServerRun, now timer.Instant) {
+// addNotice adds a notice, or extends the one of the same run.
+func (re *Registrar) addNotice(no leaveNotice) {
 	for i := range re.notices {
-		no := &re.notices[i]
-		if no.ID == run.ID && (run.StartedAt == 0 || no.StartedAt == run.StartedAt) {
-			no.expiresAt = now.Add(unboundTerm)
+		if known := &re.notices[i]; known.ServerRun == no.ServerRun {
+			known.expiresAt = max(known.expiresAt, no.expiresAt)
+			known.laterRunsUntil = max(known.laterRunsUntil, no.laterRunsUntil)
 			return
 		}
 	}
 	if len(re.notices) == maxNotices {
 		re.notices = slices.Delete(re.notices, 0, 1)
 	}
-	re.notices = append(re.notices, leaveNotice{ServerRun: run, expiresAt: now.Add(unboundTerm)})
+	re.notices = append(re.notices, no)
 }
 
-// bindNotices makes a notice of unknown start that of the run that sent a heartbeat.
+// bindNotices makes a notice of unknown start, or one that may be of a later run, also that of the
+// run that sent a heartbeat.
 func (re *Registrar) bindNotices(hb Heartbeat, now timer.Instant) {
-	for i := range re.notices {
-		no := &re.notices[i]
-		if no.ID == hb.ID && no.StartedAt == 0 && now.Before(no.expiresAt) {
-			no.StartedAt = hb.StartedAt
-		}
+	isLeaving := false
+	re.notices = slices.DeleteFunc(re.notices, func(no leaveNotice) bool {
+		isOpen := no.StartedAt == 0 && now.Before(no.expiresAt)
+		isLater := no.StartedAt != 0 && no.StartedAt < hb.StartedAt && now.Before(no.laterRunsUntil)
+		isLeaving = isLeaving || no.ID == hb.ID && (isOpen || isLater)
+		return no.ID == hb.ID && isOpen
+	})
+	if isLeaving {
+		re.addNotice(leaveNotice{ServerRun: ServerRun{ID: hb.ID, StartedAt: hb.StartedAt}})
 	}
 }
 
-// IsLeaving reports whether the run of the latest heartbeat has announced its end.
-func (re *Registrar) IsLeaving() bool {
-	return re.isKnown && re.hasNotice(ServerRun{ID: re.latest.ID, StartedAt: re.latest.StartedAt})
+// IsLeaving reports whether the run of the latest heartbeat has announced its end at now, or
+// a run with its ID has that is not known yet.
+func (re *Registrar) IsLeaving(now timer.Instant) bool {
+	if !re.isKnown {
+		return false
+	}
+	return slices.ContainsFunc(re.notices, func(no leaveNotice) bool {
+		isOpen := no.StartedAt == 0 && now.Before(no.expiresAt)
+		return no.ID == re.latest.ID && (isOpen || no.StartedAt == re.latest.StartedAt)
+	})
 }
 
 func (re *Registrar) hasNotice(run ServerRun) bool {
--- a/core/registrar/leaving_test.go
+++ b/core/registrar/leaving_test.go
@@ -27,9 +27,28 @@
 			re.ApplyHeartbeat(beat(1), 11*second)
 			re.RestoreLeaving([]ServerRun{{ID: "s1", StartedAt: 1}}, 11*second)
 		}, late: beat(2), state: Draining},
-		"a later start with the ID": {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second); re.MarkLeaving("s1", 11*second) }, late: later, state: Ready},
-		"another server left":       {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second); re.MarkLeaving("s0", 11*second) }, late: beat(2), state: Ready},
-		"notice long ago":           {do: func(re *Registrar) { re.MarkLeaving("s1", 12*second-timer.Instant(unboundTerm)) }, late: later, state: Ready},
+		"a later start with the ID":       {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 10*second); re.MarkLeaving("s1", 10*second) }, late: later, state: Ready},
+		"a later start too soon after it": {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second); re.MarkLeaving("s1", 11*second) }, late: later, state: Draining},
+		"a later start after it drained": {do: func(re *Registrar) {
+			re.ApplyHeartbeat(draining, 11*second)
+			re.MarkLeaving("s1", 11*second)
+		}, late: later, state: Ready},
+		"former run ended, heartbeat of the later one late": {do: func(re *Registrar) {
+			re.ApplyHeartbeat(beat(1), 11*second)
+			re.MarkDown(11 * second)
+			re.MarkLeaving("s1", 11*second)
+		}, late: later, state: Draining},
+		"former run silent, heartbeat of the later one late": {do: func(re *Registrar) {
+			re.ApplyHeartbeat(beat(1), 9*second)
+			re.MarkLeaving("s1", 9*second+timer.Instant(silentAfter)+1)
+		}, late: later, state: Draining},
+		"former run ended, but heard again": {do: func(re *Registrar) {
+			re.ApplyHeartbeat(beat(1), 11*second)
+			re.MarkDown(11 * second)
+			re.MarkLeaving("s1", 11*second)
+		}, late: beat(2), state: Draining},
+		"another server left": {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second); re.MarkLeaving("s0", 11*second) }, late: beat(2), state: Ready},
+		"notice long ago":     {do: func(re *Registrar) { re.MarkLeaving("s1", 12*second-timer.Instant(unboundTerm)) }, late: later, state: Ready},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -42,6 +61,26 @@
 	}
 }
 
+// TestNoticeOfAnUnheardRunBinds guards against requests to a server that announced its end
+// before its first heartbeat arrived, while the run before it under the same ID is known to
+// have ended.
+func TestNoticeOfAnUnheardRunBinds(t *testing.T) {
+	is := is.New(t)
+	re := newRegistrar(t)
+	re.ApplyHeartbeat(beat(1), 11*second)
+	re.MarkDown(11 * second)
+	is.True(!re.MarkLeaving("s1", 12*second))
+	is.Equal(re.State(12*second), Draining) // whatever serves there now
+	re.MarkDown(12 * second)
+	is.Equal(re.State(12*second), Draining)
+	is.Equal(re.Leaving(), []ServerRun{{ID: "s1"}})
+	is.True(re.ApplyHeartbeat(Heartbeat{ID: "s1", StartedAt: 2, Sequence: 1, Slots: 4}, 14*second))
+	is.Equal(re.State(14*second), Draining)
+	is.Equal(re.Leaving(), []ServerRun{{ID: "s1", StartedAt: 2}})
+	is.True(re.ApplyHeartbeat(Heartbeat{ID: "s1", StartedAt: 3, Sequence: 1, Slots: 4}, 20*second))
+	is.Equal(re.State(20*second), Ready) // a run after it
+}
+
 // TestLeavingRunsAreBounded checks that the latest notices are kept, in this instance and
 // in the one after it.
 func TestLeavingRunsAreBounded(t *testing.T) {
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -290,7 +290,7 @@
 	re.latest, re.isKnown, re.isDown, re.heartbeatAt = hb, true, false, now
 	re.bindNotices(hb, now)
 	if hb.IsDraining {
-		re.addNotice(ServerRun{ID: hb.ID, StartedAt: hb.StartedAt}, now)
+		re.addNotice(leaveNotice{ServerRun: ServerRun{ID: hb.ID, StartedAt: hb.StartedAt}})
 	}
 	if !hb.OmitsHolds && !re.UsesOrders() {
 		re.recordHolds(hb)
@@ -368,12 +368,12 @@
 
 func overlaps(le, ri placer.Range) bool { return le.From <= ri.To && ri.From <= le.To }
 
-// MarkDown records that connections to the server's address are refused. A refused
+// MarkDown records at now that connections to the server's address are refused. A refused
 // connection proves that the process has ended and holds nothing, unless the server
 // is shutting down: then it stops listening before it ends, and the call has no
 // effect.
-func (re *Registrar) MarkDown() {
-	if re.IsLeaving() {
+func (re *Registrar) MarkDown(now timer.Instant) {
+	if re.IsLeaving(now) {
 		return
 	}
 	re.isDown = true
@@ -385,10 +385,10 @@
 	switch {
 	case !re.isKnown:
 		return Unknown
+	case re.IsLeaving(now):
+		return Draining
 	case re.isDown:
 		return Down
-	case re.IsLeaving():
-		return Draining
 	case now.Sub(re.heartbeatAt) > silentAfter:
 		return Silent
 	default:
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -69,22 +69,26 @@
 		at     timer.Instant
 		isFree bool
 	}{
-		"no heartbeat, within a term":          {do: func(*Registrar) {}, at: 12 * second},
-		"no heartbeat, after a term":           {do: func(*Registrar) {}, at: 13 * second, isFree: true},
-		"heartbeat, held":                      {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1, held), 11*second) }, at: 12 * second},
-		"heartbeat, not held, may be late":     {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second) }, at: 12 * second},
-		"the same, after a term":               {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second) }, at: 13 * second, isFree: true},
-		"the same, never granted before":       {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second); re.ExcludeFormer(0) }, at: 11 * second, isFree: true},
-		"never granted before, but listed":     {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1, held), 11*second); re.ExcludeFormer(0) }, at: 12 * second},
-		"never granted before, granted now":    {do: func(re *Registrar) { grant(re); re.ExcludeFormer(0) }, at: 13 * second},
-		"current heartbeat, not held":          {do: func(re *Registrar) { granted(re); re.ApplyHeartbeat(beat(3), 11*second) }, at: 11 * second, isFree: true},
-		"late draining one of a former run":    {do: lateHeartbeat, at: 11 * second},
-		"the same, then one that lists holds":  {do: func(re *Registrar) { lateHeartbeat(re); re.ApplyHeartbeat(beat(1, held), 12*second) }, at: 12 * second},
-		"the same, then one that lists none":   {do: func(re *Registrar) { lateHeartbeat(re); re.ApplyHeartbeat(beat(1), 12*second) }, at: 12 * second},
-		"late draining one, after a term":      {do: lateHeartbeat, at: 13 * second, isFree: true},
-		"address refuses, heartbeat after all": {do: func(re *Registrar) { granted(re); re.MarkDown(); re.ApplyHeartbeat(beat(3, grantedHold), 12*second) }, at: 14 * second},
-		"granted, reply in flight":             {do: grant, at: 12 * second},
-		"granted, hold ended":                  {do: grant, at: 15 * second, isFree: true},
+		"no heartbeat, within a term":         {do: func(*Registrar) {}, at: 12 * second},
+		"no heartbeat, after a term":          {do: func(*Registrar) {}, at: 13 * second, isFree: true},
+		"heartbeat, held":                     {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1, held), 11*second) }, at: 12 * second},
+		"heartbeat, not held, may be late":    {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second) }, at: 12 * second},
+		"the same, after a term":              {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second) }, at: 13 * second, isFree: true},
+		"the same, never granted before":      {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second); re.ExcludeFormer(0) }, at: 11 * second, isFree: true},
+		"never granted before, but listed":    {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1, held), 11*second); re.ExcludeFormer(0) }, at: 12 * second},
+		"never granted before, granted now":   {do: func(re *Registrar) { grant(re); re.ExcludeFormer(0) }, at: 13 * second},
+		"current heartbeat, not held":         {do: func(re *Registrar) { granted(re); re.ApplyHeartbeat(beat(3), 11*second) }, at: 11 * second, isFree: true},
+		"late draining one of a former run":   {do: lateHeartbeat, at: 11 * second},
+		"the same, then one that lists holds": {do: func(re *Registrar) { lateHeartbeat(re); re.ApplyHeartbeat(beat(1, held), 12*second) }, at: 12 * second},
+		"the same, then one that lists none":  {do: func(re *Registrar) { lateHeartbeat(re); re.ApplyHeartbeat(beat(1), 12*second) }, at: 12 * second},
+		"late draining one, after a term":     {do: lateHeartbeat, at: 13 * second, isFree: true},
+		"address refuses, heartbeat after all": {do: func(re *Registrar) {
+			granted(re)
+			re.MarkDown(11 * second)
+			re.ApplyHeartbeat(beat(3, grantedHold), 12*second)
+		}, at: 14 * second},
+		"granted, reply in flight": {do: grant, at: 12 * second},
+		"granted, hold ended":      {do: grant, at: 15 * second, isFree: true},
 		"granted, server restarts": {do: func(re *Registrar) {
 			granted(re)
 			re.ApplyHeartbeat(Heartbeat{ID: "s2", StartedAt: 2, Sequence: 1}, 12*second)
@@ -93,13 +97,13 @@
 			grant(re)
 			re.ApplyHeartbeat(Heartbeat{ID: "s2", StartedAt: 2, Sequence: 1}, 12*second)
 		}, at: 12 * second},
-		"granted, address refuses": {do: func(re *Registrar) { grant(re); re.MarkDown() }, at: 12 * second, isFree: true},
+		"granted, address refuses": {do: func(re *Registrar) { grant(re); re.MarkDown(11 * second) }, at: 12 * second, isFree: true},
 		"granted, leaving server stops listening": {do: func(re *Registrar) {
 			grant(re)
 			leaving := beat(2, held)
 			leaving.IsDraining = true
 			re.ApplyHeartbeat(leaving, 12*second)
-			re.MarkDown()
+			re.MarkDown(12 * second)
 		}, at: 12 * second},
 		"released, requests running":         {do: func(re *Registrar) { grant(re); re.ApplyHeartbeat(beat(2, held), 12*second) }, at: 12 * second},
 		"released":                           {do: func(re *Registrar) { granted(re); re.ApplyHeartbeat(beat(3), 12*second) }, at: 12 * second, isFree: true},
@@ -289,7 +293,7 @@
 	is.Equal(re.State(12*second), Ready)
 	is.Equal(re.State(14*second), Silent)
 	re.ApplyHeartbeat(beat(2), 15*second)
-	re.MarkDown()
+	re.MarkDown(15 * second)
 	is.Equal(re.State(15*second), Down)
 	re.ApplyHeartbeat(beat(3), 16*second)
 	is.Equal(re.State(16*second), Ready)
--- a/instance/controller/leaving.go
+++ b/instance/controller/leaving.go
@@ -66,7 +66,7 @@
 // mayAcknowledge reports whether the latest heartbeat may be replied to: the row must list
 // its run if that is leaving.
 func (co *Controller) mayAcknowledge() bool {
-	return !co.re.IsLeaving() || slices.Contains(co.storedLeaving, co.heardRun())
+	return !co.re.IsLeaving(co.pu.Now()) || registrar.HasLeft(co.storedLeaving, co.heardRun())
 }
 
 // recordStoredLeaving records the leaving runs in the row as committed, and gives the
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -228,7 +228,7 @@
 	case registrar.Unknown, registrar.Down, registrar.Draining:
 		return
 	}
-	co.re.MarkDown()
+	co.re.MarkDown(now)
 	co.withdrawOrderedHolds()
 	ow := co.ownerships[co.self.Service]
 	if ow != nil {
