Registrar: a refused connection says nothing of a run that was heard after the attempt

A report that the server's address refused a connection is an event of its own; handled after the first heartbeat of the next run, it marked that run as ended and freed the keys that it had just been granted. The report now names when the connection was attempted, and is ignored if a heartbeat was received since: the next refused request reports again.

Found by reading; the case 'granted to a later run, address refused before' of TestIsFree failed before.

--- a/core/registrar/heartbeats_explorer_test.go
+++ b/core/registrar/heartbeats_explorer_test.go
@@ -149,7 +149,7 @@
 		}
 	}
 	if !sm.isUp {
-		add("a connection is refused", func(ne *serverModel) { ne.re.MarkDown(ne.now) })
+		add("a connection is refused", func(ne *serverModel) { ne.re.MarkDown(ne.now, ne.now) })
 		add("the server starts", func(ne *serverModel) { ne.isUp, ne.run, ne.sequence = true, ne.run+1, 0 })
 		return all
 	}
--- a/core/registrar/leaving_test.go
+++ b/core/registrar/leaving_test.go
@@ -35,7 +35,7 @@
 		}, late: later, state: Ready},
 		"former run ended, heartbeat of the later one late": {do: func(re *Registrar) {
 			re.ApplyHeartbeat(beat(1), 11*second)
-			re.MarkDown(11 * second)
+			re.MarkDown(11*second, 11*second)
 			re.MarkLeaving("s1", 11*second)
 		}, late: later, state: Draining},
 		"former run silent, heartbeat of the later one late": {do: func(re *Registrar) {
@@ -44,7 +44,7 @@
 		}, late: later, state: Draining},
 		"former run ended, but heard again": {do: func(re *Registrar) {
 			re.ApplyHeartbeat(beat(1), 11*second)
-			re.MarkDown(11 * second)
+			re.MarkDown(11*second, 11*second)
 			re.MarkLeaving("s1", 11*second)
 		}, late: beat(2), state: Draining},
 		"another server left": {do: func(re *Registrar) { re.ApplyHeartbeat(beat(1), 11*second); re.MarkLeaving("s0", 11*second) }, late: beat(2), state: Ready},
@@ -68,10 +68,10 @@
 	is := is.New(t)
 	re := newRegistrar(t)
 	re.ApplyHeartbeat(beat(1), 11*second)
-	re.MarkDown(11 * second)
+	re.MarkDown(11*second, 11*second)
 	is.True(!re.MarkLeaving("s1", 12*second))
 	is.Equal(re.State(12*second), Draining) // whatever serves there now
-	re.MarkDown(12 * second)
+	re.MarkDown(12*second, 12*second)
 	is.Equal(re.State(12*second), Draining)
 	is.Equal(re.Leaving(), []ServerRun{{ID: "s1"}})
 	is.True(re.ApplyHeartbeat(Heartbeat{ID: "s1", StartedAt: 2, Sequence: 1, Slots: 4}, 14*second))
--- a/core/registrar/orders_test.go
+++ b/core/registrar/orders_test.go
@@ -85,7 +85,7 @@
 	is := is.New(t)
 	re := newOrdering(t)
 	first := issue(re, OrderApplied, 20*second, wants(7, 0)...)
-	re.MarkDown(20 * second)
+	re.MarkDown(20*second, 20*second)
 	is.True(re.IsFree(0, 20*second))
 	is.Equal(len(issue(re, OrderApplied, 21*second, wants(7, 0)...)), 0)
 	re.ApplyHeartbeat(Heartbeat{ID: "s2", StartedAt: 2, Sequence: 1}, 21*second)
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -368,16 +368,18 @@
 
 func overlaps(le, ri placer.Range) bool { return le.From <= ri.To && ri.From <= le.To }
 
-// MarkDown records at now that connections to the server's address are refused. A refused
-// connection proves that the process has ended and holds nothing, unless the server
-// is shutting down: then it stops listening before it ends, and the call has no
-// effect.
-func (re *Registrar) MarkDown(now timer.Instant) {
-	if re.IsLeaving(now) {
-		return
+// MarkDown records that the server's address refused a connection that was attempted at
+// attemptedAt. It proves that the process has ended and holds nothing, unless the server
+// is shutting down: then it stops listening before it ends, and the call has no effect. Nor
+// has it if a heartbeat was received after the attempt, since a run that started meanwhile
+// may have been granted keys. It reports whether it had an effect.
+func (re *Registrar) MarkDown(attemptedAt, now timer.Instant) bool {
+	if re.IsLeaving(now) || attemptedAt < re.heartbeatAt {
+		return false
 	}
 	re.isDown = true
 	re.clearHolds(0)
+	return true
 }
 
 // State returns the server's state at now.
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -84,7 +84,7 @@
 		"late draining one, after a term":     {do: lateHeartbeat, at: 13 * second, isFree: true},
 		"address refuses, heartbeat after all": {do: func(re *Registrar) {
 			granted(re)
-			re.MarkDown(11 * second)
+			re.MarkDown(11*second, 11*second)
 			re.ApplyHeartbeat(beat(3, grantedHold), 12*second)
 		}, at: 14 * second},
 		"granted, reply in flight": {do: grant, at: 12 * second},
@@ -97,13 +97,14 @@
 			grant(re)
 			re.ApplyHeartbeat(Heartbeat{ID: "s2", StartedAt: 2, Sequence: 1}, 12*second)
 		}, at: 12 * second},
-		"granted, address refuses": {do: func(re *Registrar) { grant(re); re.MarkDown(11 * second) }, at: 12 * second, isFree: true},
+		"granted, address refuses":                       {do: func(re *Registrar) { grant(re); re.MarkDown(11*second, 11*second) }, at: 12 * second, isFree: true},
+		"granted to a later run, address refused before": {do: func(re *Registrar) { granted(re); re.MarkDown(11*second-1, 12*second) }, at: 12 * second},
 		"granted, leaving server stops listening": {do: func(re *Registrar) {
 			grant(re)
 			leaving := beat(2, held)
 			leaving.IsDraining = true
 			re.ApplyHeartbeat(leaving, 12*second)
-			re.MarkDown(12 * second)
+			re.MarkDown(12*second, 12*second)
 		}, at: 12 * second},
 		"released, requests running":         {do: func(re *Registrar) { grant(re); re.ApplyHeartbeat(beat(2, held), 12*second) }, at: 12 * second},
 		"released":                           {do: func(re *Registrar) { granted(re); re.ApplyHeartbeat(beat(3), 12*second) }, at: 12 * second, isFree: true},
@@ -293,7 +294,7 @@
 	is.Equal(re.State(12*second), Ready)
 	is.Equal(re.State(14*second), Silent)
 	re.ApplyHeartbeat(beat(2), 15*second)
-	re.MarkDown(15 * second)
+	re.MarkDown(15*second, 15*second)
 	is.Equal(re.State(15*second), Down)
 	re.ApplyHeartbeat(beat(3), 16*second)
 	is.Equal(re.State(16*second), Ready)
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -388,7 +388,7 @@
 	case serverDeregistered:
 		co.onServerDeregistered(ev, now)
 	case connectionRefused:
-		co.onConnectionRefused(now)
+		co.onConnectionRefused(ev, now)
 	case ordersDone:
 		co.onOrdersDone(ev, now)
 	case documentsFetched:
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -201,9 +201,9 @@
 	reply chan<- bool
 }
 
-// connectionRefused reports that the backend server's address refused a
-// connection.
-type connectionRefused struct{}
+// connectionRefused reports that the backend server's address refused a connection that was
+// attempted at attemptedAt.
+type connectionRefused struct{ attemptedAt timer.Instant }
 
 func (configPolled) isEvent()       {}
 func (heartbeatReceived) isEvent()  {}
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -67,14 +67,14 @@
 }
 
 // ReportConnectionRefused reports that the backend server's address refused a
-// connection, so no process listens there. The report is dropped if the event queue
-// is full, and ignored if the server sends no heartbeats.
-func (co *Controller) ReportConnectionRefused() {
+// connection that was attempted at attemptedAt, so no process listened there. The report is
+// dropped if the event queue is full, and ignored if the server sends no heartbeats.
+func (co *Controller) ReportConnectionRefused(attemptedAt timer.Instant) {
 	if co.re == nil {
 		return
 	}
 	select {
-	case co.events <- connectionRefused{}:
+	case co.events <- connectionRefused{attemptedAt: attemptedAt}:
 	default:
 	}
 }
@@ -223,12 +223,14 @@
 	reply <- answer
 }
 
-func (co *Controller) onConnectionRefused(now timer.Instant) {
+func (co *Controller) onConnectionRefused(ev connectionRefused, now timer.Instant) {
 	switch co.re.State(now) {
 	case registrar.Unknown, registrar.Down, registrar.Draining:
 		return
 	}
-	co.re.MarkDown(now)
+	if !co.re.MarkDown(ev.attemptedAt, now) {
+		return
+	}
 	co.withdrawOrderedHolds()
 	ow := co.ownerships[co.self.Service]
 	if ow != nil {
--- a/instance/controller/server_test.go
+++ b/instance/controller/server_test.go
@@ -260,7 +260,7 @@
 	is.Equal(sc.weight(), uint32(0)) // no heartbeat for 4 s
 	sc.beat(nil, nil)
 	is.Equal(sc.weight(), uint32(placer.FullWeight))
-	sc.handle(connectionRefused{})
+	sc.handle(connectionRefused{attemptedAt: sc.clk.Now()})
 	is.Equal(sc.weight(), uint32(0))
 }
 
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -102,9 +102,9 @@
 func WithCodec(cd Codec) Option { return func(ga *Gatekeeper) { ga.bs.codec = cd } }
 
 // WithRefusedConnection sets the function called when the backend server's address
-// refuses a connection. It is called with the Gatekeeper's lock held, so it must not
-// call the Gatekeeper.
-func WithRefusedConnection(connectionRefused func()) Option {
+// refuses a connection that was attempted at attemptedAt. It is called with the Gatekeeper's
+// lock held, so it must not call the Gatekeeper.
+func WithRefusedConnection(connectionRefused func(attemptedAt timer.Instant)) Option {
 	return func(ga *Gatekeeper) { ga.connectionRefused = connectionRefused }
 }
 
@@ -130,7 +130,7 @@
 	sampleEvery       uint64
 	notifyCrash       func(fingerprint uint64)
 	notifyQuarantine  func(su admitter.Suspect)
-	connectionRefused func()
+	connectionRefused func(attemptedAt timer.Instant)
 	serverLeaving     func(id string)
 	observe           func(outcome, code string, latency timer.Span)
 
@@ -179,7 +179,7 @@
 	ga := &Gatekeeper{
 		pu: pu, bs: newBackend(address, pu.Now), lo: hclog.NewNullLogger(),
 		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan turn{}, calls: newCalls(),
-		notifyCrash: func(uint64) {}, notifyQuarantine: func(admitter.Suspect) {}, connectionRefused: func() {}, serverLeaving: func(string) {}, observe: func(string, string, timer.Span) {},
+		notifyCrash: func(uint64) {}, notifyQuarantine: func(admitter.Suspect) {}, connectionRefused: func(timer.Instant) {}, serverLeaving: func(string) {}, observe: func(string, string, timer.Span) {},
 	}
 	for _, opt := range opts {
 		opt(ga)
@@ -671,7 +671,7 @@
 		ga.qu.Cancel(jo.fingerprint)
 	}
 	if result == resultRefused {
-		ga.connectionRefused()
+		ga.connectionRefused(jo.startedAt)
 	}
 	isAnnounced := ga.pu.BackendServer() != nil
 	return answer, result == resultCrashed || result == resultRefused || result == resultShed && !isAnnounced
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -425,7 +425,7 @@
 		gatekeeper.WithCrashNotifier(func(fingerprint uint64) { in.co.ReportSuspect(fingerprint) }),
 		gatekeeper.WithQuarantineNotifier(func(su admitter.Suspect) { in.co.ReportQuarantined(su) }),
 		gatekeeper.WithObserver(ro.meter.ObserveAdmission),
-		gatekeeper.WithRefusedConnection(func() { in.co.ReportConnectionRefused() }),
+		gatekeeper.WithRefusedConnection(func(attemptedAt timer.Instant) { in.co.ReportConnectionRefused(attemptedAt) }),
 		gatekeeper.WithLeavingServer(func(id string) { in.co.ReportServerLeaving(id) }),
 	}
 	if ro.li != nil {
