Gatekeeper: no request starts on a VM that has been taken out

Cause: that a data centre is out was known to the map only, by which entries choose. A request that left a gate's queue was checked for all that binds it but this. Evidence: all requests that reached the data centre late were sent before the evacuation, 1.76 to 0.01 s.

Change: the view says since when this VM is out. 1.2 s later, or 3 s for an exclusive service, whose keys have to move first, nothing starts there: arrivals and heads are refused, and the whole queue at once, so that entries send these requests elsewhere.

No further calls to the server or the store.

--- a/instance/controller/documents.go
+++ b/instance/controller/documents.go
@@ -12,6 +12,7 @@
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/roller"
+	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/encoder"
 	"github.com/cespare/xxhash/v2"
@@ -72,6 +73,8 @@
 	// configStarts is as in publisher.View. It is replaced, never changed, since request
 	// handlers read it.
 	configStarts []publisher.ConfigStart
+	// outSince is as in publisher.View.
+	outSince timer.Instant
 	// hash covers the names and versions of the documents that peers exchange. They
 	// compare it to detect that one of them lacks a version.
 	hash uint32
@@ -214,7 +217,7 @@
 		tables[service] = tb
 	}
 	vi := publisher.NewView(ds.config, tables)
-	vi.RollOuts, vi.ConfigStarts = ds.rollOuts, ds.configStarts
+	vi.RollOuts, vi.ConfigStarts, vi.OutSince = ds.rollOuts, ds.configStarts, ds.outSince
 	return vi
 }
 
--- a/instance/controller/rows_test.go
+++ b/instance/controller/rows_test.go
@@ -11,6 +11,8 @@
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
+	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/publisher"
 	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/encoder"
 	"github.com/matryer/is"
@@ -252,3 +254,26 @@
 	is.Equal(ds.config.Version, uint64(2))
 	is.Equal(ds.hash, hash)
 }
+
+// TestOutSince guards against a VM whose gate does not learn that its data centre or its server
+// is out, or when, or that it has been taken back.
+func TestOutSince(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 1)
+	note := func(co cataloguer.Config) timer.Instant {
+		before := sc.ds.config
+		co.Version = before.Version + 1
+		sc.ds.config = co
+		sc.noteConfig(before, 0, sc.clk.Now())
+		return sc.ds.view().OutSince
+	}
+	out := cataloguer.Config{DrainedDataCentres: []string{"x"}}
+	is.True(!sc.clk.Now().Before(note(out).Add(publisher.OutKeysSpan))) // known before this instance started
+	is.Equal(note(cataloguer.Config{DrainedDataCentres: []string{"y"}}), timer.Instant(0))
+	since := sc.clk.Now()
+	is.Equal(note(out), since)
+	sc.clk.Advance(timer.Second)
+	is.Equal(note(cataloguer.Config{DrainedDataCentres: []string{"x"}, DrainedServers: []string{"b"}}), since) // another change
+	is.Equal(note(cataloguer.Config{DrainedServers: []string{name(1)}}), since)
+	is.Equal(note(cataloguer.Config{}), timer.Instant(0))
+}
--- a/instance/controller/status.go
+++ b/instance/controller/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
@@ -89,11 +90,31 @@
 		return
 	}
 	co.ds.configStarts = publisher.AddConfigStart(co.ds.configStarts, publisher.ConfigStart{Version: co.ds.config.Version, At: now})
+	co.noteOut(before, now)
 	age, hasRead := co.fr.ReadAge(now)
 	co.lo.Info("configuration in force", "config", co.ds.config.Version, "before", before.Version, "origin", co.ds.config.Origin,
 		"from", from, "hasRead", hasRead, "readAge", age.Duration().String())
 }
 
+// noteOut notes since when the configuration has this VM out, with a log line for each change.
+func (co *Controller) noteOut(before cataloguer.Config, now timer.Instant) {
+	isOut := slices.Contains(co.ds.config.DrainedDataCentres, co.self.DataCentre) ||
+		slices.Contains(co.ds.config.DrainedServers, co.self.BackendServer)
+	wasOut := co.ds.outSince != 0
+	switch {
+	case isOut == wasOut:
+		return
+	case !isOut:
+		co.ds.outSince = 0
+	case before.Version == 0:
+		// A former instance may have known it for long.
+		co.ds.outSince = co.startedAt.Add(-publisher.OutKeysSpan)
+	default:
+		co.ds.outSince = now
+	}
+	co.lo.Info("data centre or backend server taken out or back", "isOut", isOut, "config", co.ds.config.Version, "dataCentre", co.self.DataCentre)
+}
+
 // observe updates all warnings.
 func (co *Controller) observe(now timer.Instant) {
 	co.updateShare(now)
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -59,6 +59,8 @@
 	// CodeKeyRejected means that the backend server received the request and rejected
 	// it, because it does not hold the key or has been restarted.
 	CodeKeyRejected = "backendServerRejectedKey"
+	// CodeOut means that the data centre or the backend server has been taken out.
+	CodeOut = "takenOut"
 	// CodeConfigOutdated means that the entry instance chose the service by a configuration
 	// that is no longer in force here.
 	CodeConfigOutdated = "configurationOutdated"
@@ -164,6 +166,8 @@
 	// isStartScheduled means that a timer will start queued requests on a cold
 	// server.
 	isStartScheduled bool
+	// isOutScheduled means that a timer will check whether the VM has been taken out.
+	isOutScheduled bool
 	// cm and pa are nil without WithPacing.
 	cm    *pacer.Comparer
 	pa    *pacer.Pacer
@@ -451,6 +455,10 @@
 		ga.mu.Unlock()
 		return refuse(admitter.CodeDraining, "this instance is stopping")
 	}
+	if refusal := ga.refuseOut(jo.sv); refusal != nil {
+		ga.mu.Unlock()
+		return refusal
+	}
 	ga.observeArrival(jo)
 	ga.applyLimits(jo.sv.Limits)
 	if refusal := ga.applyServerState(); refusal != nil {
@@ -492,6 +500,7 @@
 			ga.wake(shed, turnShed)
 		}
 		ga.scheduleStart()
+		ga.scheduleOut()
 		maxWait := ga.gate.LatestStart(request).Sub(ga.pu.Now())
 		ga.mu.Unlock()
 		return ga.await(ctx, de.Ticket, turns, request, maxWait.Duration())
@@ -516,6 +525,8 @@
 	turnShed
 	// turnExpired refuses it because too little time is left before its deadline.
 	turnExpired
+	// turnOut refuses it because the VM has been taken out.
+	turnOut
 	// turnLimited refuses it because the backend server named a limit under which it
 	// can't be served in time.
 	turnLimited
@@ -541,6 +552,8 @@
 			return nil
 		case turnShed:
 			return ga.refuseShed(request)
+		case turnOut:
+			return refuseTakenOut()
 		case turnLimited:
 			return ga.refuseLimited()
 		}
@@ -596,6 +609,7 @@
 			ga.pa.Overload()
 		}
 	}
+	ga.refuseQueueIfOut()
 	ga.wakeAll(ga.gate.Finish(co, ga.pu.Now()))
 	ga.scheduleStart()
 }
@@ -620,7 +634,10 @@
 		return refuse(admitter.CodeDeadline, "the deadline passed before the start"), false
 	}
 	ga.mu.Lock()
-	refusal := ga.refuseByServer()
+	refusal := ga.refuseOut(jo.sv)
+	if refusal == nil {
+		refusal = ga.refuseByServer()
+	}
 	if refusal == nil {
 		jo.startedAt, jo.order = ga.pu.Now(), ga.startVersion()
 	}
--- a/instance/gatekeeper/link.go
+++ b/instance/gatekeeper/link.go
@@ -115,6 +115,9 @@
 	if ga.isDraining {
 		return refuse(admitter.CodeDraining, "this instance is stopping")
 	}
+	if refusal := ga.refuseOut(sv); refusal != nil {
+		return refusal
+	}
 	return ga.refuseByServer()
 }
 
--- a/instance/publisher/publisher.go
+++ b/instance/publisher/publisher.go
@@ -48,6 +48,9 @@
 	// ConfigStarts lists when the latest versions of the configuration came in force here,
 	// oldest first.
 	ConfigStarts []ConfigStart
+	// OutSince is since when, as known here, the configuration has this VM out: its data
+	// centre or its backend server is drained. It is 0 if neither is.
+	OutSince timer.Instant
 }
 
 // NewView indexes a configuration and its maps.
--- a/instance/publisher/starts.go
+++ b/instance/publisher/starts.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
 )
 
@@ -10,6 +11,15 @@
 // configuration than its own: a change takes less than that to spread.
 const OutdatedSpan = timer.Second
 
+const (
+	// OutServeSpan is for how long the server of a shared service still gets requests after
+	// its VM is out: the other instances learn of it within that time.
+	OutServeSpan = 1200 * timer.Millisecond
+	// OutKeysSpan is the same for an exclusive service, whose keys no other server takes
+	// before a map, and a heartbeat of this one, have moved them.
+	OutKeysSpan = 3 * timer.Second
+)
+
 // ConfigStart is when a version of the configuration came in force at this instance.
 type ConfigStart struct {
 	Version uint64
@@ -35,3 +45,13 @@
 	}
 	return false
 }
+
+// IsOut reports whether this VM has been out for so long that its server gets no requests of
+// a service of that class any more.
+func (vi *View) IsOut(class cataloguer.ServiceClass, now timer.Instant) bool {
+	span := OutServeSpan
+	if class == cataloguer.Exclusive {
+		span = OutKeysSpan
+	}
+	return vi.OutSince != 0 && now.Sub(vi.OutSince) >= span
+}
