Gatekeeper: a busy server is asked whether it has turned cold, also without pacing

Cause: the bound and the check by the health path were part of the feature pacing (contract health); without it only the next heartbeat says so.

Change: where the settings name the bound, a gate without pacing records its starts and has the check, and nothing else of pacing. The start that makes a check due requests it, in place of a timer. No heartbeat ends a cold period that a check began, since it may have been sent before.

Tests: TestBusyServerThatTurnsCold now runs with the bound alone, too, and asks for what a heartbeat must not end, which failed before in both forms.

--- a/core/pacer/cold.go
+++ b/core/pacer/cold.go
@@ -8,9 +8,8 @@
 )
 
 // CheckInterval is the shortest interval of checks whether a busy server has turned cold. One
-// that does so without a start says it in its next heartbeat only, up to 1.5 s later: at 80
-// requests a second, no more than 12 start until the next check.
-const CheckInterval = 150 * timer.Millisecond
+// that does so without a start says it in its next heartbeat only, up to 1.5 s later.
+const CheckInterval = 50 * timer.Millisecond
 
 const (
 	// coldWindow is the span in which the starts on a cold server are bounded. The bound
@@ -31,6 +30,10 @@
 	// A response keeps pace if it takes no more than paceFactor of what is usual on the
 	// server's peers. All servers are three times slower for some of the time.
 	paceFactor = 3.5
+	// minSteadyBurst and steadyBurstSpan give the burst at a steady rate, in requests: what
+	// the rate allows in the span, as timers fire late.
+	minSteadyBurst  = 2
+	steadyBurstSpan = 50 * timer.Millisecond
 )
 
 // Bound limits the requests that start in any second on a cold server, from all machines,
@@ -51,6 +54,8 @@
 // bound holds over the starts before the server was known to be cold too.
 type Pacer struct {
 	bound Bound
+	// isSteady is set by NewSteady.
+	isSteady bool
 	// starts holds the times of the latest starts, no more than the bound, oldest first.
 	starts []timer.Instant
 	// rate is the rate in force and tokens what may start at once as of filledAt. Both
@@ -68,6 +73,10 @@
 	return &Pacer{bound: bound, blockedUntil: now.Add(coldWindow)}
 }
 
+// NewSteady returns a Pacer that allows the configured rate whatever the responses, without
+// the first burst. The bound holds over the starts before the server was known to be cold.
+func NewSteady(bound Bound) *Pacer { return &Pacer{bound: bound, isSteady: true} }
+
 // isBusy reports whether requests have lately started on the server at nearly the rate that
 // the bound allows on a cold one, so that a server that turns cold must be noticed at once.
 func (pa *Pacer) isBusy(now timer.Instant) bool {
@@ -76,10 +85,10 @@
 }
 
 // IsCheckDue reports whether the server should be checked again at now after a check at
-// checkedAt: it is busy, and as many requests have started since as checkShare allows, or
-// will have at the present rate before the shortest interval has passed once more.
+// checkedAt: it is busy, and as many requests have started since as checkShare allows. It is
+// to be asked at each start.
 func (pa *Pacer) IsCheckDue(checkedAt, now timer.Instant) bool {
-	if !pa.isBusy(now) {
+	if now.Sub(checkedAt) < CheckInterval || !pa.isBusy(now) {
 		return false
 	}
 	since := 0
@@ -88,9 +97,7 @@
 			since++
 		}
 	}
-	elapsed := max(now.Sub(checkedAt), timer.Millisecond)
-	expected := float64(since) * (1 + float64(CheckInterval)/float64(elapsed))
-	return expected >= checkShare*float64(pa.bound.most())
+	return float64(since) >= checkShare*float64(pa.bound.most())
 }
 
 // SetRate applies a changed rate of the configuration.
@@ -135,6 +142,9 @@
 
 // burst returns how many requests may start at once at the rate in force.
 func (pa *Pacer) burst() float64 {
+	if pa.isSteady {
+		return max(minSteadyBurst, pa.rate*steadyBurstSpan.Duration().Seconds())
+	}
 	return max(1, float64(pa.bound.most())-pa.rate*coldWindow.Duration().Seconds())
 }
 
@@ -161,6 +171,9 @@
 // Finish records the latency of a run that the server answered, with what is usual on its
 // peers for the route, 0 if that is not known.
 func (pa *Pacer) Finish(latency, usual timer.Span) {
+	if pa.isSteady {
+		return
+	}
 	if usual > 0 && float64(latency) > paceFactor*float64(usual) {
 		pa.rate = max(pa.bound.PerS, pa.rate*lowerFactor)
 		return
@@ -169,4 +182,8 @@
 }
 
 // Overload records that the server refused a request, crashed or could not be reached.
-func (pa *Pacer) Overload() { pa.rate, pa.tokens = pa.bound.PerS, 0 }
+func (pa *Pacer) Overload() {
+	if !pa.isSteady {
+		pa.rate, pa.tokens = pa.bound.PerS, 0
+	}
+}
--- a/core/pacer/cold_test.go
+++ b/core/pacer/cold_test.go
@@ -28,40 +28,49 @@
 
 // TestColdBoundHolds guards against more requests in a second than the bound allows on a
 // server that is cold, whatever its responses, over changes between cold and warm and
-// restarts of the gate.
+// restarts of the gate, which a steady rate bears without counting them.
 func TestColdBoundHolds(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		now := timer.Instant(100 * timer.Second)
-		pa := NewPacer(testBound, now)
-		var cold []timer.Instant
-		isCold := true
-		for range rapid.IntRange(1, 400).Draw(t, "steps") {
-			now = now.Add(timer.Span(rapid.IntRange(0, 80).Draw(t, "gap")) * timer.Millisecond)
-			switch rapid.IntRange(0, 30).Draw(t, "event") {
-			case 0:
-				pa = NewPacer(testBound, now)
-			case 1:
-				isCold = !isCold
-				cold = nil // what started on a warm server doesn't count against the bound
-			case 2:
-				pa.Overload()
-			case 3, 4, 5:
-				pa.Finish(timer.Span(rapid.IntRange(1, 500).Draw(t, "latency"))*timer.Millisecond, 100*timer.Millisecond)
-			default:
-				if !isCold {
-					pa.Start(now)
-				} else if pa.Allows(now) {
-					pa.Start(now)
-					cold = append(cold, now)
-				} else if next := pa.NextAt(now); next <= now {
-					t.Fatalf("next start at %d, not after %d", next, now)
-				}
+	t.Run("adaptive", rapid.MakeCheck(func(t *rapid.T) {
+		checkColdBound(t, func(now timer.Instant) *Pacer { return NewPacer(testBound, now) }, true)
+	}))
+	t.Run("steady", rapid.MakeCheck(func(t *rapid.T) {
+		checkColdBound(t, func(timer.Instant) *Pacer { return NewSteady(testBound) }, false)
+	}))
+}
+
+func checkColdBound(t *rapid.T, newPacer func(now timer.Instant) *Pacer, hasRestarts bool) {
+	now := timer.Instant(100 * timer.Second)
+	pa := newPacer(now)
+	var cold []timer.Instant
+	isCold := true
+	for range rapid.IntRange(1, 400).Draw(t, "steps") {
+		now = now.Add(timer.Span(rapid.IntRange(0, 80).Draw(t, "gap")) * timer.Millisecond)
+		switch rapid.IntRange(0, 30).Draw(t, "event") {
+		case 0:
+			if hasRestarts {
+				pa = newPacer(now)
 			}
-			if most := mostInSecond(cold); most > testMost {
-				t.Fatalf("%d starts in a second", most)
+		case 1:
+			isCold = !isCold
+			cold = nil // what started on a warm server doesn't count against the bound
+		case 2:
+			pa.Overload()
+		case 3, 4, 5:
+			pa.Finish(timer.Span(rapid.IntRange(1, 500).Draw(t, "latency"))*timer.Millisecond, 100*timer.Millisecond)
+		default:
+			if !isCold {
+				pa.Start(now)
+			} else if pa.Allows(now) {
+				pa.Start(now)
+				cold = append(cold, now)
+			} else if next := pa.NextAt(now); next <= now {
+				t.Fatalf("next start at %d, not after %d", next, now)
 			}
 		}
-	})
+		if most := mostInSecond(cold); most > testMost {
+			t.Fatalf("%d starts in a second", most)
+		}
+	}
 }
 
 // TestColdBoundCountsFormerStarts guards against a burst on a server that has turned cold
--- a/instance/gatekeeper/coldcheck.go
+++ b/instance/gatekeeper/coldcheck.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/instance/publisher"
 )
 
 const (
@@ -27,42 +27,56 @@
 
 // CheckCold checks until ctx ends whether the backend server has turned cold, while
 // requests start on it at a rate that a cold one doesn't bear. Other servers are not
-// checked. It returns at once without WithPacing, or if the Codec is no ColdReader.
+// checked. It returns at once without WithPacing or WithColdBound, or if the Codec is no
+// ColdReader.
 func (ga *Gatekeeper) CheckCold(ctx context.Context) {
 	reader, ok := ga.bs.codec.(ColdReader)
 	if !ok || ga.pa == nil {
 		return
 	}
-	checkedAt := ga.pu.Now()
-	for timer.Sleep(ctx, pacer.CheckInterval.Duration()) {
-		if path, serverID, isDue := ga.coldCheckDue(checkedAt); isDue {
-			checkedAt = ga.pu.Now()
-			if left, ok := ga.bs.checkCold(ctx, reader, path, serverID); ok {
-				ga.noteCold(left, serverID)
-			}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ga.coldChecks:
 		}
+		path, serverID, ok := ga.checkedServer()
+		if !ok {
+			continue
+		}
+		if left, ok := ga.bs.checkCold(ctx, reader, path, serverID); ok {
+			ga.noteCold(left, serverID)
+		}
+	}
+}
+
+// requestColdCheck lets CheckCold check the server if enough requests have started on it since
+// the latest check: each takes the server's time. The lock must be held.
+func (ga *Gatekeeper) requestColdCheck(now timer.Instant) {
+	if ga.pa == nil || ga.limits.ColdRate <= 0 || ga.gate.IsCold(now) || !ga.pa.IsCheckDue(ga.coldCheckedAt, now) {
+		return
+	}
+	select {
+	case ga.coldChecks <- struct{}{}:
+		ga.coldCheckedAt = now
+	default:
+		// The check before is not done yet.
 	}
 }
 
-// coldCheckDue returns the path and the server to check, or false if none is needed: each
-// check takes the server's time, so that it is made only when enough requests have started
-// since the last one.
-func (ga *Gatekeeper) coldCheckDue(checkedAt timer.Instant) (path, serverID string, isDue bool) {
+// checkedServer returns the health path and the ID of the server, or false if one is not known.
+func (ga *Gatekeeper) checkedServer() (path, serverID string, ok bool) {
 	sv := ga.pu.View().Services[ga.pu.Self().Service]
 	bs := ga.pu.BackendServer()
 	if sv.HealthPath == "" || bs == nil || bs.ID == "" {
 		return "", "", false
 	}
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	now := ga.pu.Now()
-	isBounded := ga.gate != nil && ga.limits.ColdRate > 0
-	isDue = isBounded && !ga.gate.IsCold(now) && ga.pa.IsCheckDue(checkedAt, now)
-	return sv.HealthPath, bs.ID, isDue
+	return sv.HealthPath, bs.ID, true
 }
 
 // noteCold applies the answer to a health check. It never ends a cold period, which began
-// with a heartbeat or an overload.
+// with a heartbeat or an overload. Nor does a heartbeat end the one that it begins, since
+// that may have been sent before.
 func (ga *Gatekeeper) noteCold(left timer.Span, serverID string) {
 	bs := ga.pu.BackendServer()
 	if left <= 0 || bs == nil || bs.ID != serverID {
@@ -73,12 +87,27 @@
 	if ga.gate == nil || ga.gate.IsCold(ga.pu.Now()) {
 		return
 	}
-	// A heartbeat from before may still say that the server is warm.
 	ga.reportedAt = ga.pu.Now()
-	ga.gate.SetColdUntil(ga.reportedAt.Add(left))
+	ga.checkedCold = checkedCold{serverID: serverID, until: ga.reportedAt.Add(left)}
+	ga.gate.SetColdUntil(ga.checkedCold.until)
 	ga.lo.Info("backend server has turned cold", "server", serverID, "coldFor", left.Duration().String())
 }
 
+// checkedCold is until when a server is cold by its own answer to a health check.
+type checkedCold struct {
+	serverID string
+	until    timer.Instant
+}
+
+// coldUntil returns until when the server is cold by its heartbeat and the latest check. The
+// lock must be held.
+func (ga *Gatekeeper) coldUntil(bs *publisher.BackendServer) timer.Instant {
+	if ga.checkedCold.serverID != bs.ID {
+		return bs.ColdUntil
+	}
+	return max(bs.ColdUntil, ga.checkedCold.until)
+}
+
 // checkCold sends a health check and returns how much longer the server is cold.
 func (bs *backend) checkCold(ctx context.Context, reader ColdReader, path, serverID string) (timer.Span, bool) {
 	ctx, cancel := context.WithTimeout(ctx, coldCheckTimeout)
--- a/instance/gatekeeper/coldcheck_test.go
+++ b/instance/gatekeeper/coldcheck_test.go
@@ -31,6 +31,13 @@
 // that has turned cold between two heartbeats, and against health checks of a server that
 // gets few requests.
 func TestBusyServerThatTurnsCold(t *testing.T) {
+	bound := pacer.Bound{Overshoot: 1.5, Slack: 5}
+	for name, option := range map[string]Option{"paced": WithPacing(bound), "bound alone": WithColdBound(bound)} {
+		t.Run(name, func(t *testing.T) { testTurnsCold(t, option) })
+	}
+}
+
+func testTurnsCold(t *testing.T, option Option) {
 	is := is.New(t)
 	var left, checks, runs atomic.Int64
 	var mu sync.Mutex
@@ -56,7 +63,7 @@
 	}}
 	pu.Publish(publisher.NewView(config, nil))
 	pu.SetBackendServer(publisher.BackendServer{ID: "s1", Slots: 9, LastHeartbeatAt: pu.Now()})
-	ga, err := New(pu, strings.TrimPrefix(server.URL, "http://"), WithCodec(coldCodec{}), WithPacing(pacer.Bound{Overshoot: 1.5, Slack: 5}))
+	ga, err := New(pu, strings.TrimPrefix(server.URL, "http://"), WithCodec(coldCodec{}), option)
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -92,6 +99,13 @@
 	for i := int(before); i < len(runsAt); i++ {
 		is.True(most(runsAt[max(0, i-14):i+1], time.Second) <= 14)
 	}
+	// A heartbeat from before it turned cold, or one of unknown age, says that it is warm.
+	pu.SetBackendServer(publisher.BackendServer{ID: "s1", Slots: 9, LastHeartbeatAt: pu.Now()})
+	send()
+	is.True(ga.isCold())
+	pu.SetBackendServer(publisher.BackendServer{ID: "s2", Slots: 9, LastHeartbeatAt: pu.Now()})
+	send()
+	is.True(!ga.isCold()) // another server
 }
 
 func (ga *Gatekeeper) isCold() bool {
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -168,10 +168,15 @@
 	isStartScheduled bool
 	// isOutScheduled means that a timer will check whether the VM has been taken out.
 	isOutScheduled bool
-	// cm and pa are nil without WithPacing.
+	// cm is nil without WithPacing, and pa without WithColdBound too.
 	cm    *pacer.Comparer
 	pa    *pacer.Pacer
 	calls calls
+	// coldChecks requests a check whether the server has turned cold, the latest of which was
+	// requested at coldCheckedAt, and checkedCold is what a check last found.
+	coldChecks    chan struct{}
+	coldCheckedAt timer.Instant
+	checkedCold   checkedCold
 }
 
 // New returns a Gatekeeper for the backend server at address, an IP:port. It returns
@@ -182,7 +187,7 @@
 	}
 	ga := &Gatekeeper{
 		pu: pu, bs: newBackend(address, pu.Now), lo: hclog.NewNullLogger(),
-		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan turn{}, calls: newCalls(),
+		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan turn{}, calls: newCalls(), coldChecks: make(chan struct{}),
 		notifyCrash: func(uint64) {}, notifyQuarantine: func(admitter.Suspect) {}, connectionRefused: func(timer.Instant) {}, serverLeaving: func(string) {}, observe: func(string, string, timer.Span) {},
 	}
 	for _, opt := range opts {
@@ -640,6 +645,7 @@
 	}
 	if refusal == nil {
 		jo.startedAt, jo.order = ga.pu.Now(), ga.startVersion()
+		ga.requestColdCheck(jo.startedAt)
 	}
 	ga.mu.Unlock()
 	if refusal != nil {
--- a/instance/gatekeeper/pace.go
+++ b/instance/gatekeeper/pace.go
@@ -23,6 +23,17 @@
 	}
 }
 
+// WithColdBound bounds the requests that start on a cold server in any second, at the rate
+// that the catalogue gives, and has CheckCold notice a busy server that turns cold. It has
+// nothing else of WithPacing, which takes precedence.
+func WithColdBound(bound pacer.Bound) Option {
+	return func(ga *Gatekeeper) {
+		if ga.pa == nil {
+			ga.pa = pacer.NewSteady(bound)
+		}
+	}
+}
+
 // paceGate lets the pacer limit the starts on a cold server. The lock must be held.
 func (ga *Gatekeeper) paceGate(coldRate float64) {
 	if ga.pa != nil {
--- a/instance/gatekeeper/server.go
+++ b/instance/gatekeeper/server.go
@@ -50,7 +50,7 @@
 	ga.forgetFormerServer(bs)
 	if bs.LastHeartbeatAt > ga.reportedAt && bs.LastHeartbeatAt > ga.overloadedAt {
 		ga.reportedAt = bs.LastHeartbeatAt
-		ga.gate.SetColdUntil(bs.ColdUntil)
+		ga.gate.SetColdUntil(ga.coldUntil(bs))
 	}
 	return nil
 }
--- a/instance/router/options.go
+++ b/instance/router/options.go
@@ -62,10 +62,13 @@
 }
 
 // WithColdBound sets how many requests may start in any second on a cold backend server:
-// its rate in the catalogue times overshoot, plus slack. It is used with the feature pacing
-// only. The default is an overshoot of 1 and a slack of 2.
+// its rate in the catalogue times overshoot, plus slack. A busy server is then asked whether it
+// has turned cold. Without this option the feature pacing uses an overshoot of 1 and a slack
+// of 2, and without both only the rate is limited.
 func WithColdBound(overshoot, slack float64) Option {
-	return func(ro *Router) { ro.coldBound = pacer.Bound{Overshoot: overshoot, Slack: slack} }
+	return func(ro *Router) {
+		ro.coldBound, ro.hasColdBound = pacer.Bound{Overshoot: overshoot, Slack: slack}, true
+	}
 }
 
 // WithRollOuts makes the instance follow the versions of backend servers, which need to send
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -90,6 +90,7 @@
 	isFreshnessStrict bool
 	firstFoldDelay    timer.Span
 	coldBound         pacer.Bound
+	hasColdBound      bool
 	codec             gatekeeper.Codec
 	rollOutBounds     roller.Bounds
 	// rollOutStatus is nil if rollouts are off.
@@ -389,9 +390,7 @@
 	defer cancel()
 	done := make(chan error, 1)
 	go func() { done <- in.co.Run(runCtx) }()
-	if ro.se.Features.Pacing {
-		go in.ga.CheckCold(runCtx)
-	}
+	go in.ga.CheckCold(runCtx)
 	select {
 	case err := <-done:
 		return err
@@ -437,8 +436,11 @@
 	if last := ro.current.Load(); last != nil {
 		gateOptions = append(gateOptions, gatekeeper.WithFormerCondition(last.ga.Condition()))
 	}
-	if ro.se.Features.Pacing {
+	switch {
+	case ro.se.Features.Pacing:
 		gateOptions = append(gateOptions, gatekeeper.WithPacing(ro.coldBound))
+	case ro.hasColdBound:
+		gateOptions = append(gateOptions, gatekeeper.WithColdBound(ro.coldBound))
 	}
 	if ro.codec != nil {
 		gateOptions = append(gateOptions, gatekeeper.WithCodec(ro.codec))
