--- a/core/registrar/leaving.go
+++ b/core/registrar/leaving.go
@@ -33,6 +33,11 @@
 	laterRunsUntil timer.Instant
 }
 
+// isOpen reports whether the run that gave the notice is not known yet at now.
+func (no leaveNotice) isOpen(now timer.Instant) bool {
+	return no.StartedAt == 0 && now.Before(no.expiresAt)
+}
+
 // MarkLeaving records that the run of the server with this ID announced its end outside a
 // heartbeat. It reports whether that is the run of the latest heartbeat. The notice also
 // holds for heartbeats of that run that arrive later.
@@ -107,10 +112,12 @@
 func (re *Registrar) bindNotices(hb Heartbeat, now timer.Instant) {
 	isLeaving := false
 	re.notices = slices.DeleteFunc(re.notices, func(no leaveNotice) bool {
-		isOpen := no.StartedAt == 0 && now.Before(no.expiresAt)
-		isLater := no.StartedAt != 0 && no.StartedAt < hb.StartedAt && now.Before(no.laterRunsUntil)
-		isLeaving = isLeaving || no.ID == hb.ID && (isOpen || isLater)
-		return no.ID == hb.ID && isOpen
+		if no.ID != hb.ID {
+			return false
+		}
+		isOfLaterRun := no.StartedAt < hb.StartedAt && now.Before(no.laterRunsUntil)
+		isLeaving = isLeaving || no.isOpen(now) || isOfLaterRun
+		return no.isOpen(now)
 	})
 	if isLeaving {
 		re.addNotice(leaveNotice{ServerRun: ServerRun{ID: hb.ID, StartedAt: hb.StartedAt}})
@@ -124,8 +131,7 @@
 		return false
 	}
 	return slices.ContainsFunc(re.notices, func(no leaveNotice) bool {
-		isOpen := no.StartedAt == 0 && now.Before(no.expiresAt)
-		return no.ID == re.latest.ID && (isOpen || no.StartedAt == re.latest.StartedAt)
+		return no.ID == re.latest.ID && (no.isOpen(now) || no.StartedAt == re.latest.StartedAt)
 	})
 }
 
--- a/instance/controller/leaving_test.go
+++ b/instance/controller/leaving_test.go
@@ -142,6 +142,7 @@
 	is := is.New(t)
 	sc := newSidecar(t, 1).joined()
 	sc.apply(t, mapWith(numbered(32), 1))
+	sc.lease()
 	sc.beat(nil, nil)
 	sc.settleRow()
 	sc.tableStore.table.(*fakeTable).faults = []string{"refused"}
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -145,7 +145,7 @@
 	case co.usesOrders():
 	case hb.IsDraining && !wasDraining:
 		co.heldHeartbeat.replyAt = now.Add(drainReplyTimeout)
-	case !hb.IsDraining && (co.isAcquiring() || !hb.OmitsHolds && !co.isInMap()):
+	case !hb.IsDraining && (co.isAcquiring() || !hb.OmitsHolds && !co.mayGrant(now)):
 		co.heldHeartbeat.replyAt, co.heldHeartbeat.awaitsKeys = now.Add(acquireReplyTimeout), true
 	}
 	co.replyIfDue(now)
@@ -166,11 +166,11 @@
 	return ow != nil && len(ow.pending) > 0
 }
 
-// isInMap reports whether the map of this instance's service has it as a member, so that it
-// knows which partitions it is to serve.
-func (co *Controller) isInMap() bool {
+// mayGrant reports whether this instance has a lease and is a member of the map of its
+// service, so that it knows which partitions it is to serve.
+func (co *Controller) mayGrant(now timer.Instant) bool {
 	tb := co.ds.tables[co.self.Service]
-	if tb == nil {
+	if tb == nil || !now.Before(co.ho.Deadline()) {
 		return false
 	}
 	_, ok := tb.Map.ByIncarnation(co.self.Incarnation)
@@ -180,7 +180,7 @@
 // replyIfAcquired replies to a held heartbeat that awaits keys once this instance has its
 // lease and no partition is pending.
 func (co *Controller) replyIfAcquired(now timer.Instant) {
-	if co.heldHeartbeat == nil || !co.heldHeartbeat.awaitsKeys || !now.Before(co.ho.Deadline()) || !co.isInMap() || co.isAcquiring() {
+	if co.heldHeartbeat == nil || !co.heldHeartbeat.awaitsKeys || !co.mayGrant(now) || co.isAcquiring() {
 		return
 	}
 	co.heldHeartbeat.replyAt = 0
