--- a/instance/controller/ownership.go
+++ b/instance/controller/ownership.go
@@ -109,9 +109,8 @@
 	return co.re.HeldAt
 }
 
-// acquireHeld acquires the pending partitions whose prior owners have released them according
-// to what the backend server holds. A former instance obtained them, and only this VM's
-// former instance can tell.
+// acquireHeld acquires the pending partitions whose prior owners need not be asked any more,
+// after a heartbeat: what the server holds was released to a former instance on this VM.
 func (co *Controller) acquireHeld(ow *ownership) {
 	tb := co.ds.tables[ow.service]
 	if len(ow.pending) == 0 || !co.tracksHolds(ow.service) || tb.Map.Version != ow.version {
