Gatekeeper: one check before the start and for heads covers a VM that is out

refuseByServer was called behind refuseOut at both of its places. It now makes that check itself; behaviour is unchanged. Tests of the package pass.

--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -639,10 +639,7 @@
 		return refuse(admitter.CodeDeadline, "the deadline passed before the start"), false
 	}
 	ga.mu.Lock()
-	refusal := ga.refuseOut(jo.sv)
-	if refusal == nil {
-		refusal = ga.refuseByServer()
-	}
+	refusal := ga.refuseByServer(jo.sv)
 	if refusal == nil {
 		jo.startedAt, jo.order = ga.pu.Now(), ga.startVersion()
 		ga.requestColdCheck(jo.startedAt)
--- a/instance/gatekeeper/link.go
+++ b/instance/gatekeeper/link.go
@@ -115,10 +115,7 @@
 	if ga.isDraining {
 		return refuse(admitter.CodeDraining, "this instance is stopping")
 	}
-	if refusal := ga.refuseOut(sv); refusal != nil {
-		return refusal
-	}
-	return ga.refuseByServer()
+	return ga.refuseByServer(sv)
 }
 
 // RefuseBody refuses a request that arrived at startedAt because its body was not admitted or
--- a/instance/gatekeeper/server.go
+++ b/instance/gatekeeper/server.go
@@ -26,9 +26,12 @@
 	}
 }
 
-// refuseByServer returns a refusal if the backend server, or its version, gets no request now,
-// or else nil. The lock must be held.
-func (ga *Gatekeeper) refuseByServer() *peerproto.ForwardResponse {
+// refuseByServer returns a refusal if this VM, the backend server or its version gets no request
+// of the service now, or else nil. The lock must be held.
+func (ga *Gatekeeper) refuseByServer(sv cataloguer.Service) *peerproto.ForwardResponse {
+	if refusal := ga.refuseOut(sv); refusal != nil {
+		return refusal
+	}
 	if refusal := ga.refuseIfServerUnavailable(); refusal != nil {
 		return refusal
 	}
