--- a/instance/controller/rollouts.go
+++ b/instance/controller/rollouts.go
@@ -329,7 +329,7 @@
 	}
 	now := co.pu.Now()
 	for pt := range co.ds.tables[ow.service].Map.Partitions {
-		if co.pu.Epoch(ow.service, pt) != 0 || co.mayServerHold(ow.service, pt, now) {
+		if co.pu.Epoch(ow.service, pt) != 0 || co.tracksHolds(ow.service) && co.re.MayHold(pt, now) {
 			held++
 		}
 	}
