Receiver: an answer without a length that is reset under an upload is incomplete

Callers got part of an answer as a whole one: a backend server answered a long upload at once without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to whichever call comes first. The write of the upload got it, and the read of the answer then saw the end of the stream, which net/http takes for an orderly close.

Package receiver wraps the connections of http.Transport. At an end of stream it asks the kernel (TCP_INFO) whether the connection was reset; if so, the error of the failed write decides: a broken pipe comes only after an orderly close, and any other error is returned in place of the end. A write that fails by a reset returns once no more can be read, since the transport closes the connection on a failed write and would lose a whole early answer. The gate uses it for runs and for health checks.

TestBrokenAnswers on the former code: "without length, reset later", "HTTP/1.0, reset later" and "no byte of the body, reset later", each with an upload, came as whole answers; "length, whole, reset" with an upload was given up.

--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -17,6 +17,7 @@
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/assembler"
+	"cornellanding.example/port/receiver"
 	"cornellanding.example/wire/peerproto"
 )
 
@@ -138,13 +139,13 @@
 
 // backend is an HTTP client of the backend server.
 type backend struct {
-	address   string
-	codec     Codec
-	transport *http.Transport
+	address string
+	codec   Codec
+	kept    *receiver.Receiver
 	// single is for copies of requests that a server refused: each gets a connection of
 	// its own. On a kept one, the refusal might come once more, in place of the answer to
 	// the copy, which has the same request ID.
-	single *http.Transport
+	single *receiver.Receiver
 	// observe is called with the condition of each answer, the server it was meant
 	// for and when the request was sent.
 	observe func(cn Condition, serverID string, sentAt timer.Instant)
@@ -154,28 +155,28 @@
 func newBackend(address string, now func() timer.Instant) *backend {
 	return &backend{
 		address: address, codec: defaultCodec{}, now: now,
-		observe:   func(Condition, string, timer.Instant) {},
-		transport: newTransport(false), single: newTransport(true),
+		observe: func(Condition, string, timer.Instant) {},
+		kept:    newReceiver(false), single: newReceiver(true),
 	}
 }
 
-func newTransport(isSingleUse bool) *http.Transport {
+func newReceiver(isSingleUse bool) *receiver.Receiver {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return receiver.New(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true, DisableKeepAlives: isSingleUse,
 		IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxAnswerHeader,
-	}
+	})
 }
 
 // setConnections sets the maximum number of connections. It must be called before
 // the first request.
 func (bs *backend) setConnections(connections int) {
-	bs.transport.MaxConnsPerHost = connections
-	bs.transport.MaxIdleConnsPerHost = connections
-	bs.single.MaxConnsPerHost = connections
+	bs.kept.Transport.MaxConnsPerHost = connections
+	bs.kept.Transport.MaxIdleConnsPerHost = connections
+	bs.single.Transport.MaxConnsPerHost = connections
 }
 
-func (bs *backend) close() { bs.transport.CloseIdleConnections() }
+func (bs *backend) close() { bs.kept.CloseIdleConnections() }
 
 // onceBody keeps http.Transport from resending a request. The transport does so on a
 // reused connection that broke if the request has no body or sets GetBody, and its
@@ -243,11 +244,11 @@
 		return refuse(CodeBadTarget, "the request target can't be passed on unchanged"), resultCancelled
 	}
 	sentAt := bs.now()
-	transport := bs.transport
+	rc := bs.kept
 	if jo.rq.GetRefused() {
-		transport = bs.single
+		rc = bs.single
 	}
-	answer, err := transport.RoundTrip(re)
+	answer, err := rc.RoundTrip(re)
 	if err != nil {
 		return classifyError(ctx, err, wasConnected.Load())
 	}
--- a/instance/gatekeeper/coldcheck.go
+++ b/instance/gatekeeper/coldcheck.go
@@ -113,7 +113,7 @@
 	ctx, cancel := context.WithTimeout(ctx, coldCheckTimeout)
 	defer cancel()
 	re := (&http.Request{Method: http.MethodGet, URL: targetURL(bs.address, path), Host: bs.address, Header: http.Header{"User-Agent": {""}}}).WithContext(ctx)
-	answer, err := bs.transport.RoundTrip(re)
+	answer, err := bs.kept.RoundTrip(re)
 	if err != nil {
 		return 0, false
 	}
--- /dev/null
+++ b/port/receiver/conn.go
@@ -0,0 +1,113 @@
+package receiver
+
+import (
+	"cmp"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// conn is a connection whose reads end with io.EOF only if the server closed it in good order.
+//
+// The kernel reports a reset once. If a write gets that error, later reads see the end of the
+// stream, as after an orderly close.
+type conn struct {
+	net.Conn
+	// tcp is nil if the connection is not a TCP connection.
+	tcp *net.TCPConn
+	// writing is held during a write, and guards writeErr, the error of the first one that
+	// failed.
+	writing  sync.Mutex
+	writeErr error
+	// readErr is the error that ended the reads. Only one goroutine reads at a time.
+	readErr error
+	// ended is closed when no more can be read.
+	ended   chan struct{}
+	endOnce sync.Once
+}
+
+func newConn(inner net.Conn) *conn {
+	return &conn{Conn: inner, tcp: tcpOf(inner), ended: make(chan struct{})}
+}
+
+// tcpOf returns the TCP connection that a connection is or wraps, or nil.
+func tcpOf(inner net.Conn) *net.TCPConn {
+	switch cn := inner.(type) {
+	case *net.TCPConn:
+		return cn
+	case interface{ NetConn() net.Conn }:
+		return tcpOf(cn.NetConn())
+	default:
+		return nil
+	}
+}
+
+// NetConn returns the connection below.
+func (cn *conn) NetConn() net.Conn { return cn.Conn }
+
+// Read implements net.Conn.
+func (cn *conn) Read(into []byte) (int, error) {
+	if cn.readErr != nil {
+		return 0, cn.readErr
+	}
+	count, err := cn.Conn.Read(into)
+	if err == nil {
+		return count, nil
+	}
+	if errors.Is(err, io.EOF) {
+		err = cn.endOfStream()
+	}
+	cn.readErr = err
+	cn.end()
+	return count, err
+}
+
+// endOfStream returns io.EOF if the server ended the stream in good order, or the error of the
+// write that got the reset.
+func (cn *conn) endOfStream() error {
+	if cn.tcp == nil {
+		return io.EOF
+	}
+	if wasReset, err := isReset(cn.tcp); err != nil || !wasReset {
+		return cmp.Or(err, io.EOF)
+	}
+	// A write that is under way ends at once.
+	cn.writing.Lock()
+	defer cn.writing.Unlock()
+	// A reset after an orderly close is reported to writes as a broken pipe.
+	if cn.writeErr == nil || errors.Is(cn.writeErr, syscall.EPIPE) {
+		return io.EOF
+	}
+	return cn.writeErr
+}
+
+// Write implements net.Conn. If the server has reset the connection, it returns when no more can
+// be read: http.Transport closes the connection on a failed write, and what has arrived may be a
+// whole answer.
+func (cn *conn) Write(from []byte) (int, error) {
+	count, err := cn.write(from)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		<-cn.ended
+	}
+	return count, err
+}
+
+func (cn *conn) write(from []byte) (int, error) {
+	cn.writing.Lock()
+	defer cn.writing.Unlock()
+	count, err := cn.Conn.Write(from)
+	if err != nil && cn.writeErr == nil {
+		cn.writeErr = err
+	}
+	return count, err
+}
+
+// Close implements net.Conn.
+func (cn *conn) Close() error {
+	cn.end()
+	return cn.Conn.Close()
+}
+
+func (cn *conn) end() { cn.endOnce.Do(func() { close(cn.ended) }) }
--- /dev/null
+++ b/port/receiver/receiver.go
@@ -0,0 +1,50 @@
+// Package receiver is the HTTP client transport for servers that may be faulty: it returns an
+// answer only if it is one.
+//
+// It sends requests by net/http and adds what that package leaves out. A body without a length
+// ends with its connection, which must have been closed in good order: after a failed write of
+// the request, net/http takes a reset for such an end. An answer that has arrived when the
+// connection is reset is read nevertheless.
+//
+// # Usage
+//
+//	rc := receiver.New(&http.Transport{MaxConnsPerHost: 4})
+//	client := &http.Client{Transport: rc}
+package receiver
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// Receiver is an http.RoundTripper. It is safe for concurrent use.
+type Receiver struct {
+	// Transport sends the requests. Its limits may be changed before the first one.
+	Transport *http.Transport
+}
+
+// New returns a Receiver that sends requests by the transport, whose connections it wraps. The
+// transport must have no other use.
+func New(transport *http.Transport) *Receiver {
+	dial := transport.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		inner, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(inner), nil
+	}
+	return &Receiver{Transport: transport}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (rc *Receiver) RoundTrip(re *http.Request) (*http.Response, error) {
+	return rc.Transport.RoundTrip(re)
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (rc *Receiver) CloseIdleConnections() { rc.Transport.CloseIdleConnections() }
--- /dev/null
+++ b/standin/emulator/answers.go
@@ -0,0 +1,96 @@
+package emulator
+
+import (
+	"net"
+	"strings"
+	"time"
+)
+
+// RawEnd is how a server ends a connection after a RawAnswer.
+type RawEnd int
+
+// The ends. A half-close ends what the server sends in good order.
+const (
+	EndKeepOpen RawEnd = iota
+	EndClose
+	EndHalfClose
+	EndHalfCloseReset
+	EndReset
+	// EndResetLater is EndReset once the answer has been read.
+	EndResetLater
+)
+
+// rawPause lets the client read what was sent before the connection ends.
+const rawPause = 30 * time.Millisecond
+
+// rawFields stands for the header lines by which a protocol matches answers to requests.
+const rawFields = "{fields}"
+
+// RawAnswer is what a server sends, byte by byte, in answer to a request whose body it doesn't
+// read.
+type RawAnswer struct {
+	Name string
+	// Bytes are the answer, with {fields} in place of the header lines of the protocol.
+	Bytes string
+	End   RawEnd
+	// IsWhole means that it is a complete answer with the body RawBody. Any other must reach
+	// no client.
+	IsWhole bool
+}
+
+// RawBody is the body of a whole RawAnswer.
+const RawBody = "whole"
+
+// RawAnswers returns answers that are broken, each in one way, and whole ones that resemble them.
+func RawAnswers() []RawAnswer {
+	const (
+		head    = "HTTP/1.1 200 OK\r\n" + rawFields
+		length  = "Content-Length: 5\r\n\r\n" + RawBody
+		chunked = "Transfer-Encoding: chunked\r\n\r\n5\r\n" + RawBody + "\r\n0\r\n"
+	)
+	return []RawAnswer{
+		{Name: "without length, reset", Bytes: head + "\r\npart", End: EndReset},
+		{Name: "without length, reset later", Bytes: head + "\r\npart", End: EndResetLater},
+		{Name: "HTTP/1.0, reset later", Bytes: "HTTP/1.0 200 OK\r\n" + rawFields + "\r\npart", End: EndResetLater},
+		{Name: "no byte of the body, reset later", Bytes: head + "\r\n", End: EndResetLater},
+		{Name: "with length, reset later", Bytes: head + "Content-Length: 9\r\n\r\npart", End: EndResetLater},
+		{Name: "with length, closed", Bytes: head + "Content-Length: 9\r\n\r\npart", End: EndHalfClose},
+		{Name: "chunks, reset later", Bytes: head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", End: EndResetLater},
+		{Name: "chunks, closed", Bytes: head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", End: EndHalfClose},
+
+		{Name: "length, whole", Bytes: head + length, IsWhole: true},
+		{Name: "length, whole, reset", Bytes: head + length, End: EndReset, IsWhole: true},
+		{Name: "length, whole, reset later", Bytes: head + length, End: EndResetLater, IsWhole: true},
+		{Name: "chunks, whole", Bytes: head + chunked + "\r\n", IsWhole: true},
+		{Name: "without length, whole", Bytes: head + "\r\n" + RawBody, End: EndHalfClose, IsWhole: true},
+		{Name: "without length, whole, reset after the close", Bytes: head + "\r\n" + RawBody, End: EndHalfCloseReset, IsWhole: true},
+		{Name: "HTTP/1.0, whole", Bytes: "HTTP/1.0 200 OK\r\n" + rawFields + "\r\n" + RawBody, End: EndHalfClose, IsWhole: true},
+	}
+}
+
+// Write sends the answer with the header lines of a protocol, each of which ends in CRLF, and
+// ends the connection. A client that has gone is no error.
+func (ra RawAnswer) Write(conn *net.TCPConn, fields string) {
+	_, _ = conn.Write([]byte(strings.Replace(ra.Bytes, rawFields, fields, 1)))
+	switch ra.End {
+	case EndKeepOpen:
+	case EndClose:
+		_ = conn.Close()
+	case EndHalfClose:
+		_ = conn.CloseWrite()
+	case EndHalfCloseReset:
+		_ = conn.CloseWrite()
+		time.Sleep(rawPause)
+		reset(conn)
+	case EndReset:
+		reset(conn)
+	case EndResetLater:
+		time.Sleep(rawPause)
+		reset(conn)
+	}
+}
+
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
