Receiver: a head whose status line HTTP doesn't allow is no answer

Callers had their connections cut, without an answer, when a backend server answered with status 000; 600, 999, HTTP/2.0, or a control byte in the reason phrase came through as answers. After 101 with an Upgrade field the run never ended, not even at its deadline, and kept its slot.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads, each version and each reason phrase, and hands the connection over after 101. Nothing checked the status before it was written to the client: net/http panics at one below 100, which cuts the connection.

Receiver.RoundTrip, through which the gate reads all answers, checks the status line once: HTTP/1, three digits, a final status from 200 to 599 (RFC 9110 section 15), the bytes of the reason phrase. A broken head ends the run at once as lost with the reason in the gate's log line; the client gets 502. It is no crash: it doesn't count towards the quarantine, like the heads that net/http refuses.

Before, at the client, through instances: 000, 042, 099, +20, -00 cut the connection; 101, 600, 999, HTTP/0.9, HTTP/2.0 and two odd reason phrases passed, in both kinds of services; with 101 and Upgrade the test had not ended after 300 s.

--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -273,6 +273,11 @@
 // broken distinguishes a crash of the server from other transport errors.
 func broken(reason string, err error) (*peerproto.ForwardResponse, result) {
 	answer := lost(reason)
+	var invalid *receiver.HeadError
+	if errors.As(err, &invalid) {
+		answer.Reason = "the answer is not valid HTTP: " + invalid.Reason
+		return answer, resultShed
+	}
 	isCrash := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
 		errors.Is(err, syscall.EPIPE)
 	if !isCrash {
--- a/port/receiver/receiver.go
+++ b/port/receiver/receiver.go
@@ -1,10 +1,12 @@
 // Package receiver is the HTTP client transport for servers that may be faulty: it returns an
 // answer only if it is one.
 //
-// It sends requests by net/http and adds what that package leaves out. A body without a length
-// ends with its connection, which must have been closed in good order: after a failed write of
-// the request, net/http takes a reset for such an end. An answer that has arrived when the
-// connection is reset is read nevertheless.
+// It sends requests by net/http and adds what that package leaves out:
+//
+//   - A body without a length ends with its connection, which must have been closed in good
+//     order: after a failed write of the request, net/http takes a reset for such an end. An
+//     answer that has arrived when the connection is reset is read nevertheless.
+//   - The head must be one of a final HTTP/1 answer, see Check.
 //
 // # Usage
 //
@@ -41,9 +43,19 @@
 	return &Receiver{Transport: transport}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. It returns a *HeadError for an answer that Check
+// doesn't accept.
 func (rc *Receiver) RoundTrip(re *http.Request) (*http.Response, error) {
-	return rc.Transport.RoundTrip(re)
+	answer, err := rc.Transport.RoundTrip(re)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(answer); err != nil {
+		// An unread body closes the connection.
+		_ = answer.Body.Close()
+		return nil, err
+	}
+	return answer, nil
 }
 
 // CloseIdleConnections closes the connections that carry no request.
--- a/standin/emulator/answers.go
+++ b/standin/emulator/answers.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"time"
@@ -48,7 +49,7 @@
 		length  = "Content-Length: 5\r\n\r\n" + RawBody
 		chunked = "Transfer-Encoding: chunked\r\n\r\n5\r\n" + RawBody + "\r\n0\r\n"
 	)
-	return []RawAnswer{
+	answers := []RawAnswer{
 		{Name: "without length, reset", Bytes: head + "\r\npart", End: EndReset},
 		{Name: "without length, reset later", Bytes: head + "\r\npart", End: EndResetLater},
 		{Name: "HTTP/1.0, reset later", Bytes: "HTTP/1.0 200 OK\r\n" + rawFields + "\r\npart", End: EndResetLater},
@@ -65,7 +66,20 @@
 		{Name: "without length, whole", Bytes: head + "\r\n" + RawBody, End: EndHalfClose, IsWhole: true},
 		{Name: "without length, whole, reset after the close", Bytes: head + "\r\n" + RawBody, End: EndHalfCloseReset, IsWhole: true},
 		{Name: "HTTP/1.0, whole", Bytes: "HTTP/1.0 200 OK\r\n" + rawFields + "\r\n" + RawBody, End: EndHalfClose, IsWhole: true},
+
+		{Name: "no reason phrase", Bytes: "HTTP/1.1 200 \r\n" + rawFields + length, IsWhole: true},
+		{Name: "no blank after the status", Bytes: "HTTP/1.1 200\r\n" + rawFields + length, IsWhole: true},
+		{Name: "interim heads", Bytes: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + length, IsWhole: true},
+	}
+	for _, line := range []string{
+		"HTTP/1.1 000 None", "HTTP/1.1 000", "HTTP/1.1 042 Odd", "HTTP/1.1 099 Odd", "HTTP/1.1 +20 OK", "HTTP/1.1 -00 OK", "HTTP/1.1 -20 OK",
+		"HTTP/1.1 600 Odd", "HTTP/1.1 999 Odd", "HTTP/1.1 2e2 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1  OK", "HTTP/1.1",
+		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.x 200 OK", "HTTP 200 OK", "ICY 200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK",
+		"HTTP/1.1 101 Switching Protocols", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x",
+	} {
+		answers = append(answers, RawAnswer{Name: fmt.Sprintf("%q", line), Bytes: line + "\r\n" + rawFields + length})
 	}
+	return answers
 }
 
 // Write sends the answer with the header lines of a protocol, each of which ends in CRLF, and
