Receiver: an answer with a field name that HTTP doesn't allow is no answer

Callers got an answer in whose head the name of a field held a blank, without that line; with "Content-Length : 5" or "Transfer-Encoding : chunked" they got a body that was not the server's, since that field then doesn't frame it.

Cause: textproto accepts blanks in the name of a field, in the head of an answer, in interim heads and in trailers, and nothing looked at the names after it. Control bytes, an empty name, and invalid bytes in values are refused by it.

Receiver checks names and values of the three parts by httpguts: the head in Check, interim heads in httptrace's Got1xxResponse, and the trailer at the end of the body, which is returned only then. As net/http leaves the bound on interim heads to that hook, they are bounded here.

--- a/port/receiver/head.go
+++ b/port/receiver/head.go
@@ -1,8 +1,12 @@
 package receiver
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"net/textproto"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -16,12 +20,51 @@
 // Error implements error.
 func (er *HeadError) Error() string { return "receiver: not an HTTP answer: " + er.Reason }
 
+// maxInterimBytes bounds the interim heads before an answer, in bytes.
+const maxInterimBytes = 64 << 10
+
+// interim checks the interim heads of one answer.
+type interim struct {
+	bytes int
+}
+
+// got implements httptrace.ClientTrace.Got1xxResponse. With it, http.Transport doesn't bound the
+// heads together.
+func (in *interim) got(_ int, header textproto.MIMEHeader) error {
+	in.bytes += len("HTTP/1.1 100 \r\n\r\n")
+	for name, values := range header {
+		for _, value := range values {
+			in.bytes += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	if in.bytes > maxInterimBytes {
+		return &HeadError{Reason: "too many interim heads"}
+	}
+	return checkFields(http.Header(header), "interim head")
+}
+
+// checkedBody is a body in chunks whose end is returned only if the trailer is valid.
+type checkedBody struct {
+	io.ReadCloser
+	answer *http.Response
+}
+
+// Read implements io.Reader.
+func (cb *checkedBody) Read(into []byte) (int, error) {
+	count, err := cb.ReadCloser.Read(into)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(checkFields(cb.answer.Trailer, "trailer"), err)
+	}
+	return count, err
+}
+
 // statusDigits is the length of a status code, RFC 9112 section 4.
 const statusDigits = 3
 
 // Check returns a *HeadError if the head of an answer to a request without an upgrade is not
 // valid HTTP/1, RFC 9112 section 4 and RFC 9110 sections 5 and 15. It adds to http.ReadResponse,
-// which accepts each status from 000 to 999, also with a sign, each version and reason phrase.
+// which accepts each status from 000 to 999, also with a sign, each version and reason phrase,
+// and blanks in the names of fields.
 func Check(answer *http.Response) error {
 	if answer.ProtoMajor != 1 {
 		return &HeadError{Reason: fmt.Sprintf("version %d.%d", answer.ProtoMajor, answer.ProtoMinor)}
@@ -35,6 +78,21 @@
 	if !httpguts.ValidHeaderFieldValue(answer.Status[statusDigits:]) {
 		return &HeadError{Reason: "invalid byte in the reason phrase"}
 	}
+	return checkFields(answer.Header, "head")
+}
+
+// checkFields returns a *HeadError if a field of the named part of an answer is invalid.
+func checkFields(header http.Header, part string) error {
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &HeadError{Reason: "invalid byte in the name of a field in the " + part}
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return &HeadError{Reason: "invalid byte in the value of a field in the " + part}
+			}
+		}
+	}
 	return nil
 }
 
--- a/port/receiver/receiver.go
+++ b/port/receiver/receiver.go
@@ -6,7 +6,11 @@
 //   - A body without a length ends with its connection, which must have been closed in good
 //     order: after a failed write of the request, net/http takes a reset for such an end. An
 //     answer that has arrived when the connection is reset is read nevertheless.
-//   - The head must be one of a final HTTP/1 answer, see Check.
+//   - The head must be one of a final HTTP/1 answer, see Check. The fields of interim heads and
+//     of the trailer are checked, too.
+//
+// What net/http lets pass and Receiver does, too: lines that end in LF alone, folded lines, which
+// become one with blanks, and Transfer-Encoding in an HTTP/1.0 answer, which it ignores.
 //
 // # Usage
 //
@@ -18,6 +22,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Receiver is an http.RoundTripper. It is safe for concurrent use.
@@ -43,10 +48,12 @@
 	return &Receiver{Transport: transport}
 }
 
-// RoundTrip implements http.RoundTripper. It returns a *HeadError for an answer that Check
-// doesn't accept.
+// RoundTrip implements http.RoundTripper. It returns an error that wraps a *HeadError for an
+// answer that Check doesn't accept. Reads of the body return one if the trailer is invalid.
 func (rc *Receiver) RoundTrip(re *http.Request) (*http.Response, error) {
-	answer, err := rc.Transport.RoundTrip(re)
+	in := &interim{}
+	trace := &httptrace.ClientTrace{Got1xxResponse: in.got}
+	answer, err := rc.Transport.RoundTrip(re.WithContext(httptrace.WithClientTrace(re.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
@@ -55,6 +62,9 @@
 		_ = answer.Body.Close()
 		return nil, err
 	}
+	if len(answer.TransferEncoding) > 0 {
+		answer.Body = &checkedBody{ReadCloser: answer.Body, answer: answer}
+	}
 	return answer, nil
 }
 
--- a/standin/emulator/answers.go
+++ b/standin/emulator/answers.go
@@ -69,6 +69,9 @@
 
 		{Name: "no reason phrase", Bytes: "HTTP/1.1 200 \r\n" + rawFields + length, IsWhole: true},
 		{Name: "no blank after the status", Bytes: "HTTP/1.1 200\r\n" + rawFields + length, IsWhole: true},
+		{Name: "fields", Bytes: head + "Odd!#$%&'*+-.^_`|~Name:x\r\nEmpty:\r\nBlanks: \t a \t b \t\r\n" + length, IsWhole: true},
+		{Name: "folded line", Bytes: head + "Odd: x\r\n y\r\n" + length, IsWhole: true},
+		{Name: "trailer", Bytes: head + chunked + "Odd: x\r\n\r\n", IsWhole: true},
 		{Name: "interim heads", Bytes: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + length, IsWhole: true},
 	}
 	for _, line := range []string{
@@ -79,6 +82,19 @@
 	} {
 		answers = append(answers, RawAnswer{Name: fmt.Sprintf("%q", line), Bytes: line + "\r\n" + rawFields + length})
 	}
+	for _, line := range []string{
+		"Odd Name: x", "Odd : x", " Odd: x", "Content-Length : 5", "Transfer-Encoding : chunked", "Odd\tName: x", "Odd\t: x", "Odd\x01Name: x",
+		"Odd\x00Name: x", "Odd\x7fName: x", "Odd\rName: x", "Odd\u00e9Name: x", "Odd(Name): x", "Odd", ": x", "Odd: x\x00y", "Odd: x\x01y", "Odd: x\ry", "Odd: x\x7fy",
+	} {
+		name := fmt.Sprintf("%q", line)
+		interim := "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n"
+		answers = append(
+			answers,
+			RawAnswer{Name: name, Bytes: "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rawFields + length},
+			RawAnswer{Name: name + " in an interim head", Bytes: interim + head + length},
+			RawAnswer{Name: name + " in a trailer", Bytes: head + chunked + line + "\r\n\r\n"},
+		)
+	}
 	return answers
 }
 
