Router: answers through instances of older builds are checked, too

While a fleet is replaced, the instance beside a server may be of an older build, which passes on answers that are not valid HTTP. The client of a newer entry then still got a cut connection for status 000, or an answer without the invalid line.

Cause: the entry took the status and the fields of another instance's message as they came; its tag says only that an instance of the fleet sent it.

The client of the other instances, through which all such answers come, replaces one whose status or fields HTTP doesn't allow by a lost one: the request may have run, 502.

--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -13,6 +13,7 @@
 	"cornellanding.example/core/shaper"
 	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/gatekeeper"
+	"cornellanding.example/port/receiver"
 	"cornellanding.example/wire/peerproto"
 	"cornellanding.example/wire/signer"
 )
@@ -165,6 +166,29 @@
 // run, which is so once it got a connection, or the other instance may have the whole of a
 // large body.
 func (pe *peers) Forward(ctx context.Context, address string, re *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
+	answer, wasSent, err := pe.forward(ctx, address, re)
+	return replaceInvalid(answer), wasSent, err
+}
+
+// replaceInvalid returns the answer, or in place of one of a backend server that is not valid HTTP, one
+// that was lost. Instances of older builds pass those on.
+func replaceInvalid(answer *peerproto.ForwardResponse) *peerproto.ForwardResponse {
+	if answer.GetOutcome() != gatekeeper.OutcomeAnswered {
+		return answer
+	}
+	isValid := receiver.IsFinal(int(answer.GetStatus()))
+	for _, he := range answer.GetHeaders() {
+		isValid = isValid && receiver.IsField(he.GetName(), he.GetValue())
+	}
+	if !isValid {
+		answer.Outcome, answer.Code = gatekeeper.OutcomeUnknown, gatekeeper.CodeLost
+		answer.Reason = "the answer that the owner's instance passed on is not valid HTTP"
+		answer.Status, answer.Headers, answer.Body = 0, nil, nil
+	}
+	return answer
+}
+
+func (pe *peers) forward(ctx context.Context, address string, re *peerproto.ForwardRequest) (*peerproto.ForwardResponse, bool, error) {
 	body := gatekeeper.Body(ctx, re)
 	ch := &charge{hold: accountant.From(ctx)}
 	defer ch.giveAll()
--- a/port/receiver/head.go
+++ b/port/receiver/head.go
@@ -84,17 +84,19 @@
 // checkFields returns a *HeadError if a field of the named part of an answer is invalid.
 func checkFields(header http.Header, part string) error {
 	for name, values := range header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return &HeadError{Reason: "invalid byte in the name of a field in the " + part}
-		}
 		for _, value := range values {
-			if !httpguts.ValidHeaderFieldValue(value) {
-				return &HeadError{Reason: "invalid byte in the value of a field in the " + part}
+			if !IsField(name, value) {
+				return &HeadError{Reason: "invalid byte in a field of the " + part}
 			}
 		}
 	}
 	return nil
 }
 
+// IsField reports whether HTTP allows a field, RFC 9110 section 5.
+func IsField(name, value string) bool {
+	return httpguts.ValidHeaderFieldName(name) && httpguts.ValidHeaderFieldValue(value)
+}
+
 // IsFinal reports whether a status is one of a final answer, RFC 9110 section 15.
 func IsFinal(status int) bool { return status >= 200 && status <= 599 }
