Gatekeeper: a health check counts only if its answer is whole

A health answer whose body was cut or reset, or whose trailer was invalid, still said whether the server had turned cold. No caller saw this; the check is one of the places where answers are read.

Cause: the body was read only so that the connection could be used again, and the error of that read was ignored.

Bodies of up to 64 KiB are read, formerly 4 KiB, as one that is not read to its end is not known to be whole.

RawAnswers takes the body, so that broken answers carry what a client would accept, and RawServer serves them.

--- a/instance/gatekeeper/answers_test.go
+++ b/instance/gatekeeper/answers_test.go
@@ -1,9 +1,7 @@
 package gatekeeper
 
 import (
-	"bufio"
 	"context"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -16,29 +14,19 @@
 // uploadBytes is more than a connection takes while the server doesn't read.
 const uploadBytes = 16 << 20
 
-// rawServer accepts connections and answers the first request of each without reading its body.
-func rawServer(t *testing.T, ra emulator.RawAnswer) string {
+const rawBody = "whole"
+
+// startRaw starts a server that gives the answer.
+func startRaw(t *testing.T, ra emulator.RawAnswer, fields func(re *http.Request) string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	rs, err := emulator.NewRawServer(ra, fields)
 	is.New(t).NoErr(err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { conn.Close() })
-			go func() {
-				re, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				ra.Write(conn.(*net.TCPConn), "Request-Id: "+re.Header.Get(headerRequestID)+"\r\n")
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	t.Cleanup(func() { rs.Close() })
+	return rs.Address()
+}
+
+func echoID(re *http.Request) string {
+	return "Request-Id: " + re.Header.Get(headerRequestID) + "\r\n"
 }
 
 // TestBrokenAnswers guards against answers that are incomplete or not HTTP and pass for answers,
@@ -50,12 +38,12 @@
 		timeout = 10 * time.Second
 	)
 	ga := newGate(t)
-	for _, ra := range emulator.RawAnswers() {
+	for _, ra := range emulator.RawAnswers(rawBody) {
 		for name, body := range map[string]string{"upload": strings.Repeat("x", uploadBytes), "request": "body"} {
 			t.Run(ra.Name+"/"+name, func(t *testing.T) {
 				is := is.New(t)
 				for range tries {
-					gate, err := New(ga.pu, rawServer(t, ra))
+					gate, err := New(ga.pu, startRaw(t, ra, echoID))
 					is.NoErr(err)
 					rq := request("1", body)
 					rq.Remaining = int64(timeout)
@@ -64,7 +52,7 @@
 					is.True(time.Since(startedAt) < atOnce)
 					if ra.IsWhole {
 						is.Equal(answer.GetOutcome(), uint32(OutcomeAnswered)) // a whole answer passes
-						is.Equal(string(answer.GetBody()), emulator.RawBody)
+						is.Equal(string(answer.GetBody()), rawBody)
 					} else {
 						is.Equal(answer.GetOutcome(), uint32(OutcomeUnknown)) // the request may have run
 					}
--- a/instance/gatekeeper/coldcheck.go
+++ b/instance/gatekeeper/coldcheck.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// coldCheckTimeout bounds a health check, and maxHealthBody how much of its answer is
-	// read, so that the connection can be reused.
+	// coldCheckTimeout bounds a health check, and maxHealthBody the body of its answer in
+	// bytes.
 	coldCheckTimeout = time.Second
-	maxHealthBody    = 4 << 10
+	maxHealthBody    = 64 << 10
 )
 
 // ColdReader is implemented by a Codec whose protocol says in answers to health checks how
@@ -118,7 +118,9 @@
 		return 0, false
 	}
 	defer answer.Body.Close()
-	// What the body says doesn't matter, and an unread one only closes the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxHealthBody))
+	// The body says nothing, but without its end the answer is not whole.
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(nil, answer.Body, maxHealthBody)); err != nil {
+		return 0, false
+	}
 	return reader.ColdRemaining(answer, serverID)
 }
--- a/instance/gatekeeper/coldcheck_test.go
+++ b/instance/gatekeeper/coldcheck_test.go
@@ -15,6 +15,7 @@
 	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
+	"cornellanding.example/standin/emulator"
 	"github.com/matryer/is"
 )
 
@@ -113,3 +114,21 @@
 	defer ga.mu.Unlock()
 	return ga.gate.IsCold(ga.pu.Now())
 }
+
+// TestBrokenHealthAnswers guards against health checks whose answers are broken and count.
+func TestBrokenHealthAnswers(t *testing.T) {
+	ga := newGate(t)
+	fields := func(*http.Request) string { return "Cold: 1500\r\nServer-Id: s1\r\n" }
+	for _, ra := range emulator.RawAnswers(rawBody) {
+		t.Run(ra.Name, func(t *testing.T) {
+			is := is.New(t)
+			gate, err := New(ga.pu, startRaw(t, ra, fields))
+			is.NoErr(err)
+			left, ok := gate.bs.checkCold(context.Background(), coldCodec{}, "/health", "s1")
+			is.Equal(ok, ra.IsWhole)
+			if ra.IsWhole {
+				is.Equal(left, 1500*timer.Millisecond)
+			}
+		})
+	}
+}
--- a/standin/emulator/answers.go
+++ b/standin/emulator/answers.go
@@ -1,9 +1,12 @@
 package emulator
 
 import (
+	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -34,44 +37,44 @@
 	// Bytes are the answer, with {fields} in place of the header lines of the protocol.
 	Bytes string
 	End   RawEnd
-	// IsWhole means that it is a complete answer with the body RawBody. Any other must reach
-	// no client.
+	// IsWhole means that it is a complete answer. Any other must not pass for an answer.
 	IsWhole bool
 }
 
-// RawBody is the body of a whole RawAnswer.
-const RawBody = "whole"
-
-// RawAnswers returns answers that are broken, each in one way, and whole ones that resemble them.
-func RawAnswers() []RawAnswer {
+// RawAnswers returns answers with a body that are broken, each in one way, and whole ones that
+// resemble them. The body of a broken one is not cut, so that it has to be told by its framing.
+func RawAnswers(body string) []RawAnswer {
 	const (
-		head    = "HTTP/1.1 200 OK\r\n" + rawFields
-		length  = "Content-Length: 5\r\n\r\n" + RawBody
-		chunked = "Transfer-Encoding: chunked\r\n\r\n5\r\n" + RawBody + "\r\n0\r\n"
+		head   = "HTTP/1.1 200 OK\r\n" + rawFields
+		head10 = "HTTP/1.0 200 OK\r\n" + rawFields
 	)
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	cutLength := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body)+1, body)
+	cutChunks := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body)
+	chunks := cutChunks + "0\r\n"
 	answers := []RawAnswer{
-		{Name: "without length, reset", Bytes: head + "\r\npart", End: EndReset},
-		{Name: "without length, reset later", Bytes: head + "\r\npart", End: EndResetLater},
-		{Name: "HTTP/1.0, reset later", Bytes: "HTTP/1.0 200 OK\r\n" + rawFields + "\r\npart", End: EndResetLater},
+		{Name: "without length, reset", Bytes: head + "\r\n" + body, End: EndReset},
+		{Name: "without length, reset later", Bytes: head + "\r\n" + body, End: EndResetLater},
+		{Name: "HTTP/1.0, reset later", Bytes: head10 + "\r\n" + body, End: EndResetLater},
 		{Name: "no byte of the body, reset later", Bytes: head + "\r\n", End: EndResetLater},
-		{Name: "with length, reset later", Bytes: head + "Content-Length: 9\r\n\r\npart", End: EndResetLater},
-		{Name: "with length, closed", Bytes: head + "Content-Length: 9\r\n\r\npart", End: EndHalfClose},
-		{Name: "chunks, reset later", Bytes: head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", End: EndResetLater},
-		{Name: "chunks, closed", Bytes: head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", End: EndHalfClose},
+		{Name: "with length, reset later", Bytes: head + cutLength, End: EndResetLater},
+		{Name: "with length, closed", Bytes: head + cutLength, End: EndHalfClose},
+		{Name: "chunks, reset later", Bytes: head + cutChunks, End: EndResetLater},
+		{Name: "chunks, closed", Bytes: head + cutChunks, End: EndHalfClose},
 
 		{Name: "length, whole", Bytes: head + length, IsWhole: true},
 		{Name: "length, whole, reset", Bytes: head + length, End: EndReset, IsWhole: true},
 		{Name: "length, whole, reset later", Bytes: head + length, End: EndResetLater, IsWhole: true},
-		{Name: "chunks, whole", Bytes: head + chunked + "\r\n", IsWhole: true},
-		{Name: "without length, whole", Bytes: head + "\r\n" + RawBody, End: EndHalfClose, IsWhole: true},
-		{Name: "without length, whole, reset after the close", Bytes: head + "\r\n" + RawBody, End: EndHalfCloseReset, IsWhole: true},
-		{Name: "HTTP/1.0, whole", Bytes: "HTTP/1.0 200 OK\r\n" + rawFields + "\r\n" + RawBody, End: EndHalfClose, IsWhole: true},
+		{Name: "chunks, whole", Bytes: head + chunks + "\r\n", IsWhole: true},
+		{Name: "without length, whole", Bytes: head + "\r\n" + body, End: EndHalfClose, IsWhole: true},
+		{Name: "without length, whole, reset after the close", Bytes: head + "\r\n" + body, End: EndHalfCloseReset, IsWhole: true},
+		{Name: "HTTP/1.0, whole", Bytes: head10 + "\r\n" + body, End: EndHalfClose, IsWhole: true},
 
 		{Name: "no reason phrase", Bytes: "HTTP/1.1 200 \r\n" + rawFields + length, IsWhole: true},
 		{Name: "no blank after the status", Bytes: "HTTP/1.1 200\r\n" + rawFields + length, IsWhole: true},
 		{Name: "fields", Bytes: head + "Odd!#$%&'*+-.^_`|~Name:x\r\nEmpty:\r\nBlanks: \t a \t b \t\r\n" + length, IsWhole: true},
 		{Name: "folded line", Bytes: head + "Odd: x\r\n y\r\n" + length, IsWhole: true},
-		{Name: "trailer", Bytes: head + chunked + "Odd: x\r\n\r\n", IsWhole: true},
+		{Name: "trailer", Bytes: head + chunks + "Odd: x\r\n\r\n", IsWhole: true},
 		{Name: "interim heads", Bytes: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + length, IsWhole: true},
 	}
 	for _, line := range []string{
@@ -92,7 +95,7 @@
 			answers,
 			RawAnswer{Name: name, Bytes: "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rawFields + length},
 			RawAnswer{Name: name + " in an interim head", Bytes: interim + head + length},
-			RawAnswer{Name: name + " in a trailer", Bytes: head + chunked + line + "\r\n\r\n"},
+			RawAnswer{Name: name + " in a trailer", Bytes: head + chunks + line + "\r\n\r\n"},
 		)
 	}
 	return answers
@@ -124,3 +127,56 @@
 	_ = conn.SetLinger(0)
 	_ = conn.Close()
 }
+
+// RawServer is a server that gives a RawAnswer to the first request on each connection.
+type RawServer struct {
+	listener net.Listener
+	ra       RawAnswer
+	fields   func(re *http.Request) string
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// NewRawServer starts a RawServer on a free port of the loopback interface. Fields returns the
+// header lines of the protocol for a request, see RawAnswer.Write.
+func NewRawServer(ra RawAnswer, fields func(re *http.Request) string) (*RawServer, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	rs := &RawServer{listener: listener, ra: ra, fields: fields}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			rs.mu.Lock()
+			rs.conns = append(rs.conns, conn)
+			rs.mu.Unlock()
+			go rs.answer(conn.(*net.TCPConn))
+		}
+	}()
+	return rs, nil
+}
+
+func (rs *RawServer) answer(conn *net.TCPConn) {
+	re, err := http.ReadRequest(bufio.NewReader(conn))
+	if err == nil {
+		rs.ra.Write(conn, rs.fields(re))
+	}
+}
+
+// Address returns where the server listens, as IP:port.
+func (rs *RawServer) Address() string { return rs.listener.Addr().String() }
+
+// Close closes the listener and all connections.
+func (rs *RawServer) Close() error {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for _, conn := range rs.conns {
+		_ = conn.Close()
+	}
+	return rs.listener.Close()
+}
