Store and operator's client: a broken answer leaves a call's outcome unknown

A write to the platform's store, or to the table or object store, counted as done, and rows counted as read, after an answer that was reset under the request or whose head was not valid HTTP; so did a change by an operator. A whole answer followed by a reset was lost.

All of them read answers by Receiver now. An error of it leaves the outcome of a write unknown, which is read again, as after a lost connection.

--- a/instance/administrator/client.go
+++ b/instance/administrator/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"cornellanding.example/port/receiver"
 )
 
 const clientTimeout = 15 * time.Second
@@ -38,7 +40,8 @@
 // NewClient returns a client for the API at address, as host:port, with the
 // operator key. Calls time out after 15 s.
 func NewClient(address, key string) *Client {
-	return &Client{base: "http://" + address, key: key, client: &http.Client{Timeout: clientTimeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	return &Client{base: "http://" + address, key: key, client: &http.Client{Timeout: clientTimeout, Transport: receiver.New(transport)}}
 }
 
 // Edit commits a change and returns the new version of the configuration.
--- a/port/storer/storer.go
+++ b/port/storer/storer.go
@@ -17,6 +17,8 @@
 	"io"
 	"net/http"
 	"net/netip"
+
+	"cornellanding.example/port/receiver"
 )
 
 // ObjectsPath is the prefix of the object store's paths.
@@ -57,7 +59,7 @@
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return nil, fmt.Errorf("storer: address %q: %w", address, err)
 	}
-	return &Client{base: "http://" + address, client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}}}, nil
+	return &Client{base: "http://" + address, client: &http.Client{Transport: receiver.New(&http.Transport{MaxResponseHeaderBytes: maxHeaderBytes})}}, nil
 }
 
 // Put implements Objects.
--- a/port/tabler/client.go
+++ b/port/tabler/client.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/netip"
+
+	"cornellanding.example/port/receiver"
 )
 
 // The paths of the table service.
@@ -73,7 +75,7 @@
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return nil, fmt.Errorf("tabler: address %q: %w", address, err)
 	}
-	return &Client{base: "http://" + address, client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}}}, nil
+	return &Client{base: "http://" + address, client: &http.Client{Transport: receiver.New(&http.Transport{MaxResponseHeaderBytes: maxHeaderBytes})}}, nil
 }
 
 // Read implements Table.
--- a/standin/emulator/answers.go
+++ b/standin/emulator/answers.go
@@ -41,6 +41,18 @@
 	IsWhole bool
 }
 
+// uploadBytes is more than a connection takes while the server doesn't read.
+const uploadBytes = 8 << 20
+
+// RequestSizes returns the sizes in bytes of the requests with which to play the answer: a small
+// one and, if the answer is whole or the connection ends, one that is still being written then.
+func (ra RawAnswer) RequestSizes() []int {
+	if ra.End == EndKeepOpen && !ra.IsWhole {
+		return []int{1}
+	}
+	return []int{1, uploadBytes}
+}
+
 // RawAnswers returns answers with a body that are broken, each in one way, and whole ones that
 // resemble them. The body of a broken one is not cut, so that it has to be told by its framing.
 func RawAnswers(body string) []RawAnswer {
