Bench: load tools and stand-ins don't take broken answers for answers

The load tool counted broken answers as answered and intact, and the soak took them for answers, so that neither would have shown that the router passes them on. A single request of the crowds was judged by its status alone.

Cause: each had an http.Transport of its own.

The clients of loader, soaker, crowder and coster and the heartbeats of the stand-in of a backend server read answers by Receiver; crowder reads those of its raw connections to their end and has them checked. The driller's and the injector's calls, by which they control their own stand-ins, judge no answer of the router and stay.

--- a/bench/coster/coster.go
+++ b/bench/coster/coster.go
@@ -23,6 +23,7 @@
 	"cornellanding.example/bench/launcher"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/instance/administrator"
+	"cornellanding.example/port/receiver"
 	"cornellanding.example/standin/emulator"
 )
 
@@ -129,7 +130,7 @@
 }
 
 func measure(ta target, workspaceKey string, count int) (Cost, error) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
+	client := &http.Client{Transport: receiver.New(&http.Transport{MaxIdleConnsPerHost: workers})}
 	defer client.CloseIdleConnections()
 	call := func() error { return get(client, "http://"+ta.address+path, workspaceKey) }
 	for range warmUpRequests {
--- a/bench/crowder/crowder.go
+++ b/bench/crowder/crowder.go
@@ -28,6 +28,7 @@
 	"sync/atomic"
 	"time"
 
+	"cornellanding.example/port/receiver"
 	"cornellanding.example/standin/platformer"
 )
 
@@ -213,7 +214,7 @@
 // AwaitAnswer sends one ordinary request at a time to the entry until one is answered by a
 // backend server. It returns an error if ctx ends first.
 func (fl *Fleet) AwaitAnswer(ctx context.Context, path string) error {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: receiver.New(&http.Transport{DisableKeepAlives: true})}
 	last := platformer.Answer{}
 	for i := 0; ; i++ {
 		rq := platformer.Request{ID: fmt.Sprintf("ordinary-%d", i), Host: host, Path: path, Key: 17, Deadline: 3 * time.Second}
--- a/bench/crowder/crowds.go
+++ b/bench/crowder/crowds.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"cornellanding.example/port/receiver"
 	"cornellanding.example/standin/platformer"
 )
 
@@ -298,11 +299,22 @@
 			return 0, err
 		}
 	}
+	status, _, err := readAnswer(conn)
+	return status, err
+}
+
+// readAnswer reads a whole answer, and returns its status and the length of its body.
+func readAnswer(conn net.Conn) (status int, length int64, err error) {
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
+	}
+	defer answer.Body.Close()
+	if err := receiver.Check(answer); err != nil {
+		return 0, 0, err
 	}
-	return answer.StatusCode, answer.Body.Close()
+	length, err = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode, length, err
 }
 
 // Stall sends the beginning of a head to the entry, and returns how long the instance waits for
@@ -344,13 +356,9 @@
 	if _, err := fmt.Fprintf(conn, "%sContent-Length: 0\r\n\r\n", head(index, path)); err != nil {
 		return 0, err
 	}
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, err
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("crowder: status %d", answer.StatusCode)
+	status, length, err := readAnswer(conn)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("crowder: status %d", status)
 	}
-	return io.Copy(io.Discard, answer.Body)
+	return length, err
 }
--- a/bench/crowder/endless.go
+++ b/bench/crowder/endless.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cornellanding.example/port/receiver"
 	"cornellanding.example/standin/platformer"
 )
 
@@ -94,7 +95,7 @@
 	if isBehind {
 		path = keyPath
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: receiver.New(&http.Transport{DisableKeepAlives: true})}
 	statuses := make([]int, requests)
 	var wg sync.WaitGroup
 	for i := range requests {
--- a/bench/loader/loader.go
+++ b/bench/loader/loader.go
@@ -25,6 +25,7 @@
 
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/port/receiver"
 )
 
 // Outcome is what a caller can conclude about its request.
@@ -142,7 +143,7 @@
 	lo.zipf = rand.NewZipf(lo.random, zipfExponent, 1, keyCount-1)
 	lo.client = &http.Client{
 		Timeout:   clientTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: idleConns, MaxIdleConns: 0, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
+		Transport: receiver.New(&http.Transport{MaxIdleConnsPerHost: idleConns, MaxIdleConns: 0, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}),
 	}
 	lo.classifyRoutes()
 	return lo, nil
@@ -317,7 +318,7 @@
 	}
 }
 
-var orderClient = &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
+var orderClient = &http.Client{Timeout: clientTimeout, Transport: receiver.New(&http.Transport{MaxIdleConnsPerHost: idleConns})}
 
 // SendOrder sends one order for the hottest key. It returns the answer's status
 // and body, or status 0 and an error text if no complete answer was received.
--- a/bench/loader/loader_test.go
+++ b/bench/loader/loader_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/standin/emulator"
 	"github.com/matryer/is"
 )
 
@@ -33,3 +34,23 @@
 	is.Equal(received.Load(), int32(2))
 	is.Equal(second.Outcome, Unknown)
 }
+
+// TestBrokenAnswerCounts guards against a run of the loader that counts broken answers as
+// answered.
+func TestBrokenAnswerCounts(t *testing.T) {
+	route := cataloguer.Route{Name: "read", Method: http.MethodGet, Path: "/read/{key}"}
+	for _, ra := range emulator.RawAnswers(`{"key":"k","body":"1"}`) {
+		t.Run(ra.Name, func(t *testing.T) {
+			is := is.New(t)
+			rs, err := emulator.NewRawServer(ra, func(*http.Request) string { return "Connection: close\r\n" })
+			is.NoErr(err)
+			defer rs.Close()
+			lo, err := New(WithCatalogue(cataloguer.Catalogue{Routes: []cataloguer.Route{route}}), WithEntries(func() []string { return []string{rs.Address()} }))
+			is.NoErr(err)
+			re := Result{ID: "1", Route: "read", Key: "k"}
+			is.True(lo.call(context.Background(), rs.Address(), &re))
+			is.Equal(re.Outcome == Answered, ra.IsWhole)
+			is.Equal(re.IsIntact, ra.IsWhole)
+		})
+	}
+}
--- a/bench/soaker/checks_test.go
+++ b/bench/soaker/checks_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"cornellanding.example/standin/emulator"
 	"cornellanding.example/standin/platformer"
 	"github.com/matryer/is"
 )
@@ -127,3 +128,19 @@
 		t.Errorf("found %q, want %q", found, want)
 	}
 }
+
+// TestBrokenAnswerIsNoAnswer guards against broken answers that the soak takes for answers.
+func TestBrokenAnswerIsNoAnswer(t *testing.T) {
+	rq := platformer.Request{ID: "r", Path: "/", Deadline: time.Second}
+	for _, ra := range emulator.RawAnswers(rq.ExpectedBody()) {
+		t.Run(ra.Name, func(t *testing.T) {
+			is := is.New(t)
+			rs, err := emulator.NewRawServer(ra, func(*http.Request) string { return "Connection: close\r\n" })
+			is.NoErr(err)
+			defer rs.Close()
+			got := rq.Send(t.Context(), newLoad(nil, Settings{}).client, rs.Address())
+			is.Equal(got.Err == nil, ra.IsWhole)
+			is.Equal(got.Body == rq.ExpectedBody() && got.Err == nil, ra.IsWhole)
+		})
+	}
+}
--- a/bench/soaker/fleet.go
+++ b/bench/soaker/fleet.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"cornellanding.example/port/receiver"
 	"cornellanding.example/standin/platformer"
 )
 
@@ -262,7 +263,7 @@
 	return answer.StatusCode == http.StatusOK
 }
 
-var readyClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+var readyClient = &http.Client{Timeout: time.Second, Transport: receiver.New(&http.Transport{DisableKeepAlives: true})}
 
 func (fl *fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
--- a/bench/soaker/load.go
+++ b/bench/soaker/load.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"cornellanding.example/port/receiver"
 	"cornellanding.example/standin/platformer"
 )
 
@@ -81,7 +82,7 @@
 func newLoad(fl *fleet, se Settings) *load {
 	return &load{
 		fl: fl, rate: se.Rate, random: rand.New(rand.NewPCG(se.Seed, 1)),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientConns}},
+		client: &http.Client{Transport: receiver.New(&http.Transport{MaxIdleConnsPerHost: clientConns})},
 	}
 }
 
--- a/standin/platformer/server.go
+++ b/standin/platformer/server.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cornellanding.example/port/receiver"
 )
 
 const (
@@ -129,7 +131,7 @@
 	bs := &Server{
 		bornAt: time.Now().UnixMilli(), service: service, address: address, control: control, zone: "a", version: "v1",
 		isSharded: true, serviceTime: 5 * time.Millisecond, released: [][3]any{}, maxToken: map[uint64]uint64{}, latestPeriod: map[uint64]int{},
-		client: &http.Client{Transport: &http.Transport{}},
+		client: &http.Client{Transport: receiver.New(&http.Transport{})},
 	}
 	bs.id.Store(&id)
 	for _, opt := range opts {
