Receiver: an HTTP/1.0 answer with a Transfer-Encoding is no answer

A client got the chunks of such an answer, sizes included, as its body: not the server's body, and whole also where the last chunk was missing. Found by looking for the cause on related paths; nobody had reported it.

Cause: net/http drops the field Transfer-Encoding of an HTTP/1.0 answer and reads the body to the end of the connection. RFC 9112 section 6.1 has a client treat such a message as faultily framed. The parsed answer no longer shows the field.

The wrapped connection keeps the head of an answer that begins with HTTP/1.0, and of no other, and Receiver looks for the field there. HTTP/1.0 after an interim head, which such a server doesn't send, is refused as well.

--- a/port/receiver/conn.go
+++ b/port/receiver/conn.go
@@ -1,10 +1,13 @@
 package receiver
 
 import (
+	"bufio"
+	"bytes"
 	"cmp"
 	"errors"
 	"io"
 	"net"
+	"net/textproto"
 	"sync"
 	"syscall"
 )
@@ -26,6 +29,12 @@
 	// ended is closed when no more can be read.
 	ended   chan struct{}
 	endOnce sync.Once
+
+	mu sync.Mutex
+	// oldHead is what was read of the head of an HTTP/1.0 answer, at least, and isHead is set
+	// until it is known whether the answer is one and the head is whole.
+	oldHead []byte
+	isHead  bool
 }
 
 func newConn(inner net.Conn) *conn {
@@ -53,6 +62,7 @@
 		return 0, cn.readErr
 	}
 	count, err := cn.Conn.Read(into)
+	cn.keepHead(into[:count])
 	if err == nil {
 		return count, nil
 	}
@@ -111,3 +121,43 @@
 }
 
 func (cn *conn) end() { cn.endOnce.Do(func() { close(cn.ended) }) }
+
+// oldVersion is how an HTTP/1.0 answer begins.
+const oldVersion = "HTTP/1.0"
+
+// begin is called before a request is written.
+func (cn *conn) begin() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.oldHead, cn.isHead = nil, true
+}
+
+// keepHead keeps the head of an HTTP/1.0 answer, since net/http drops its Transfer-Encoding.
+// http.Transport bounds the head.
+func (cn *conn) keepHead(piece []byte) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if !cn.isHead || len(piece) == 0 {
+		return
+	}
+	if known := len(cn.oldHead); known < len(oldVersion) {
+		size := min(len(piece), len(oldVersion)-known)
+		if string(piece[:size]) != oldVersion[known:known+size] {
+			cn.oldHead, cn.isHead = nil, false
+			return
+		}
+	}
+	cn.oldHead = append(cn.oldHead, piece...)
+	cn.isHead = !bytes.Contains(cn.oldHead, []byte("\n\r\n")) && !bytes.Contains(cn.oldHead, []byte("\n\n"))
+}
+
+// isCoded reports whether the head of the HTTP/1.0 answer that was read has a Transfer-Encoding.
+func (cn *conn) isCoded() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(cn.oldHead)))
+	// Errors don't matter: net/http has read the head, too.
+	_, _ = reader.ReadLine()
+	header, _ := reader.ReadMIMEHeader()
+	return len(header["Transfer-Encoding"]) > 0
+}
--- a/port/receiver/receiver.go
+++ b/port/receiver/receiver.go
@@ -8,9 +8,11 @@
 //     answer that has arrived when the connection is reset is read nevertheless.
 //   - The head must be one of a final HTTP/1 answer, see Check. The fields of interim heads and
 //     of the trailer are checked, too.
+//   - An HTTP/1.0 answer has no Transfer-Encoding, RFC 9112 section 6.1. net/http ignores it, and
+//     takes chunks for the body.
 //
-// What net/http lets pass and Receiver does, too: lines that end in LF alone, folded lines, which
-// become one with blanks, and Transfer-Encoding in an HTTP/1.0 answer, which it ignores.
+// What net/http lets pass and Receiver does, too, as HTTP allows it: lines that end in LF alone,
+// and folded lines, which become one with blanks.
 //
 // # Usage
 //
@@ -52,12 +54,21 @@
 // answer that Check doesn't accept. Reads of the body return one if the trailer is invalid.
 func (rc *Receiver) RoundTrip(re *http.Request) (*http.Response, error) {
 	in := &interim{}
-	trace := &httptrace.ClientTrace{Got1xxResponse: in.got}
+	var cn *conn
+	trace := &httptrace.ClientTrace{Got1xxResponse: in.got, GotConn: func(info httptrace.GotConnInfo) {
+		if cn, _ = info.Conn.(*conn); cn != nil {
+			cn.begin()
+		}
+	}}
 	answer, err := rc.Transport.RoundTrip(re.WithContext(httptrace.WithClientTrace(re.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(answer); err != nil {
+	err = Check(answer)
+	if err == nil && answer.ProtoMinor == 0 {
+		err = checkOld(cn, in)
+	}
+	if err != nil {
 		// An unread body closes the connection.
 		_ = answer.Body.Close()
 		return nil, err
@@ -68,5 +79,17 @@
 	return answer, nil
 }
 
+// checkOld returns a *HeadError if an HTTP/1.0 answer is framed as no such answer can be.
+func checkOld(cn *conn, in *interim) error {
+	switch {
+	case in.bytes > 0:
+		return &HeadError{Reason: "version 1.0 after an interim head"}
+	case cn != nil && cn.isCoded():
+		return &HeadError{Reason: "Transfer-Encoding in version 1.0"}
+	default:
+		return nil
+	}
+}
+
 // CloseIdleConnections closes the connections that carry no request.
 func (rc *Receiver) CloseIdleConnections() { rc.Transport.CloseIdleConnections() }
--- a/standin/emulator/answers.go
+++ b/standin/emulator/answers.go
@@ -74,12 +74,17 @@
 		{Name: "chunks, reset later", Bytes: head + cutChunks, End: EndResetLater},
 		{Name: "chunks, closed", Bytes: head + cutChunks, End: EndHalfClose},
 
+		{Name: "HTTP/1.0, chunks", Bytes: head10 + chunks + "\r\n", End: EndHalfClose},
+		{Name: "HTTP/1.0, chunks and length", Bytes: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + rawFields + length, End: EndHalfClose},
+		{Name: "HTTP/1.0 after an interim head", Bytes: "HTTP/1.1 103 Early Hints\r\n\r\n" + head10 + length, End: EndHalfClose},
+
 		{Name: "length, whole", Bytes: head + length, IsWhole: true},
 		{Name: "length, whole, reset", Bytes: head + length, End: EndReset, IsWhole: true},
 		{Name: "length, whole, reset later", Bytes: head + length, End: EndResetLater, IsWhole: true},
 		{Name: "chunks, whole", Bytes: head + chunks + "\r\n", IsWhole: true},
 		{Name: "without length, whole", Bytes: head + "\r\n" + body, End: EndHalfClose, IsWhole: true},
 		{Name: "without length, whole, reset after the close", Bytes: head + "\r\n" + body, End: EndHalfCloseReset, IsWhole: true},
+		{Name: "HTTP/1.0, length", Bytes: head10 + length, End: EndHalfClose, IsWhole: true},
 		{Name: "HTTP/1.0, whole", Bytes: head10 + "\r\n" + body, End: EndHalfClose, IsWhole: true},
 
 		{Name: "no reason phrase", Bytes: "HTTP/1.1 200 \r\n" + rawFields + length, IsWhole: true},
