Gate: the log tells an answer that is not valid HTTP from a broken connection

For a head that net/http itself refuses, such as one with a control byte in a name, the gate's log line and the client's 502 said that the connection had broken. With the reason of the new checks beside it, an on-call engineer would have looked for a crash or a network fault.

Cause: net/http's errors for what it can't parse have no type, and all but known ones were described as a broken connection.

Receiver returns its own error for them, without the bytes of the answer that net/http quotes. TestBrokenAnswers checks the reason of each invalid answer: "the answer is not valid HTTP: ...", and that no cut one has it. Nothing else changes: outcome, code and what counts are as before.

--- a/instance/gatekeeper/answers_test.go
+++ b/instance/gatekeeper/answers_test.go
@@ -53,6 +53,8 @@
 						is.Equal(string(answer.GetBody()), rawBody)
 					} else {
 						is.Equal(answer.GetOutcome(), uint32(OutcomeUnknown)) // the request may have run
+						// The log tells a head that is not valid from a connection that broke.
+						is.Equal(strings.HasPrefix(answer.GetReason(), "the answer is not valid HTTP: "), ra.IsInvalid)
 					}
 				}
 			})
--- a/port/receiver/head.go
+++ b/port/receiver/head.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -52,10 +53,23 @@
 // Read implements io.Reader.
 func (cb *checkedBody) Read(into []byte) (int, error) {
 	count, err := cb.ReadCloser.Read(into)
-	if errors.Is(err, io.EOF) {
-		err = cmp.Or(checkFields(cb.answer.Trailer, "trailer"), err)
+	switch {
+	case err == nil:
+		return count, nil
+	case errors.Is(err, io.EOF):
+		return count, cmp.Or(checkFields(cb.answer.Trailer, "trailer"), err)
+	default:
+		return count, parseError(err)
 	}
-	return count, err
+}
+
+// parseError returns a *HeadError for an error of net/http that quotes what it can't parse, and any
+// other error unchanged. Most of those errors have no type.
+func parseError(err error) error {
+	if strings.Contains(err.Error(), "malformed") {
+		return &HeadError{Reason: "malformed line"}
+	}
+	return err
 }
 
 // statusDigits is the length of a status code, RFC 9112 section 4.
--- a/port/receiver/receiver.go
+++ b/port/receiver/receiver.go
@@ -62,7 +62,7 @@
 	}}
 	answer, err := rc.Transport.RoundTrip(re.WithContext(httptrace.WithClientTrace(re.Context(), trace)))
 	if err != nil {
-		return nil, err
+		return nil, parseError(err)
 	}
 	err = Check(answer)
 	if err == nil && answer.ProtoMinor == 0 {
--- a/standin/emulator/answers.go
+++ b/standin/emulator/answers.go
@@ -39,6 +39,8 @@
 	End   RawEnd
 	// IsWhole means that it is a complete answer. Any other must not pass for an answer.
 	IsWhole bool
+	// IsInvalid means that its head or trailer is not valid HTTP.
+	IsInvalid bool
 }
 
 // uploadBytes is more than a connection takes while the server doesn't read.
@@ -74,9 +76,9 @@
 		{Name: "chunks, reset later", Bytes: head + cutChunks, End: EndResetLater},
 		{Name: "chunks, closed", Bytes: head + cutChunks, End: EndHalfClose},
 
-		{Name: "HTTP/1.0, chunks", Bytes: head10 + chunks + "\r\n", End: EndHalfClose},
-		{Name: "HTTP/1.0, chunks and length", Bytes: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + rawFields + length, End: EndHalfClose},
-		{Name: "HTTP/1.0 after an interim head", Bytes: "HTTP/1.1 103 Early Hints\r\n\r\n" + head10 + length, End: EndHalfClose},
+		{Name: "HTTP/1.0, chunks", Bytes: head10 + chunks + "\r\n", End: EndHalfClose, IsInvalid: true},
+		{Name: "HTTP/1.0, chunks and length", Bytes: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + rawFields + length, End: EndHalfClose, IsInvalid: true},
+		{Name: "HTTP/1.0 after an interim head", Bytes: "HTTP/1.1 103 Early Hints\r\n\r\n" + head10 + length, End: EndHalfClose, IsInvalid: true},
 
 		{Name: "length, whole", Bytes: head + length, IsWhole: true},
 		{Name: "length, whole, reset", Bytes: head + length, End: EndReset, IsWhole: true},
@@ -100,7 +102,7 @@
 		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.x 200 OK", "HTTP 200 OK", "ICY 200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK",
 		"HTTP/1.1 101 Switching Protocols", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x",
 	} {
-		answers = append(answers, RawAnswer{Name: fmt.Sprintf("%q", line), Bytes: line + "\r\n" + rawFields + length})
+		answers = append(answers, RawAnswer{Name: fmt.Sprintf("%q", line), Bytes: line + "\r\n" + rawFields + length, IsInvalid: true})
 	}
 	for _, line := range []string{
 		"Odd Name: x", "Odd : x", " Odd: x", "Content-Length : 5", "Transfer-Encoding : chunked", "Odd\tName: x", "Odd\t: x", "Odd\x01Name: x",
@@ -110,9 +112,9 @@
 		interim := "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n"
 		answers = append(
 			answers,
-			RawAnswer{Name: name, Bytes: "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rawFields + length},
-			RawAnswer{Name: name + " in an interim head", Bytes: interim + head + length},
-			RawAnswer{Name: name + " in a trailer", Bytes: head + chunks + line + "\r\n\r\n"},
+			RawAnswer{Name: name, Bytes: "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rawFields + length, IsInvalid: true},
+			RawAnswer{Name: name + " in an interim head", Bytes: interim + head + length, IsInvalid: true},
+			RawAnswer{Name: name + " in a trailer", Bytes: head + chunks + line + "\r\n\r\n", IsInvalid: true},
 		)
 	}
 	return answers
