Receiver: a write that fails by our own close doesn't hide what ended an answer

Cause: http.Transport closes the connection once it can't parse an answer, or a read fails; the write under way then fails with "use of closed network connection", which it takes for an error of reading the request's body and returns in place of the first one. A failure that our side brought about says nothing about the answer.

Once a part of a request is written, the wrapped connection leaves a reset, and a close on this side, to the reads to report; a write that can't begin still fails, so that http.Transport may send a replayable request again. After a reset it still returns only when no more can be read, so that the connection is not used again.

--- a/instance/gatekeeper/answers_test.go
+++ b/instance/gatekeeper/answers_test.go
@@ -52,7 +52,9 @@
 						is.Equal(answer.GetOutcome(), uint32(OutcomeAnswered)) // a whole answer passes
 						is.Equal(string(answer.GetBody()), rawBody)
 					} else {
-						is.Equal(answer.GetOutcome(), uint32(OutcomeUnknown)) // the request may have run
+						is.Equal(answer.GetOutcome(), uint32(OutcomeUnknown))    // the request may have run
+						is.Equal(answer.GetCode() == CodeCrashed, !ra.IsInvalid) // counts towards the quarantine
+						is.Equal(answer.GetCode() == CodeLost, ra.IsInvalid)
 						// The log tells a head that is not valid from a connection that broke.
 						is.Equal(strings.HasPrefix(answer.GetReason(), "the answer is not valid HTTP: "), ra.IsInvalid)
 					}
--- a/port/receiver/conn.go
+++ b/port/receiver/conn.go
@@ -21,9 +21,10 @@
 	// tcp is nil if the connection is not a TCP connection.
 	tcp *net.TCPConn
 	// writing is held during a write, and guards writeErr, the error of the first one that
-	// failed.
+	// failed, and isBegun, which is set once a part of the current request has been written.
 	writing  sync.Mutex
 	writeErr error
+	isBegun  bool
 	// readErr is the error that ended the reads. Only one goroutine reads at a time.
 	readErr error
 	// ended is closed when no more can be read.
@@ -93,25 +94,35 @@
 	return cn.writeErr
 }
 
-// Write implements net.Conn. If the server has reset the connection, it returns when no more can
-// be read: http.Transport closes the connection on a failed write, and what has arrived may be a
-// whole answer.
+// Write implements net.Conn. Once a part of the request has been written, a failure because the
+// server has reset the connection, or because it was closed on this side, is left to the reads to
+// report: http.Transport closes the connection on a failed write, although a whole answer may have
+// arrived, and returns that error in place of what it found wrong in an answer.
 func (cn *conn) Write(from []byte) (int, error) {
-	count, err := cn.write(from)
-	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+	count, isBegun, err := cn.write(from)
+	switch {
+	case err == nil || !isBegun:
+		return count, err
+	case errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
+		// The connection must not be used again once the answer has been read. It isn't while
+		// a write is under way.
 		<-cn.ended
+	case !errors.Is(err, net.ErrClosed):
+		return count, err
 	}
-	return count, err
+	return len(from), nil
 }
 
-func (cn *conn) write(from []byte) (int, error) {
+// write also returns whether a part of the request has been written.
+func (cn *conn) write(from []byte) (int, bool, error) {
 	cn.writing.Lock()
 	defer cn.writing.Unlock()
 	count, err := cn.Conn.Write(from)
 	if err != nil && cn.writeErr == nil {
 		cn.writeErr = err
 	}
-	return count, err
+	cn.isBegun = cn.isBegun || count > 0
+	return count, cn.isBegun, err
 }
 
 // Close implements net.Conn.
@@ -127,6 +138,9 @@
 
 // begin is called before a request is written.
 func (cn *conn) begin() {
+	cn.writing.Lock()
+	cn.isBegun = false
+	cn.writing.Unlock()
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	cn.oldHead, cn.isHead = nil, true
