Receiver: no unwrapping of connections that nobody wraps

All dialers given to it make plain TCP connections; the same function stands in the router, which needs it. A comment of the router is wrapped.

--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -170,8 +170,8 @@
 	return replaceInvalid(answer), wasSent, err
 }
 
-// replaceInvalid returns the answer, or in place of one of a backend server that is not valid HTTP, one
-// that was lost. Instances of older builds pass those on.
+// replaceInvalid returns the answer, or a lost one in place of a backend server's that is not
+// valid HTTP. Instances of older builds pass those on.
 func replaceInvalid(answer *peerproto.ForwardResponse) *peerproto.ForwardResponse {
 	if answer.GetOutcome() != gatekeeper.OutcomeAnswered {
 		return answer
--- a/port/receiver/conn.go
+++ b/port/receiver/conn.go
@@ -39,24 +39,10 @@
 }
 
 func newConn(inner net.Conn) *conn {
-	return &conn{Conn: inner, tcp: tcpOf(inner), ended: make(chan struct{})}
+	tcp, _ := inner.(*net.TCPConn)
+	return &conn{Conn: inner, tcp: tcp, ended: make(chan struct{})}
 }
 
-// tcpOf returns the TCP connection that a connection is or wraps, or nil.
-func tcpOf(inner net.Conn) *net.TCPConn {
-	switch cn := inner.(type) {
-	case *net.TCPConn:
-		return cn
-	case interface{ NetConn() net.Conn }:
-		return tcpOf(cn.NetConn())
-	default:
-		return nil
-	}
-}
-
-// NetConn returns the connection below.
-func (cn *conn) NetConn() net.Conn { return cn.Conn }
-
 // Read implements net.Conn.
 func (cn *conn) Read(into []byte) (int, error) {
 	if cn.readErr != nil {
