Stand-in: remove an end of raw answers that none uses

EndClose was left over. Nothing else changes; the tests that play the answers at the gate, the operators' client, loader, soak and the table and object stores pass.

--- a/standin/emulator/answers.go
+++ b/standin/emulator/answers.go
@@ -16,7 +16,6 @@
 // The ends. A half-close ends what the server sends in good order.
 const (
 	EndKeepOpen RawEnd = iota
-	EndClose
 	EndHalfClose
 	EndHalfCloseReset
 	EndReset
@@ -126,8 +125,6 @@
 	_, _ = conn.Write([]byte(strings.Replace(ra.Bytes, rawFields, fields, 1)))
 	switch ra.End {
 	case EndKeepOpen:
-	case EndClose:
-		_ = conn.Close()
 	case EndHalfClose:
 		_ = conn.CloseWrite()
 	case EndHalfCloseReset:
