review: case 12, an upload that crashes backends is never refused (BUDGET)

Cause: with the contract pressure a crash while a large body was under way is put down to the backend's memory, and no request counts as a suspect unless it was alone (core/admitter/bytes.go, Crash). Change: review/12 and its stand-in; an upload comes again every 2 s and crashes the backend that runs it.

--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -43,7 +44,7 @@
 	id, service, zone, address, control string
 	isSharded                           bool
 	slots                               int
-	work                                time.Duration
+	work, readWork                      time.Duration
 	beat                                time.Duration
 	rec                                 *recorder
 	client                              *http.Client
@@ -64,15 +65,32 @@
 	// life counts the starts. Work of an earlier one is gone.
 	life  int
 	conns map[net.Conn]bool
+	// crashPath is the path of the requests that crash the backend, "" for none, and starts the
+	// number of its starts.
+	crashPath string
+	starts    int
+	// isDown is set from a crash to the next start.
+	isDown bool
 }
 
 func startBackend(ctx context.Context, bs *backend) error {
 	bs.born, bs.highest, bs.released = time.Now().UnixMilli(), map[[2]uint64]uint64{}, [][3]any{}
 	bs.client = &http.Client{Transport: &http.Transport{}, Timeout: time.Second}
+	if err := bs.listen(); err != nil {
+		return err
+	}
+	go bs.sendBeats(ctx)
+	return nil
+}
+
+// listen begins to serve.
+func (bs *backend) listen() error {
 	listener, err := net.Listen("tcp", bs.address)
 	if err != nil {
 		return err
 	}
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
 	bs.conns = map[net.Conn]bool{}
 	bs.server = &http.Server{Handler: bs, ConnState: func(conn net.Conn, state http.ConnState) {
 		bs.mu.Lock()
@@ -85,10 +103,47 @@
 		}
 	}}
 	go bs.server.Serve(listener)
-	go bs.sendBeats(ctx)
 	return nil
 }
 
+// crash ends the process of the backend: its address refuses connections, and all that it ran is
+// gone. It starts again after a while, under another id.
+func (bs *backend) crash(downFor time.Duration) {
+	bs.mu.Lock()
+	if bs.isDown {
+		bs.mu.Unlock()
+		return
+	}
+	bs.isDown = true
+	bs.life++
+	server := bs.server
+	bs.mu.Unlock()
+	_ = server.Close()
+	bs.rec.note("%s crashes", bs.name())
+	time.AfterFunc(downFor, func() {
+		bs.mu.Lock()
+		bs.starts++
+		bs.id = fmt.Sprintf("%s-start-%d", strings.TrimSuffix(bs.id, fmt.Sprintf("-start-%d", bs.starts)), bs.starts+1)
+		bs.born, bs.sequence, bs.running = time.Now().UnixMilli(), 0, 0
+		bs.coldUntil = time.Now().Add(coldStart)
+		bs.mu.Unlock()
+		if err := bs.listen(); err != nil {
+			bs.rec.note("%s does not start again: %v", bs.name(), err)
+			return
+		}
+		bs.mu.Lock()
+		bs.isDown = false
+		bs.mu.Unlock()
+	})
+}
+
+// name returns the id of the present start.
+func (bs *backend) name() string {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	return bs.id
+}
+
 func (bs *backend) sendBeats(ctx context.Context) {
 	for ctx.Err() == nil {
 		// Approximately every beat.
@@ -106,6 +161,12 @@
 // sendBeat sends one heartbeat and applies its reply. It reports whether ranges were released,
 // so that another heartbeat is due.
 func (bs *backend) sendBeat(ctx context.Context) bool {
+	bs.mu.Lock()
+	isDown := bs.isDown
+	bs.mu.Unlock()
+	if isDown {
+		return false
+	}
 	content, released := bs.encodeBeat()
 	return bs.postBeat(ctx, content, released)
 }
@@ -141,7 +202,7 @@
 // postBeat sends a heartbeat and applies its reply.
 func (bs *backend) postBeat(ctx context.Context, content []byte, released int) bool {
 	sentAt := time.Now()
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bs.control+wire("instances")+bs.id+"/heartbeat", bytes.NewReader(content))
+	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bs.control+wire("instances")+bs.name()+"/heartbeat", bytes.NewReader(content))
 	if err != nil {
 		panic(err)
 	}
@@ -260,7 +321,7 @@
 
 // deregister announces the end of the backend. It reports whether that was acknowledged.
 func (bs *backend) deregister() bool {
-	an, err := bs.client.Post("http://"+bs.control+wire("instances")+bs.id+"/deregister", "application/json", nil)
+	an, err := bs.client.Post("http://"+bs.control+wire("instances")+bs.name()+"/deregister", "application/json", nil)
 	if err != nil {
 		return false
 	}
@@ -269,6 +330,14 @@
 	return err == nil && an.StatusCode/100 == 2
 }
 
+// worksFor returns how long a request takes. Reads are short where the backend takes uploads.
+func (bs *backend) worksFor(re *http.Request) time.Duration {
+	if re.Method == http.MethodGet && bs.readWork > 0 {
+		return bs.readWork
+	}
+	return bs.work
+}
+
 // heldKeys returns the number of keys held now.
 func (bs *backend) heldKeys() uint64 {
 	bs.mu.Lock()
@@ -308,6 +377,7 @@
 func (bs *backend) ServeHTTP(wr http.ResponseWriter, re *http.Request) {
 	bs.mu.Lock()
 	load, silence, life := fmt.Sprintf("%d,0,%d,100", bs.running, bs.slots), bs.silence, bs.life
+	self := bs.id
 	cold := bs.coldRemaining()
 	bs.mu.Unlock()
 	if silence != nil {
@@ -319,14 +389,14 @@
 	}
 	wr.Header().Set(wire("load"), load)
 	if re.URL.Path == "/health" {
-		wr.Header().Set(wire("instance"), bs.id)
+		wr.Header().Set(wire("instance"), self)
 		wr.Header().Set(wire("cold"), strconv.FormatInt(cold.Milliseconds(), 10))
 		return
 	}
 	id := re.Header.Get("X-Request-Id")
 	wr.Header().Set("X-Request-Id", id)
-	if want := re.Header.Get(wire("expected")); want != "" && want != bs.id {
-		wr.Header().Set(wire("instance"), bs.id)
+	if want := re.Header.Get(wire("expected")); want != "" && want != self {
+		wr.Header().Set(wire("instance"), self)
 		wr.Header().Set(wire("notRun"), "1")
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -350,9 +420,13 @@
 	}
 	bs.running++
 	bs.mu.Unlock()
-	bs.rec.ran(run{id: id, backend: bs.id, service: bs.service, key: key, at: time.Now()})
+	bs.rec.ran(run{id: id, backend: self, service: bs.service, key: key, at: time.Now()})
+	if bs.crashPath != "" && re.URL.Path == bs.crashPath {
+		time.Sleep(bs.work / 10)
+		bs.crash(crashedFor)
+	}
 	select {
-	case <-time.After(bs.work):
+	case <-time.After(bs.worksFor(re)):
 	case <-re.Context().Done():
 	}
 	bs.mu.Lock()
@@ -364,6 +438,6 @@
 	if isGone {
 		panic(http.ErrAbortHandler)
 	}
-	wr.Header().Set(wire("signature"), bs.id+"."+id)
+	wr.Header().Set(wire("signature"), self+"."+id)
 	_, _ = io.WriteString(wr, "ran "+id)
 }
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -70,6 +70,10 @@
 	// hasTraffic is set once clients send.
 	hasTraffic bool
 	next       atomic.Uint64
+	// settings is the text of the settings of all VMs, see settingsOf.
+	settings string
+	// prepare changes a backend before it starts, if it is not nil.
+	prepare func(bs *backend)
 }
 
 func newFleet(program string) (*fleet, error) {
@@ -77,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fl := &fleet{rec: newRecorder(), store: newStore(), program: program, dir: dir}
+	fl := &fleet{rec: newRecorder(), store: newStore(), program: program, dir: dir, settings: settingsText}
 	fl.ctx, fl.cancel = context.WithCancel(context.Background())
 	if fl.prefix, err = freePrefix(); err != nil {
 		return nil, err
@@ -131,6 +135,9 @@
 	if fl.hasTraffic {
 		mc.backend.coldUntil = time.Now().Add(coldStart)
 	}
+	if fl.prepare != nil {
+		fl.prepare(mc.backend)
+	}
 	var ctx context.Context
 	ctx, mc.stopBeats = context.WithCancel(fl.ctx)
 	if err := startBackend(ctx, mc.backend); err != nil {
@@ -155,7 +162,7 @@
 	return strings.NewReplacer(
 		"NODE", mc.name, "IP", mc.ip, "ZONE", mc.zone, "INBOUND", mc.address(inboundPort), "OUTBOUND", mc.address(outboundPort),
 		"READY", mc.address(readyPort), "CONTROL", mc.address(controlPort), "APP", mc.address(appPort), "SERVICE", mc.service, "STORE", fl.address,
-	).Replace(settingsText)
+	).Replace(fl.settings)
 }
 
 // keepRunning runs the instance of a VM, and starts it again a short while after it ends.
@@ -277,14 +284,19 @@
 	if err != nil {
 		panic(err)
 	}
-	re.GetBody = nil
-	re.Host = host
-	re.Header.Set("X-Request-Id", se.id)
-	re.Header.Set(wire("deadline"), strconv.Itoa(int(deadline.Milliseconds())))
 	re.Header.Set(wire("shardKey"), strconv.FormatUint(shardKey, 10))
 	if apiKey != "" {
 		re.Header.Set("Authorization", "Bearer "+apiKey)
 	}
+	return fl.exchange(mc, se, re, deadline)
+}
+
+// exchange sends the request of a client and records it with its answer.
+func (fl *fleet) exchange(mc *vm, se sent, re *http.Request, deadline time.Duration) sent {
+	re.GetBody = nil
+	re.Host = host
+	re.Header.Set("X-Request-Id", se.id)
+	re.Header.Set(wire("deadline"), strconv.Itoa(int(deadline.Milliseconds())))
 	if an, err := mc.client.Do(re); err == nil {
 		content, readErr := io.ReadAll(an.Body)
 		an.Body.Close()
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,6 +27,7 @@
 	"owner-restore":  ownerRestore,
 	"config-restore": configRestore,
 	"drain-restore":  drainRestore,
+	"crash-upload":   crashUpload,
 	"drain-silent":   drainSilent,
 	"token-restore":  tokenRestore,
 }
