review: case 14, a read that ran at one crash is refused everywhere (CONFIG)

Cause: a crash of a backend counts once for each run of a request that breaks, so that two copies of one read at one crash put it in quarantine, on all instances and in the store, for 600 s (core/admitter/quarantine.go, instance/gatekeeper/gatekeeper.go). Change: review/14 and its stand-in; one thing is read on a route that was added, and its backend crashes once.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -6,4 +6,4 @@
 	echo "build by deploy/system.toml and review/build-3.sh first" >&2
 	exit 2
 fi
-TROUBLE="${TROUBLE:-1}" exec target/review-3-fleet target/cornellanding drain-silent review/14/record.txt
+TROUBLE="${TROUBLE:-1}" exec target/review-3-fleet target/cornellanding config-hot review/14/record.txt
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,7 @@
 
 var cases = map[string]func(fl *fleet, hasTrouble bool) (verdict, error){
 	"owner-restore":  ownerRestore,
+	"config-hot":     configHot,
 	"config-restore": configRestore,
 	"drain-restore":  drainRestore,
 	"crash-upload":   crashUpload,
