--- a/standin/platformer/store.go
+++ b/standin/platformer/store.go
@@ -9,6 +9,7 @@
 //	server := httptest.NewServer(st)
 //	st.Put("op", "config", content)
 //	st.SetFaults(platformer.StoreFaults{Refuse: 503})
+//	st.Restore(time.Now().Add(-4 * time.Second))
 //
 //	bs := platformer.NewServer("i-1", "booking", "127.0.0.1:9001", control)
 //	go bs.Run(ctx)
@@ -69,6 +70,21 @@
 // maxValueLength bounds the length of a value in base64.
 const maxValueLength = 65536
 
+const (
+	// eraHeader tells in all answers how often the store has come back from a copy. It is
+	// left out at era 0.
+	eraHeader = "Store-Era"
+	// operatorTable is written by operators.
+	operatorTable = "op"
+)
+
+// change is one applied transaction.
+type change struct {
+	at      time.Time
+	version uint64
+	rows    []Row
+}
+
 // pageLength bounds the number of rows in a response to a read.
 const pageLength = 500
 
@@ -82,6 +98,10 @@
 	faults  StoreFaults
 	calls   int
 	start   time.Time
+	// era counts the calls of Restore, above the first era. history holds all changes that
+	// the rows result from, oldest first.
+	era     uint64
+	history []change
 }
 
 // NewStore returns an empty store.
@@ -108,19 +128,65 @@
 func (st *Store) Put(table, key string, value []byte) uint64 {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.version++
-	st.rows[rowID(table, key)] = Row{Table: table, Key: key, Version: st.version, Value: value}
-	st.notifyChange()
-	return st.version
+	return st.write([]Row{{Table: table, Key: key, Value: value}})
 }
 
 // Remove deletes a row without a condition, as operators do.
 func (st *Store) Remove(table, key string) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.write([]Row{{Table: table, Key: key, Tombstone: true}})
+}
+
+// write sets rows at the next version, which it returns. The lock must be held.
+func (st *Store) write(list []Row) uint64 {
 	st.version++
-	st.rows[rowID(table, key)] = Row{Table: table, Key: key, Version: st.version, Tombstone: true}
+	for i := range list {
+		list[i].Version = st.version
+	}
+	st.record(change{at: time.Now(), version: st.version, rows: list})
+	st.notifyChange()
+	return st.version
+}
+
+func (st *Store) record(ch change) {
+	for _, ro := range ch.rows {
+		st.rows[rowID(ro.Table, ro.Key)] = ro
+	}
+	st.history = append(st.history, ch)
+}
+
+// SetEra sets the era of the store, which its answers name unless it is 0.
+func (st *Store) SetEra(era uint64) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.era = era
+}
+
+// Restore makes the store come back from its copy of an instant, in the next era. Later
+// writes of the router are gone, and those of operators are written again. The versions in
+// between are given out again. It returns the versions before and of the copy.
+func (st *Store) Restore(asOf time.Time) (before, copied uint64) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	before = st.version
+	former := st.history
+	st.rows, st.version, st.history = map[string]Row{}, 0, nil
+	kept := 0
+	for ; kept < len(former) && !former[kept].at.After(asOf); kept++ {
+		st.record(former[kept])
+		st.version = former[kept].version
+	}
+	copied = st.version
+	st.era++
+	for _, ch := range former[kept:] {
+		isRouters := func(ro Row) bool { return ro.Table != operatorTable }
+		if byOperators := slices.DeleteFunc(slices.Clone(ch.rows), isRouters); len(byOperators) > 0 {
+			st.write(byOperators)
+		}
+	}
 	st.notifyChange()
+	return before, copied
 }
 
 // Get returns a row, or false if there is none.
@@ -143,6 +209,7 @@
 	st.mu.Lock()
 	st.calls++
 	fa := st.faults
+	setEra(wr, st.era)
 	st.mu.Unlock()
 	switch {
 	case fa.IsHanging:
@@ -165,10 +232,23 @@
 	}
 }
 
-// answer writes rows as of a version. A reader continues from that version, so both must be
-// of one moment.
-func (st *Store) answer(wr http.ResponseWriter, status int, list []Row, hasMore bool, version uint64) {
-	body := rows{Rows: list, HasMore: hasMore, Version: version, Now: time.Since(st.start).Seconds()}
+// moment is the version and the era of the store at which rows are current.
+type moment struct {
+	version uint64
+	era     uint64
+}
+
+func setEra(wr http.ResponseWriter, era uint64) {
+	if era > 0 {
+		wr.Header().Set(eraHeader, strconv.FormatUint(era, 10))
+	}
+}
+
+// answer writes rows as of a moment. A reader continues from its version, so both must belong
+// together.
+func (st *Store) answer(wr http.ResponseWriter, status int, list []Row, hasMore bool, at moment) {
+	setEra(wr, at.era)
+	body := rows{Rows: list, HasMore: hasMore, Version: at.version, Now: time.Since(st.start).Seconds()}
 	wr.Header().Set("Content-Type", "application/json")
 	wr.WriteHeader(status)
 	// A failed write means that the caller's connection broke.
@@ -178,16 +258,16 @@
 func (st *Store) serveGet(wr http.ResponseWriter, re *http.Request) {
 	qu := re.URL.Query()
 	from, to := qu.Get("from"), qu.Get("to")
-	list, version := st.list(func(ro Row) bool {
+	list, at := st.list(func(ro Row) bool {
 		return ro.Table == qu.Get("table") && !ro.Tombstone && ro.Key >= from && (to == "" || ro.Key < to)
 	})
 	slices.SortFunc(list, func(le, ri Row) int { return strings.Compare(le.Key, ri.Key) })
 	hasMore := len(list) > pageLength
-	st.answer(wr, http.StatusOK, list[:min(len(list), pageLength)], hasMore, version)
+	st.answer(wr, http.StatusOK, list[:min(len(list), pageLength)], hasMore, at)
 }
 
-// list returns the matching rows and the version as of which they are current.
-func (st *Store) list(matches func(Row) bool) ([]Row, uint64) {
+// list returns the matching rows and the moment as of which they are current.
+func (st *Store) list(matches func(Row) bool) ([]Row, moment) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	list := []Row{}
@@ -196,7 +276,7 @@
 			list = append(list, ro)
 		}
 	}
-	return list, st.version
+	return list, moment{version: st.version, era: st.era}
 }
 
 func (st *Store) serveFeed(wr http.ResponseWriter, re *http.Request) {
@@ -204,24 +284,31 @@
 	after, _ := strconv.ParseUint(qu.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(qu.Get("waitMs"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
+	st.mu.Lock()
+	era := st.era
+	st.mu.Unlock()
 	for {
 		st.mu.Lock()
-		changed, isHistoryLost := st.changed, st.faults.IsHistoryLost
+		changed, isHistoryLost := st.changed, st.faults.IsHistoryLost || after > st.version
+		isRestored := st.era != era
 		st.mu.Unlock()
+		if isRestored {
+			panic(http.ErrAbortHandler) // its connections broke while the store was away
+		}
 		if isHistoryLost {
 			http.Error(wr, "history is gone", http.StatusGone)
 			return
 		}
-		list, version := st.list(func(ro Row) bool { return ro.Table == qu.Get("table") && ro.Version > after })
+		list, at := st.list(func(ro Row) bool { return ro.Table == qu.Get("table") && ro.Version > after })
 		slices.SortFunc(list, func(le, ri Row) int { return int(le.Version) - int(ri.Version) })
 		if len(list) > 0 {
-			st.answer(wr, http.StatusOK, list, false, version)
+			st.answer(wr, http.StatusOK, list, false, at)
 			return
 		}
 		select {
 		case <-changed:
 		case <-end:
-			st.answer(wr, http.StatusOK, list, false, version)
+			st.answer(wr, http.StatusOK, list, false, at)
 			return
 		case <-re.Context().Done():
 			return
@@ -243,7 +330,7 @@
 	}
 	st.mu.Lock()
 	found, isSatisfied := st.apply(tx)
-	version := st.version
+	at := moment{version: st.version, era: st.era}
 	isLost := isSatisfied && st.faults.LoseAnswers > 0
 	if isLost {
 		st.faults.LoseAnswers--
@@ -253,9 +340,9 @@
 	case isLost:
 		panic(http.ErrAbortHandler)
 	case !isSatisfied:
-		st.answer(wr, http.StatusPreconditionFailed, found, false, version)
+		st.answer(wr, http.StatusPreconditionFailed, found, false, at)
 	default:
-		st.answer(wr, http.StatusOK, []Row{}, false, version)
+		st.answer(wr, http.StatusOK, []Row{}, false, at)
 	}
 }
 
@@ -275,13 +362,13 @@
 	if !isSatisfied {
 		return found, false
 	}
-	st.version++
+	var list []Row
 	for _, se := range tx.Set {
-		st.rows[rowID(se.Table, se.Key)] = Row{Table: se.Table, Key: se.Key, Version: st.version, Value: se.Value}
+		list = append(list, Row{Table: se.Table, Key: se.Key, Value: se.Value})
 	}
 	for _, rm := range tx.Remove {
-		st.rows[rowID(rm.Table, rm.Key)] = Row{Table: rm.Table, Key: rm.Key, Version: st.version, Tombstone: true}
+		list = append(list, Row{Table: rm.Table, Key: rm.Key, Tombstone: true})
 	}
-	st.notifyChange()
+	st.write(list)
 	return nil, true
 }
--- a/standin/platformer/store_test.go
+++ b/standin/platformer/store_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -79,3 +80,40 @@
 	wg.Wait()
 	is.Equal(len(versions), writers*writes)
 }
+
+// TestRestore checks that a store that comes back from a copy has lost the router's later
+// writes, keeps those of operators, gives versions out again and names the next era.
+func TestRestore(t *testing.T) {
+	is := is.New(t)
+	st := NewStore()
+	st.SetEra(1)
+	server := httptest.NewServer(st)
+	defer server.Close()
+	commit := func(key string) {
+		get(st, http.MethodPost, "/cornellanding/rows-tx", fmt.Sprintf(`{"setKeys":[{"table":"cornellanding","key":%q,"value":"eA=="}]}`, key))
+	}
+	commit("kept")
+	st.Put("op", "config", []byte("1"))
+	asOf := time.Now()
+	time.Sleep(2 * time.Millisecond)
+	commit("lost")
+	st.Put("op", "config", []byte("2"))
+	st.Remove("op", "evacuate/a")
+	before, copied := st.Restore(asOf)
+	is.Equal(before, uint64(5))
+	is.Equal(copied, uint64(2))
+	_, isKept := st.Get("cornellanding", "kept")
+	_, isLost := st.Get("cornellanding", "lost")
+	config, _ := st.Get("op", "config")
+	is.True(isKept && !isLost)
+	is.Equal(string(config.Value), "2")
+	is.Equal(config.Version, uint64(3)) // given out before to the row that is lost
+	an, err := http.Get(server.URL + "/cornellanding/rows-get?table=op&part=")
+	is.NoErr(err)
+	an.Body.Close()
+	is.Equal(an.Header.Get("Store-Era"), "2")
+	an, err = http.Get(server.URL + "/cornellanding/rows-feed?table=op&after=5&waitMs=0")
+	is.NoErr(err)
+	an.Body.Close()
+	is.Equal(an.StatusCode, http.StatusGone)
+}
