Controller: order all that the store says by its era, then its version

Cause: versions of the store ordered configurations, rows, maps and fencing tokens.

A configuration with an older revision is not taken. Rows name the era they were written in: an outdated one proves nothing, and its instance writes it again. Folds build on the newest map known, whose versions rise with the era. Replies to heartbeats are measured with the tokens that they contain. The soak plays the drill.

--- a/bench/soaker/fleet.go
+++ b/bench/soaker/fleet.go
@@ -96,6 +96,9 @@
 		network: fmt.Sprintf("127.%d.%d.", 16+se.Seed%200, os.Getpid()%250),
 	}
 	var err error
+	if se.Restores {
+		fl.store.SetEra(1)
+	}
 	fl.configure(func(co *platformer.Config) { *co = firstConfig() })
 	storeAt := fmt.Sprintf("%s1:%d", fl.network, storePort)
 	if fl.storeServer, err = serve(storeAt, fl.store); err != nil {
--- a/bench/soaker/plan.go
+++ b/bench/soaker/plan.go
@@ -27,6 +27,13 @@
 	// withdrawnLimit, so that a key that is still accepted is detected.
 	withdrawnSpan  = withdrawnLimit + 2*time.Second
 	maxLostAnswers = 6
+	// The store is away for up to maxAway before it comes back from a copy that is
+	// minCopyAge to maxCopyAge old. minRestoreGap and maxRestoreGap separate restores.
+	maxAway       = 1500 * time.Millisecond
+	minCopyAge    = 500 * time.Millisecond
+	maxCopyAge    = 6 * time.Second
+	minRestoreGap = time.Second
+	maxRestoreGap = 6 * time.Second
 )
 
 // faultKind is one kind of fault. inject returns once the fault has ended.
@@ -112,6 +119,9 @@
 func (pl *plan) run(ctx context.Context) {
 	defer pl.wg.Wait()
 	end := time.Now().Add(pl.se.Duration)
+	if pl.se.Restores {
+		pl.wg.Go(func() { pl.restoreStore(ctx, end) })
+	}
 	for time.Now().Before(end) && ctx.Err() == nil {
 		ac := faultKinds[pl.random.IntN(len(faultKinds))]
 		on := pl.drawTarget()
@@ -216,6 +226,30 @@
 	pl.fl.store.SetFaults(platformer.StoreFaults{})
 }
 
+// restoreStore makes the store come back from older copies until end. It draws from a
+// generator of its own, so that a seed gives the same faults with it and without.
+func (pl *plan) restoreStore(ctx context.Context, end time.Time) {
+	random := rand.New(rand.NewPCG(pl.se.Seed, 3))
+	draw := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(random.Int64N(int64(most-least)))
+	}
+	for {
+		gap, away, age := draw(minRestoreGap, maxRestoreGap), draw(0, maxAway), draw(minCopyAge, maxCopyAge)
+		if time.Now().Add(gap).After(end) || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(gap)
+		pl.store.Lock()
+		asOf := time.Now().Add(-age)
+		pl.fl.store.SetFaults(platformer.StoreFaults{Refuse: http.StatusServiceUnavailable})
+		time.Sleep(away)
+		before, copied := pl.fl.store.Restore(asOf)
+		pl.fl.store.SetFaults(platformer.StoreFaults{})
+		pl.store.Unlock()
+		pl.se.progressf("the store was away for %s and is back from a copy of version %d, was at %d", away.Round(time.Millisecond), copied, before)
+	}
+}
+
 func (pl *plan) evacuate(on target) {
 	key := "evacuate/" + on.vm.place.Zone
 	pl.fl.store.Put("op", key, []byte("{}"))
--- a/bench/soaker/soaker.go
+++ b/bench/soaker/soaker.go
@@ -38,6 +38,8 @@
 	VMs int
 	// Rate is the load in requests per second.
 	Rate float64
+	// Restores makes the store come back from an older copy now and then, beside the faults.
+	Restores bool
 	// Progress, if not nil, receives one line of text per event.
 	Progress func(text string)
 }
--- a/bench/soaker/soaker_test.go
+++ b/bench/soaker/soaker_test.go
@@ -21,16 +21,18 @@
 		t.Fatalf("build: %v: %s", err, out)
 	}
 	for _, cas := range []struct {
-		name string
-		seed uint64
+		name     string
+		seed     uint64
+		restores bool
 	}{
-		{"fencing token fell after the hold of a joined row lapsed", 101},
-		{"further seed", 1},
+		{"fencing token fell after the hold of a joined row lapsed", 101, false},
+		{"further seed", 1, false},
+		{"the store comes back from older copies", 1, true},
 	} {
 		t.Run(cas.name, func(t *testing.T) {
 			is := is.New(t)
 			rp, err := soaker.Run(context.Background(), soaker.Settings{
-				Program: program, Folder: t.TempDir(), Seed: cas.seed, Duration: 15 * time.Second, VMs: 6, Rate: 60,
+				Program: program, Folder: t.TempDir(), Seed: cas.seed, Restores: cas.restores, Duration: 15 * time.Second, VMs: 6, Rate: 60,
 				Progress: func(text string) { t.Log(text) },
 			})
 			is.NoErr(err)
--- a/cmd/cornelbench/soak.go
+++ b/cmd/cornelbench/soak.go
@@ -21,6 +21,7 @@
 	VMs      int           `long:"vms" default:"6" description:"Number of VMs"`
 	Rate     float64       `long:"rate" default:"60" description:"Requests a second"`
 	Folder   string        `long:"folder" default:"soak" description:"Folder for the settings and logs of each seed"`
+	Restores bool          `long:"restores" description:"The store comes back from older copies now and then"`
 	Verbose  bool          `long:"verbose" description:"Print each fault"`
 }
 
@@ -53,7 +54,7 @@
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return err
 	}
-	se := soaker.Settings{Program: sc.Binary, Folder: folder, Seed: seed, Duration: sc.For, VMs: sc.VMs, Rate: sc.Rate}
+	se := soaker.Settings{Program: sc.Binary, Folder: folder, Seed: seed, Duration: sc.For, VMs: sc.VMs, Rate: sc.Rate, Restores: sc.Restores}
 	if sc.Verbose {
 		startedAt := time.Now()
 		se.Progress = func(text string) {
--- a/core/cataloguer/catalogue.go
+++ b/core/cataloguer/catalogue.go
@@ -224,7 +224,10 @@
 	// Origin identifies the external state that the configuration was derived from,
 	// if operators keep it outside the table. Versions with the same origin have the
 	// same content.
-	Origin        string
+	Origin string
+	// Revision is the operators' own number of the external configuration, which rises with
+	// each one that they write. It is 0 if they keep none.
+	Revision      uint64
 	Callers       CallerLimits
 	Catalogue     Catalogue
 	WorkspaceKeys []WorkspaceKey
--- a/core/folder/folder.go
+++ b/core/folder/folder.go
@@ -19,6 +19,7 @@
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/roller"
+	"cornellanding.example/core/sequencer"
 )
 
 // LimitsService is an internal service for rate limits. Its keys are workspaces and
@@ -67,15 +68,25 @@
 	// Settled holds, by service, a map version at which this incarnation has obtained
 	// every partition that the version assigns to it.
 	Settled map[string]uint64
+	// Era is the era of the store in which the row was written.
+	Era uint64
 }
 
+// IsOutdated reports whether the store has come back from an older copy since the row was
+// written. The row may then lack what its instance wrote later.
+func (ir InstanceRow) IsOutdated() bool { return ir.Era < sequencer.Era(ir.Lease.Version) }
+
 // Input holds the arguments of Fold.
 type Input struct {
 	Rows []InstanceRow
 	// Unreadable names the backend servers whose rows can't be read. Their members stay
-	// as they are: nothing proves that they stopped.
+	// as they are: nothing proves that they stopped. Nor does an outdated row, or one that is
+	// absent in an era above 0, since the store may have lost it.
 	Unreadable []string
-	Config     cataloguer.Config
+	// Era is the era of the store as of Rows. Versions of maps in it are above all of earlier
+	// eras.
+	Era    uint64
+	Config cataloguer.Config
 	// Maps holds the current maps by service.
 	Maps map[string]placer.Map
 	// RollOuts holds the states of the services' versions, nil if rollouts are off.
@@ -89,6 +100,7 @@
 // if the maps agree with the rows and the configuration.
 func Fold(in Input) []placer.Map {
 	var changed []placer.Map
+	in = in.withoutOutdated()
 	for _, sv := range allServices(in.Config) {
 		ma, ok := in.Maps[sv.Name]
 		members := wantedMembers(sv.Name, in)
@@ -101,7 +113,9 @@
 			// one.
 			continue
 		}
-		ne, isChanged := updateMembers(ma.NextVersion(in.At), ma, members, in.Unreadable)
+		next := ma.NextVersion(in.At)
+		next.Version = max(next.Version, placer.FirstVersion(in.Era))
+		ne, isChanged := updateMembers(next, ma, members, in.kept(ma))
 		ne.ConfigVersion = in.Config.Version
 		settled := settledVersion(ma, ne.Version, in.Rows)
 		// A shared service has no hand-overs, so its history is dropped only along
@@ -114,6 +128,36 @@
 	return changed
 }
 
+// withoutOutdated returns the input with the servers of outdated rows among the unreadable ones.
+func (in Input) withoutOutdated() Input {
+	var rows []InstanceRow
+	unreadable := slices.Clone(in.Unreadable)
+	for _, ir := range in.Rows {
+		if ir.IsOutdated() {
+			unreadable = append(unreadable, ir.BackendServer)
+			continue
+		}
+		rows = append(rows, ir)
+	}
+	in.Rows, in.Unreadable = rows, unreadable
+	return in
+}
+
+// kept names the backend servers whose members of a map stay as they are.
+func (in Input) kept(ma placer.Map) []string {
+	kept := in.Unreadable
+	if in.Era == 0 {
+		return kept
+	}
+	for _, me := range ma.Members {
+		hasRow := func(ir InstanceRow) bool { return ir.BackendServer == me.BackendServer }
+		if !slices.ContainsFunc(in.Rows, hasRow) {
+			kept = append(slices.Clip(kept), me.BackendServer)
+		}
+	}
+	return kept
+}
+
 const (
 	// shareOfPartitions is the divisor of a service's partitions that gives those a
 	// member should own at least, and maxSplit bounds how often each is split for it.
--- a/core/placer/map.go
+++ b/core/placer/map.go
@@ -103,6 +103,22 @@
 	at int64
 }
 
+// eraShift is the position of the store's era in a version: 32 bits count the versions of one
+// era. Fencing tokens contain the version and must stay short.
+const eraShift = 32
+
+// FirstVersion returns the first version of a map in an era of the store, see package
+// sequencer.
+func FirstVersion(era uint64) uint64 { return era<<eraShift | 1 }
+
+// Era returns the era of the store in which the map got its version.
+func (ma Map) Era() uint64 { return ma.Version >> eraShift }
+
+// IsSame reports whether both maps have the same version, members and settled version.
+func (ma Map) IsSame(other Map) bool {
+	return ma.Version == other.Version && ma.Settled == other.Settled && slices.Equal(ma.Members, other.Members)
+}
+
 // NewMap returns an empty map at version 0. Partitions is 0 for a shared
 // service.
 func NewMap(service string, partitions uint32) Map {
--- a/core/registrar/grant.go
+++ b/core/registrar/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
@@ -11,9 +12,9 @@
 	// maxReplySize bounds the JSON of a reply's holds, in bytes. Backend servers
 	// accept replies of up to 4 KiB in total.
 	maxReplySize = 3800
-	// maxHoldBytes and maxHandoverBytes bound the JSON of one hold without its
-	// hand-over string and of that string, in bytes.
-	maxHoldBytes     = 26
+	// maxRangeBytes bounds the JSON of one hold without its fencing token and its hand-over
+	// string, and maxHandoverBytes that of the latter, in bytes.
+	maxRangeBytes    = 18
 	maxHandoverBytes = 20
 	// restartBits is the number of low bits of a fencing token that hold the
 	// server's restart count. The bits above them hold the map version.
@@ -67,19 +68,24 @@
 	slices.SortStableFunc(wanted, func(le, ri WantedPartition) int {
 		return grantOrder(re.partitions[le.Partition]) - grantOrder(re.partitions[ri.Partition])
 	})
-	mergesHolds := len(wanted)*maxHoldBytes > maxReplySize
+	all, size := make([]Hold, len(wanted)), 0
+	for i, wa := range wanted {
+		all[i] = re.holdFor(wa, now)
+		size += maxRangeBytes + digits(all[i].FencingToken)
+	}
+	mergesHolds := size > maxReplySize
 	var (
 		holds   []Hold
 		granted []uint32
 	)
-	size := 0
-	for _, wa := range wanted {
-		ho := re.holdFor(wa, now)
+	size = 0
+	for i, wa := range wanted {
+		ho := all[i]
 		if mergesHolds && ho.Handover == "" && mergeAdjacent(holds, ho) {
 			granted = append(granted, wa.Partition)
 			continue
 		}
-		size += maxHoldBytes
+		size += maxRangeBytes + digits(ho.FencingToken)
 		if ho.Handover != "" {
 			size += maxHandoverBytes
 		}
@@ -92,6 +98,9 @@
 	return holds, granted
 }
 
+// digits returns the length of a number in decimal.
+func digits(number uint64) int { return len(strconv.FormatUint(number, 10)) }
+
 // grantOrder is the sort key of partitions in a reply.
 func grantOrder(ps partitionState) int {
 	if ps.isListed {
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -260,29 +260,37 @@
 	is.Equal(re.ReleasedHandover(2), "next")
 }
 
-// TestReplyFits checks the size of the reply to a server that holds all partitions of a
-// large service.
+// TestReplyFits checks the size of the reply to a server that holds many partitions of a
+// large service. In later eras of the store tokens are longer: a server that refuses the
+// reply as too large would hold nothing.
 func TestReplyFits(t *testing.T) {
-	is := is.New(t)
-	re, err := New(Start(0), Term(term))
-	is.NoErr(err)
-	var (
-		ranges []placer.Range
-		wanted []WantedPartition
-	)
-	for pt := range uint32(512) {
-		ranges = append(ranges, placer.Range{From: pt * 128, To: pt*128 + 127})
-		wanted = append(wanted, WantedPartition{Partition: pt, Epoch: 1_000_000 + uint64(pt)})
-	}
-	re.SetRanges(ranges)
-	re.ApplyHeartbeat(beat(1), 11*second)
-	reply, granted := re.Grant(wanted, 14*second, 11*second)
-	is.Equal(len(granted), 512)
-	size := 0
-	for _, ho := range reply.Holds {
-		size += len(fmt.Sprintf("[%d,%d,%d,%q],", ho.Range.From, ho.Range.To, ho.FencingToken, ho.Handover))
+	for _, first := range []uint64{1, 1_000_000, placer.FirstVersion(1), placer.FirstVersion(9)} {
+		for _, count := range []uint32{110, 128, 140, 146, 512} {
+			t.Run(fmt.Sprint(first, " ", count), func(t *testing.T) {
+				is := is.New(t)
+				re, err := New(Start(0), Term(term))
+				is.NoErr(err)
+				var (
+					ranges []placer.Range
+					wanted []WantedPartition
+				)
+				for pt := range count {
+					from := 1<<16 - 128*(count-pt)
+					ranges = append(ranges, placer.Range{From: from, To: from + 127})
+					wanted = append(wanted, WantedPartition{Partition: pt, Epoch: first + uint64(pt)})
+				}
+				re.SetRanges(ranges)
+				re.ApplyHeartbeat(beat(1), 11*second)
+				reply, granted := re.Grant(wanted, 14*second, 11*second)
+				is.Equal(len(granted), int(count))
+				size := len(`{"holds":[],"holdS":9.999}`)
+				for _, ho := range reply.Holds {
+					size += len(fmt.Sprintf("[%d,%d,%d,%q],", ho.Range.From, ho.Range.To, ho.FencingToken, ho.Handover))
+				}
+				is.True(size <= 4096)
+			})
+		}
 	}
-	is.True(size < 4096)
 }
 
 // TestState checks the states that a server passes through.
--- a/instance/administrator/editor.go
+++ b/instance/administrator/editor.go
@@ -201,7 +201,7 @@
 	if an.State != folder.Active {
 		return &RejectedError{Reason: "backend server " + backendServer + " has ended already"}
 	}
-	an.State = folder.Revoked
+	an.State, an.Era = folder.Revoked, tabler.EraOf(ed.table)
 	value, err := encoder.EncodeInstanceRow(an)
 	if err != nil {
 		return err
--- a/instance/controller/calls.go
+++ b/instance/controller/calls.go
@@ -87,7 +87,7 @@
 // RefreshMaps reads the member rows, folds them into the partition maps and
 // commits these. It returns the error of the last attempt if all fail.
 func (co *Controller) RefreshMaps(ctx context.Context) error {
-	docs, err := co.tableStore.fold(ctx)
+	docs, err := co.tableStore.fold(ctx, foldBasis{maps: mapsOf(co.pu.View().Tables)})
 	co.SubmitDocuments(ctx, docs)
 	return err
 }
--- a/instance/controller/configs.go
+++ b/instance/controller/configs.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/wire/encoder"
 )
@@ -75,7 +76,7 @@
 	if isNewer {
 		content, err := encoder.EncodeConfig(ev.result.Config)
 		if err != nil {
-			co.lo.Error("failed to encode configuration", "version", ev.result.Config.Version, "error", err)
+			co.lo.Error("failed to encode configuration", "version", sequencer.Format(ev.result.Config.Version), "error", err)
 		} else {
 			fetched.documents = []Document{{Name: ConfigKey, Version: ev.result.Config.Version, Content: content}}
 		}
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -26,6 +26,7 @@
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/registrar"
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/core/warner"
 	"cornellanding.example/instance/publisher"
@@ -141,6 +142,12 @@
 	writtenVersion  string
 	serverSince     timer.Instant
 	nextRowUpdateAt timer.Instant
+	// era is the latest era of the store that this instance knows of, and rowEra that in which
+	// its row was written last. If they differ, the row is to be written again at restoreRowAt.
+	era, rowEra  uint64
+	restoreRowAt timer.Instant
+	// startsEraAt is from when this instance may change maps of an earlier era.
+	startsEraAt timer.Instant
 	// storedLeaving lists the leaving runs of the backend server in the row as last
 	// committed, and deregistrations the calls that wait until it lists all.
 	storedLeaving     []registrar.ServerRun
@@ -434,7 +441,9 @@
 
 // tick runs all periodic work that is due at now.
 func (co *Controller) tick(now timer.Instant) {
+	co.followEra(now)
 	co.join(now)
+	co.restoreRow(now)
 	co.renew(now)
 	co.pollConfig(now)
 	co.poll(now)
@@ -461,6 +470,7 @@
 // onDocuments applies the documents that are newer than those held. After a read of
 // the table or of the external configuration source it also updates freshness.
 func (co *Controller) onDocuments(ev documentsFetched, now timer.Instant) {
+	co.followEra(now)
 	if ev.isPoll {
 		co.isFetching = false
 		if ev.err != nil && !co.isJoined {
@@ -533,5 +543,5 @@
 	if co.hasLostWatcher() {
 		co.nextWatcherCheckAt = min(co.nextWatcherCheckAt, now)
 	}
-	co.lo.Debug("documents applied", "config", co.ds.config.Version, "hash", co.ds.hash)
+	co.lo.Debug("documents applied", "config", sequencer.Format(co.ds.config.Version), "hash", co.ds.hash)
 }
--- a/instance/controller/documents.go
+++ b/instance/controller/documents.go
@@ -12,6 +12,7 @@
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/roller"
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/encoder"
@@ -90,6 +91,10 @@
 	if do.Version <= ds.held[do.Name].Version {
 		return false, nil
 	}
+	do, err := ds.keepRevision(do)
+	if err != nil {
+		return false, err
+	}
 	if err := ds.decode(do); err != nil {
 		return false, err
 	}
@@ -98,6 +103,29 @@
 	return true, nil
 }
 
+// keepRevision returns the document to hold in place of a configuration that was read from an
+// older copy of the store and whose revision is below the one in force: the latter, with what
+// operators have taken out of service by the former. All instances that had the same
+// configuration in force keep the same one. Other documents are returned as they are.
+func (ds *documents) keepRevision(do Document) (Document, error) {
+	if do.Name != ConfigKey || sequencer.Era(do.Version) == 0 {
+		return do, nil
+	}
+	read, err := encoder.DecodeConfig(do.Content)
+	if err != nil {
+		return do, err
+	}
+	held := ds.config
+	isOtherEra := sequencer.Era(held.Version) != sequencer.Era(do.Version) || sequencer.IsKept(held.Version)
+	if !isOtherEra || read.Revision >= held.Revision {
+		return do, nil
+	}
+	held.Version, held.Origin = sequencer.Keep(read.Version), read.Origin
+	held.DrainedDataCentres, held.RollOuts = read.DrainedDataCentres, read.RollOuts
+	content, err := encoder.EncodeConfig(held)
+	return Document{Name: ConfigKey, Version: held.Version, Content: content}, err
+}
+
 func (ds *documents) decode(do Document) error {
 	if do.Name == ConfigKey {
 		co, err := encoder.DecodeConfig(do.Content)
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"cornellanding.example/core/admitter"
+	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
@@ -68,8 +69,11 @@
 	formerLeaving []registrar.ServerRun
 	// isFirst is set if the backend server had no row before.
 	isFirst bool
-	// isEnded is set if the row's state was found to be left or revoked.
-	isEnded bool
+	// isEnded is set if the row was found to name another incarnation, or to be left or
+	// revoked, and isOutdated if the store has come back from an older copy since the row
+	// found was written.
+	isEnded    bool
+	isOutdated bool
 	// affectsMaps is set if the write changed a value that the maps depend on.
 	affectsMaps bool
 	// isWeightChange is set if the write changed the weight from formerWeight and the backend
@@ -84,6 +88,13 @@
 	err         error
 }
 
+// newRowCommitted returns the event for a write of the row of an incarnation.
+func newRowCommitted(found folder.InstanceRow, incarnation uint64, err error) rowCommitted {
+	return rowCommitted{
+		row: found.Lease, leaving: found.Leaving, isEnded: isReplacedOrEnded(found, incarnation), isOutdated: found.IsOutdated(), err: err,
+	}
+}
+
 // orphansFound carries the holders whose rows name a former incarnation on this
 // VM as a watcher.
 type orphansFound struct {
@@ -142,10 +153,10 @@
 	row leaser.Row
 	// leaving is as in rowCommitted.
 	leaving []registrar.ServerRun
-	// isEnded is set if the row was found to name another incarnation, or to be left or
-	// revoked.
-	isEnded bool
-	err     error
+	// isEnded and isOutdated are as in rowCommitted.
+	isEnded    bool
+	isOutdated bool
+	err        error
 }
 
 // suspectReported carries the fingerprint of a request that was running when the
--- a/instance/controller/folds.go
+++ b/instance/controller/folds.go
@@ -28,8 +28,9 @@
 	known := co.ds.members()
 	isForOthers := co.needsFold
 	co.needsFold, co.needsOwnFold = false, false
+	ba := co.foldBasis(now)
 	co.spawn(func(ctx context.Context) event {
-		docs, isDone, err := co.tableStore.foldOnce(ctx)
+		docs, isDone, err := co.tableStore.foldOnce(ctx, ba)
 		co.post(ctx, documentsFetched{documents: docs})
 		return mapsFolded{known: known, isForOthers: isForOthers, isDone: isDone, err: err}
 	})
@@ -47,6 +48,10 @@
 	co.needsOwnFold = co.needsOwnFold || !co.isOwnRowFolded()
 	spread := minFoldSpread + foldSpreadPerMember*timer.Span(len(co.ds.members()))
 	co.nextFoldAt = now.Add(minFoldSpread + timer.Span(rand.Int64N(int64(spread))))
+	if errors.Is(ev.err, errEraUnsettled) {
+		co.nextFoldAt = max(co.nextFoldAt, co.startsEraAt)
+		return
+	}
 	var conflict *tabler.ConflictError
 	if !errors.As(ev.err, &conflict) {
 		co.lo.Warn("failed to fold maps", "error", ev.err)
--- a/instance/controller/join.go
+++ b/instance/controller/join.go
@@ -6,6 +6,7 @@
 
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/timer"
 )
 
@@ -28,7 +29,7 @@
 		result, err := co.tableStore.join(ctx, ir, heard, members, co.revokePredecessor)
 		return rowCommitted{
 			row: result.row.Lease, leaving: result.row.Leaving, formerLeaving: result.former.Leaving,
-			isFirst: err == nil && result.former.Lease.Version == 0, err: err,
+			isFirst: err == nil && result.former.Lease.Version == 0, isOutdated: result.row.IsOutdated(), err: err,
 		}
 	})
 }
@@ -46,20 +47,21 @@
 // of watchers then remains needed along with the committed one.
 func (co *Controller) onRow(ev rowCommitted, now timer.Instant) {
 	co.isJoining, co.isWritingRow = false, false
-	isFound := ev.row.Version != 0
-	if co.isJoined && isFound && (ev.isEnded || ev.row.Incarnation != co.self.Incarnation) {
+	isFound := ev.row.Version != 0 && !ev.isOutdated
+	if co.isJoined && ev.isEnded {
 		co.err = ErrRevoked
 		return
 	}
 	if isFound && ev.row.Incarnation == co.self.Incarnation {
 		former := co.ho.Committed().Watchers
-		co.ho.Commit(ev.row)
+		co.commitRow(ev.row)
 		co.dismiss(former, now)
 		co.recordStoredLeaving(ev.leaving)
 	}
-	if ev.err != nil {
-		co.lo.Warn("failed to write member row", "error", ev.err)
+	if ev.err != nil || ev.isOutdated {
+		co.lo.Warn("failed to write member row", "isOutdated", ev.isOutdated, "error", ev.err)
 		co.nextJoinAt = now.Add(joinBackoff)
+		co.restoreRowAt = now.Add(joinBackoff)
 		if ev.isWeightChange {
 			co.writtenWeight, co.writtenSpeed, co.writtenVersion = ev.formerWeight, ev.formerSpeed, ev.formerVersion
 		}
@@ -87,6 +89,12 @@
 	co.nextRenewAt = now
 }
 
+// commitRow records this instance's row as found in the table.
+func (co *Controller) commitRow(row leaser.Row) {
+	co.ho.Commit(row)
+	co.rowEra = sequencer.Era(row.Version)
+}
+
 // firstFoldSpread returns the range of the random delay before an instance creates the
 // partition maps.
 func (co *Controller) firstFoldSpread() timer.Span {
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -172,7 +172,7 @@
 // replaceLostWatchers replaces watchers that are no longer members or that have
 // timed out, and fills up an incomplete set.
 func (co *Controller) replaceLostWatchers(now timer.Instant) {
-	if !co.isJoined || co.isWritingRow || co.stopping != nil || now.Before(co.nextWatcherCheckAt) {
+	if !co.isJoined || co.isWritingRow || co.isRowLost() || co.stopping != nil || now.Before(co.nextWatcherCheckAt) {
 		return
 	}
 	co.nextWatcherCheckAt = now.Add(watcherCheckInterval)
@@ -249,7 +249,7 @@
 	ir.Lease = row
 	co.spawn(func(ctx context.Context) event {
 		found, err := co.tableStore.writeRow(ctx, ir)
-		return rowCommitted{row: found.Lease, leaving: found.Leaving, err: err, isEnded: hasEnded(found)}
+		return newRowCommitted(found, ir.Lease.Incarnation, err)
 	})
 }
 
--- a/instance/controller/leave.go
+++ b/instance/controller/leave.go
@@ -93,7 +93,7 @@
 // complete. An instance that has not joined has nothing to hand over and no row to
 // write; a join under way is awaited, since its row may be committed.
 func (co *Controller) advanceStop() {
-	if co.stopping == nil || co.stopping.isBusy || co.isWritingRow || co.isJoining {
+	if co.stopping == nil || co.stopping.isBusy || co.isWritingRow || co.isJoining || co.isRowLost() {
 		return
 	}
 	if !co.isJoined {
@@ -134,12 +134,16 @@
 	ir.IsStopping = true
 	ir.Lease = co.ho.Committed()
 	ir.State = state
+	ba := co.foldBasis(co.pu.Now())
 	co.spawn(func(ctx context.Context) event {
 		committed, err := co.tableStore.writeRow(ctx, ir)
 		if err != nil {
-			return stopStepDone{row: committed.Lease, leaving: committed.Leaving, isEnded: isReplacedOrEnded(committed, ir.Lease.Incarnation), err: err}
+			return stopStepDone{
+				row: committed.Lease, leaving: committed.Leaving, isEnded: isReplacedOrEnded(committed, ir.Lease.Incarnation),
+				isOutdated: committed.IsOutdated(), err: err,
+			}
 		}
-		docs, err := co.tableStore.fold(ctx)
+		docs, err := co.tableStore.fold(ctx, ba)
 		co.post(ctx, documentsFetched{documents: docs})
 		return stopStepDone{row: committed.Lease, leaving: committed.Leaving, err: err}
 	})
@@ -151,8 +155,8 @@
 		co.endStopEarly(ev.err)
 		return
 	}
-	if ev.row.Version != 0 {
-		co.ho.Commit(ev.row)
+	if ev.row.Version != 0 && !ev.isOutdated {
+		co.commitRow(ev.row)
 		co.recordStoredLeaving(ev.leaving)
 	}
 	if ev.err != nil {
--- a/instance/controller/oddrows_test.go
+++ b/instance/controller/oddrows_test.go
@@ -53,7 +53,7 @@
 			} {
 				ft.rows[ro.Key] = ro
 			}
-			_, isDone, err := ts.foldOnce(context.Background())
+			_, isDone, err := ts.foldOnce(context.Background(), foldBasis{})
 			is.NoErr(err)
 			is.True(isDone)
 			ma, err := encoder.DecodeMap(ft.rows[MapPrefix+"counter"].Value)
@@ -79,11 +79,11 @@
 	for _, ro := range []tabler.Row{memberRow(is, "a", 1), memberRow(is, "b", 2)} {
 		ft.rows[ro.Key] = ro
 	}
-	_, _, err := ts.foldOnce(context.Background())
+	_, _, err := ts.foldOnce(context.Background(), foldBasis{})
 	is.NoErr(err)
 	ft.rows[MemberPrefix+"b"] = tabler.Row{Key: MemberPrefix + "b", Version: 2, Value: []byte("?")}
 	ft.rows[MemberPrefix+"c"] = memberRow(is, "c", 3)
-	_, _, err = ts.foldOnce(context.Background())
+	_, _, err = ts.foldOnce(context.Background(), foldBasis{})
 	is.NoErr(err)
 	for _, service := range []string{"counter", folder.LimitsService} {
 		ma, err := encoder.DecodeMap(ft.rows[MapPrefix+service].Value)
@@ -93,7 +93,7 @@
 		is.Equal(len(ma.Members), 3)
 	}
 	ft.rows[MapPrefix+"counter"] = tabler.Row{Key: MapPrefix + "counter", Version: 9, Value: []byte("?")}
-	_, isDone, err := ts.foldOnce(context.Background())
+	_, isDone, err := ts.foldOnce(context.Background(), foldBasis{})
 	is.True(err != nil && !isDone)
 	is.Equal(string(ft.rows[MapPrefix+"counter"].Value), "?")
 }
--- a/instance/controller/poller.go
+++ b/instance/controller/poller.go
@@ -5,6 +5,7 @@
 
 	"cornellanding.example/core/freshener"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/wire/encoder"
 	"cornellanding.example/wire/peerproto"
@@ -107,7 +108,7 @@
 func (co *Controller) onSynced(ev synced, now timer.Instant) {
 	delete(co.isSyncing, ev.from)
 	if ev.err != nil {
-		co.lo.Warn("failed to fetch documents", "from", ev.from, "config", co.ds.config.Version,
+		co.lo.Warn("failed to fetch documents", "from", ev.from, "config", sequencer.Format(co.ds.config.Version),
 			"took", now.Sub(ev.startedAt).Duration().String(), "error", ev.err)
 	}
 	co.onDocuments(documentsFetched{documents: ev.documents, from: ev.from}, now)
--- a/instance/controller/quarantine.go
+++ b/instance/controller/quarantine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cornellanding.example/core/admitter"
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/encoder"
@@ -127,7 +128,7 @@
 			delete(co.quarantine.unstored, su.Fingerprint)
 		}
 	}
-	co.lo.Info("quarantine written", "added", len(ev.added), "version", ev.document.Version)
+	co.lo.Info("quarantine written", "added", len(ev.added), "version", sequencer.Format(ev.document.Version))
 	co.onDocuments(documentsFetched{documents: []Document{ev.document}}, now)
 }
 
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -16,6 +17,7 @@
 	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/roller"
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
 	"cornellanding.example/port/storer"
@@ -123,7 +125,7 @@
 
 // logUnreadable logs a row that another writer may have left. The other rows hold.
 func (ts *tableStore) logUnreadable(ro tabler.Row, err error) {
-	ts.lo.Warn("row of the table is unreadable, ignored", "key", ro.Key, "version", ro.Version, "error", err)
+	ts.lo.Warn("row of the table is unreadable, ignored", "key", ro.Key, "version", sequencer.Format(ro.Version), "error", err)
 }
 
 // decodeMember decodes a member row. The error is an *encoder.DecodeError or a *MemberError.
@@ -234,8 +236,10 @@
 // An answer may be lost after the write took effect, and a write without an answer
 // may take effect later. Reading the row at its former version therefore proves
 // nothing: the write is repeated on the same condition until the row's version has
-// advanced.
+// advanced. If the store has come back from an older copy meanwhile, the row found may be
+// outdated.
 func (ts *tableStore) writeRow(ctx context.Context, ir folder.InstanceRow) (folder.InstanceRow, error) {
+	ir.Era = tabler.EraOf(ts.table)
 	value, err := encoder.EncodeInstanceRow(ir)
 	if err != nil {
 		return folder.InstanceRow{}, fmt.Errorf("controller: encode row: %w", err)
@@ -303,10 +307,10 @@
 
 // fold folds the member rows into the maps. It retries up to foldAttempts times
 // with random delays, since another instance may fold at the same time.
-func (ts *tableStore) fold(ctx context.Context) ([]Document, error) {
+func (ts *tableStore) fold(ctx context.Context, ba foldBasis) ([]Document, error) {
 	var last error
 	for range foldAttempts {
-		docs, isDone, err := ts.foldOnce(ctx)
+		docs, isDone, err := ts.foldOnce(ctx, ba)
 		if isDone {
 			return docs, nil
 		}
@@ -319,10 +323,25 @@
 	return nil, fmt.Errorf("controller: fold: %w", last)
 }
 
+// foldBasis is what an instance knows of the maps besides what the table says.
+type foldBasis struct {
+	// maps are the maps in force here, by service.
+	maps map[string]placer.Map
+	// startsEra permits changes to maps of an earlier era of the store.
+	startsEra bool
+}
+
+// errEraUnsettled ends a fold that would change maps of an earlier era of the store before
+// all instances have restored what they know of them.
+var errEraUnsettled = errors.New("controller: the maps of the store's former era may be incomplete")
+
 // foldOnce reads the member rows, the maps and the configuration and commits the maps
 // that changed. It returns the changed maps, or all documents read if none changed
 // or there is no configuration yet, and whether the fold is complete.
-func (ts *tableStore) foldOnce(ctx context.Context) ([]Document, bool, error) {
+//
+// If the store has come back from an older copy and has older maps than those in force here,
+// the latter are the ones that are folded, and are written again.
+func (ts *tableStore) foldOnce(ctx context.Context, ba foldBasis) ([]Document, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	query := tabler.Query{Prefixes: []string{MapPrefix, MemberPrefix}}
@@ -340,6 +359,8 @@
 	if err != nil {
 		return nil, false, err
 	}
+	in.Era = tabler.EraOf(ts.table)
+	restored := ba.restore(&in)
 	var first []roller.State
 	if ts.hasRollOuts && in.Config.Version != 0 {
 		first = folder.FirstRollOuts(in)
@@ -348,10 +369,67 @@
 		}
 	}
 	changed := folder.Fold(in)
-	if len(changed)+len(first) == 0 || in.Config.Version == 0 {
+	if in.Config.Version == 0 {
 		return docs, true, nil
 	}
-	return ts.commitMaps(ctx, changed, first, rows)
+	isUnsettled := len(changed) > 0 && !ba.startsEra && isOfFormerEra(in)
+	if isUnsettled {
+		changed = nil
+	}
+	for _, ma := range restored {
+		isChanged := func(ne placer.Map) bool { return ne.Service == ma.Service }
+		if !slices.ContainsFunc(changed, isChanged) {
+			changed = append(changed, ma)
+		}
+	}
+	if len(changed)+len(first) > 0 {
+		var isDone bool
+		if docs, isDone, err = ts.commitMaps(ctx, changed, first, rows); !isDone {
+			return nil, false, err
+		}
+		ts.lo.Info("maps written", "services", servicesOf(changed), "restored", len(restored), "era", in.Era)
+	}
+	if isUnsettled {
+		return docs, false, errEraUnsettled
+	}
+	return docs, true, nil
+}
+
+// restore replaces the maps of the input by those in force here that are newer although the
+// store's era is later than theirs, and returns them. Maps of one version differ only if a
+// write of the former era took effect after the store came back.
+func (ba foldBasis) restore(in *folder.Input) []placer.Map {
+	var restored []placer.Map
+	for _, service := range slices.Sorted(maps.Keys(ba.maps)) {
+		held, stored := ba.maps[service], in.Maps[service]
+		if held.Era() >= in.Era || held.Version < stored.Version {
+			continue
+		}
+		if held.Version == stored.Version && held.IsSame(stored) {
+			continue
+		}
+		in.Maps[service] = held
+		restored = append(restored, held)
+	}
+	return restored
+}
+
+// isOfFormerEra reports whether any map is of an era before that of the input.
+func isOfFormerEra(in folder.Input) bool {
+	for _, ma := range in.Maps {
+		if ma.Era() < in.Era {
+			return true
+		}
+	}
+	return false
+}
+
+func servicesOf(changed []placer.Map) string {
+	var services []string
+	for _, ma := range changed {
+		services = append(services, fmt.Sprintf("%s@%d.%d", ma.Service, ma.Era(), uint32(ma.Version)))
+	}
+	return strings.Join(services, ",")
 }
 
 // foldInput decodes the rows into the input of a fold. It also returns the documents
@@ -478,7 +556,7 @@
 	if err != nil && (!isUnreadable(err) || isElsewhere) {
 		return joinResult{}, err
 	}
-	if former.Lease.Incarnation == ir.Lease.Incarnation && former.State == folder.Active {
+	if former.Lease.Incarnation == ir.Lease.Incarnation && former.State == folder.Active && !former.IsOutdated() {
 		return joinResult{row: former, former: former}, nil
 	}
 	if !isKnownEnded(former, ir) {
@@ -506,16 +584,19 @@
 		len(former.Lease.Watchers) == 0 || former.Address == ir.Address
 }
 
-// hasEnded reports whether a row was found and is no longer active.
-func hasEnded(found folder.InstanceRow) bool {
-	return found.Lease.Version != 0 && found.State != folder.Active
-}
-
 // isReplacedOrEnded reports whether a row was found and either names another incarnation
-// or is no longer active.
+// or is no longer active. An outdated row that names another incarnation may be older than
+// the given one.
 func isReplacedOrEnded(found folder.InstanceRow, incarnation uint64) bool {
-	isReplaced := found.Lease.Version != 0 && found.Lease.Incarnation != incarnation
-	return isReplaced || hasEnded(found)
+	isOwn := found.Lease.Incarnation == incarnation
+	switch {
+	case found.Lease.Version == 0:
+		return false
+	case found.IsOutdated():
+		return isOwn && found.State != folder.Active
+	default:
+		return !isOwn || found.State != folder.Active
+	}
 }
 
 // endIncarnation writes the final state of an incarnation's row. It also succeeds
--- a/instance/controller/rows_test.go
+++ b/instance/controller/rows_test.go
@@ -216,7 +216,7 @@
 	_, err = ts.writeRow(context.Background(), rowOf(7, 0, 1))
 	is.NoErr(err)
 	ft.faults = []string{"refused", "answer lost"}
-	docs, err := ts.fold(context.Background())
+	docs, err := ts.fold(context.Background(), foldBasis{})
 	is.NoErr(err)
 	ds := newDocuments()
 	for _, do := range docs {
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -280,7 +280,7 @@
 // updateRow rewrites this instance's row when its weight has changed, or when it does not
 // say of every leaving run of the backend server that it leaves.
 func (co *Controller) updateRow(now timer.Instant) {
-	isReady := co.isJoined && !co.isWritingRow && !co.isJoining && (co.stopping == nil || co.stopping.takesWrites())
+	isReady := co.isJoined && !co.isWritingRow && !co.isJoining && !co.isRowLost() && (co.stopping == nil || co.stopping.takesWrites())
 	weight, version := co.weight(), co.ownVersion()
 	isWeightDue := co.stopping == nil && (weight != co.writtenWeight || version != co.writtenVersion) || !co.isLeavingStored()
 	isSpeedDue := co.isSpeedDue(now)
@@ -304,10 +304,10 @@
 	co.lo.Info("updating member row", "weight", weight, "speed", co.writtenSpeed, "server", co.server.String(), "leaving", len(ir.Leaving))
 	co.spawn(func(ctx context.Context) event {
 		found, err := co.tableStore.writeRow(ctx, ir)
-		return rowCommitted{
-			row: found.Lease, leaving: found.Leaving, err: err, affectsMaps: true, isWeightChange: true, formerWeight: former,
-			formerSpeed: formerSpeed, formerVersion: formerVersion, foldDelay: delay, isEnded: hasEnded(found),
-		}
+		ev := newRowCommitted(found, ir.Lease.Incarnation, err)
+		ev.affectsMaps, ev.isWeightChange, ev.foldDelay = true, true, delay
+		ev.formerWeight, ev.formerSpeed, ev.formerVersion = former, formerSpeed, formerVersion
+		return ev
 	})
 }
 
--- a/instance/controller/settler.go
+++ b/instance/controller/settler.go
@@ -23,7 +23,7 @@
 // current maps have been acquired. Once all members have done so, a fold drops the
 // maps' record of changes, which would otherwise grow without bound.
 func (co *Controller) reportSettled(now timer.Instant) {
-	if !co.isJoined || co.isWritingRow || co.stopping != nil {
+	if !co.isJoined || co.isWritingRow || co.isRowLost() || co.stopping != nil {
 		return
 	}
 	reported := maps.Clone(co.reported)
@@ -41,10 +41,9 @@
 	ir.Lease = co.ho.Committed()
 	co.spawn(func(ctx context.Context) event {
 		found, err := co.tableStore.writeRow(ctx, ir)
-		return rowCommitted{
-			row: found.Lease, leaving: found.Leaving, err: err, affectsMaps: true,
-			isEnded: hasEnded(found),
-		}
+		ev := newRowCommitted(found, ir.Lease.Incarnation, err)
+		ev.affectsMaps = true
+		return ev
 	})
 }
 
--- a/instance/controller/status.go
+++ b/instance/controller/status.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/core/warner"
 	"cornellanding.example/instance/publisher"
@@ -73,13 +74,13 @@
 	if hasLease := co.ho.IsValid(now); hasLease != co.hadLease {
 		co.hadLease = hasLease
 		co.lo.Info("lease validity changed", "isValid", hasLease, "incarnation", co.self.Incarnation,
-			"watchers", len(co.ho.Committed().Watchers), "row", co.ho.Committed().Version)
+			"watchers", len(co.ho.Committed().Watchers), "row", sequencer.Format(co.ho.Committed().Version))
 	}
 	if isFresh := co.pu.IsFresh(); isFresh != co.wasFresh {
 		co.wasFresh = isFresh
 		age, hasRead := co.fr.ReadAge(now)
 		co.lo.Info("freshness of withdrawn keys changed", "isFresh", isFresh, "hasRead", hasRead, "readAge", age.Duration().String(),
-			"config", co.ds.config.Version, "documents", co.ds.hash)
+			"config", sequencer.Format(co.ds.config.Version), "documents", co.ds.hash)
 	}
 }
 
@@ -92,7 +93,8 @@
 	co.ds.configStarts = publisher.AddConfigStart(co.ds.configStarts, publisher.ConfigStart{Version: co.ds.config.Version, At: now})
 	co.noteOut(before, now)
 	age, hasRead := co.fr.ReadAge(now)
-	co.lo.Info("configuration in force", "config", co.ds.config.Version, "before", before.Version, "origin", co.ds.config.Origin,
+	co.lo.Info("configuration in force", "config", sequencer.Format(co.ds.config.Version), "before", sequencer.Format(before.Version),
+		"revision", co.ds.config.Revision, "origin", co.ds.config.Origin,
 		"from", from, "hasRead", hasRead, "readAge", age.Duration().String())
 }
 
@@ -112,7 +114,7 @@
 	default:
 		co.ds.outSince = now
 	}
-	co.lo.Info("data centre or backend server taken out or back", "isOut", isOut, "config", co.ds.config.Version, "dataCentre", co.self.DataCentre)
+	co.lo.Info("data centre or backend server taken out or back", "isOut", isOut, "config", sequencer.Format(co.ds.config.Version), "dataCentre", co.self.DataCentre)
 }
 
 // observe updates all warnings.
--- a/instance/controller/takeover.go
+++ b/instance/controller/takeover.go
@@ -123,6 +123,9 @@
 	if err != nil {
 		return err
 	}
+	if co.tableStore.mayLackWatchers(row) {
+		return co.takeOverUnrecorded(ctx, me, row, members)
+	}
 	if row.Lease.Incarnation != me.Incarnation || row.State != folder.Active {
 		return nil
 	}
@@ -143,11 +146,10 @@
 			return nil
 		}
 	}
-	if err := co.collectVotes(ctx, row.Lease, members, true); err != nil {
-		return err
-	}
-	if err := co.collectVotes(ctx, row.Lease, members, false); err != nil {
-		return err
+	for _, isProbe := range []bool{true, false} {
+		if err := co.collectVotes(ctx, row.Lease, members, leaser.Majority(len(row.Lease.Watchers)), isProbe); err != nil {
+			return err
+		}
 	}
 	return co.tableStore.endIncarnation(ctx, row, folder.Revoked)
 }
@@ -173,17 +175,20 @@
 			return err
 		}
 	}
-	if err := co.collectVotes(ctx, former.Lease, ds.members(), false); err != nil {
+	if co.tableStore.mayLackWatchers(former) {
+		me := placer.Member{BackendServer: former.BackendServer, Incarnation: former.Lease.Incarnation}
+		return co.takeOverUnrecorded(ctx, me, former, ds.members())
+	}
+	if err := co.collectVotes(ctx, former.Lease, ds.members(), leaser.Majority(len(former.Lease.Watchers)), false); err != nil {
 		return err
 	}
 	return co.tableStore.endIncarnation(ctx, former, folder.Revoked)
 }
 
-// collectVotes requests the votes of all of a row's watchers and returns nil once a
-// majority has voted for the takeover. It returns an error if that is not so within
+// collectVotes requests the votes of all of a row's watchers and returns nil once need of
+// them have voted for the takeover. It returns an error if that is not so within
 // peerTimeout.
-func (co *Controller) collectVotes(ctx context.Context, row leaser.Row, members []placer.Member, isProbe bool) error {
-	need := leaser.Majority(len(row.Watchers))
+func (co *Controller) collectVotes(ctx context.Context, row leaser.Row, members []placer.Member, need int, isProbe bool) error {
 	votes := make(chan bool, len(row.Watchers))
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
--- a/instance/forwarder/answer.go
+++ b/instance/forwarder/answer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/wire/peerproto"
 )
 
@@ -52,7 +53,7 @@
 	if fo.isSampled() {
 		fo.lo.Info("request answered", "requestId", ca.id, "route", ca.route.Name, "service", ca.service, "workspace", ca.workspace,
 			"backendServer", ca.servedBy, "status", status, "attempts", ca.attempts,
-			"config", ca.config, "took", fo.so.Now().Sub(ca.startedAt).Duration().String())
+			"config", sequencer.Format(ca.config), "took", fo.so.Now().Sub(ca.startedAt).Duration().String())
 	}
 	fo.observe(ca, "", status)
 }
@@ -60,7 +61,7 @@
 func (fo *Forwarder) logRefusal(ca *call, rf Refusal) {
 	fo.lo.Info("request refused", "requestId", ca.id, "route", ca.route.Name, "service", ca.service, "workspace", ca.workspace,
 		"code", rf.Code, "outcome", rf.Outcome, "reason", rf.Reason, "backendServer", ca.servedBy, "attempts", ca.attempts,
-		"config", ca.config, "took", fo.so.Now().Sub(ca.startedAt).Duration().String())
+		"config", sequencer.Format(ca.config), "took", fo.so.Now().Sub(ca.startedAt).Duration().String())
 	fo.observe(ca, rf.Code, rf.Status)
 }
 
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -24,6 +24,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/pacer"
 	"cornellanding.example/core/roller"
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/shaper"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/assembler"
@@ -281,7 +282,7 @@
 	ga.lo.Info("request handled by gatekeeper", "requestId", rq.GetRequestId(), "route", rq.GetRoute(), "workspace", rq.GetWorkspace(),
 		"outcome", OutcomeName(answer.GetOutcome()), "code", answer.GetCode(), "reason", answer.GetReason(),
 		"status", answer.GetStatus(), "attempt", rq.GetAttempt(), "repeatShare", rq.GetRepeatShare(), "key", rq.GetKey(),
-		"entryConfig", rq.GetConfigVersion(), "config", ga.pu.View().Config.Version,
+		"entryConfig", sequencer.Format(rq.GetConfigVersion()), "config", sequencer.Format(ga.pu.View().Config.Version),
 		"running", answer.GetRunning(), "waiting", answer.GetWaiting(),
 		"leaseLeft", ga.pu.LeaseUntil().Sub(ga.pu.Now()).Duration().String(), "took", took.Duration().String())
 }
--- a/port/tabler/table.go
+++ b/port/tabler/table.go
@@ -67,6 +67,21 @@
 	Commit(ctx context.Context, tx Transaction) (uint64, error)
 }
 
+// EraSource is implemented by a Table whose service may come back from an older copy of
+// itself. The versions of its rows are then sequence numbers, see package sequencer.
+type EraSource interface {
+	// Era returns the service's latest known era.
+	Era() uint64
+}
+
+// EraOf returns the latest known era of a table's service, 0 for a service that loses nothing.
+func EraOf(ta Table) uint64 {
+	if es, ok := ta.(EraSource); ok {
+		return es.Era()
+	}
+	return 0
+}
+
 // ConflictError says that a transaction wrote nothing because the row Key is not
 // at the expected version.
 type ConflictError struct {
--- a/wire/encoder/document.go
+++ b/wire/encoder/document.go
@@ -134,6 +134,7 @@
 	Settled       map[string]uint64 `json:"settled,omitempty"`
 	Leaving       []wireServerRun   `json:"leaving,omitempty"`
 	Version       string            `json:"version,omitempty"`
+	Era           uint64            `json:"era,omitempty"`
 }
 
 // EncodeInstanceRow returns the stored form of an instance's row, without the row's
@@ -142,7 +143,7 @@
 	wr := wireRow{
 		BackendServer: ir.BackendServer, Service: ir.Service, DataCentre: ir.DataCentre, Region: ir.Region,
 		Address: ir.Address, Weight: ir.Weight, Speed: ir.Speed, State: string(ir.State), Incarnation: ir.Lease.Incarnation,
-		IsStopping: ir.IsStopping, Settled: ir.Settled, Version: ir.Version,
+		IsStopping: ir.IsStopping, Settled: ir.Settled, Version: ir.Version, Era: ir.Era,
 	}
 	for _, wt := range ir.Lease.Watchers {
 		wr.Watchers = append(wr.Watchers, wireWatcher(wt))
@@ -163,7 +164,7 @@
 	ir := folder.InstanceRow{
 		BackendServer: wr.BackendServer, Service: wr.Service, DataCentre: wr.DataCentre, Region: wr.Region,
 		Address: wr.Address, Weight: wr.Weight, Speed: wr.Speed, IsStopping: wr.IsStopping, State: folder.State(wr.State),
-		Lease: leaser.Row{Incarnation: wr.Incarnation, Version: version}, Settled: wr.Settled, Version: wr.Version,
+		Lease: leaser.Row{Incarnation: wr.Incarnation, Version: version}, Settled: wr.Settled, Version: wr.Version, Era: wr.Era,
 	}
 	for _, wt := range wr.Watchers {
 		ir.Lease.Watchers = append(ir.Lease.Watchers, leaser.WatcherID(wt))
@@ -290,6 +291,7 @@
 type wireConfig struct {
 	Version       uint64           `json:"version"`
 	Origin        string           `json:"origin,omitempty"`
+	Revision      uint64           `json:"revision,omitempty"`
 	MaxBody       int64            `json:"maxBody,omitempty"`
 	MaxHead       int64            `json:"maxHead,omitempty"`
 	HeadTimeoutNs int64            `json:"headTimeoutNs,omitempty"`
@@ -311,7 +313,7 @@
 // json.Marshal if a rate, burst or weight is infinite or NaN.
 func EncodeConfig(co cataloguer.Config) ([]byte, error) {
 	wc := wireConfig{
-		Version: co.Version, Origin: co.Origin, MaxBody: co.Callers.MaxBody, Drained: co.DrainedServers, Out: co.DrainedDataCentres,
+		Version: co.Version, Origin: co.Origin, Revision: co.Revision, MaxBody: co.Callers.MaxBody, Drained: co.DrainedServers, Out: co.DrainedDataCentres,
 		MaxHead: co.Callers.MaxHead, HeadTimeoutNs: int64(co.Callers.HeadTimeout), IdleTimeoutNs: int64(co.Callers.IdleTimeout),
 	}
 	for _, dc := range co.Catalogue.DataCentres {
@@ -346,7 +348,7 @@
 		return cataloguer.Config{}, err
 	}
 	co := cataloguer.Config{
-		Version: wc.Version, Origin: wc.Origin, Callers: cataloguer.CallerLimits{
+		Version: wc.Version, Origin: wc.Origin, Revision: wc.Revision, Callers: cataloguer.CallerLimits{
 			MaxBody: wc.MaxBody, MaxHead: wc.MaxHead, HeadTimeout: timer.Span(wc.HeadTimeoutNs), IdleTimeout: timer.Span(wc.IdleTimeoutNs),
 		},
 		DrainedServers: wc.Drained, DrainedDataCentres: wc.Out,
