Controller: maps list the announced ends of servers

Cause: an acknowledged notice of leaving was only in the row of one instance.

Change: members of a service's map list the announced ends of their server. A new instance takes them from the maps that its peers hold, and folds carry them over to its member.

--- a/core/folder/folder.go
+++ b/core/folder/folder.go
@@ -200,7 +200,7 @@
 			Address: ir.Address, Weight: PermittedWeight(service, ir, in.Config, in.RollOuts), Speed: Speed(service, ir),
 		}
 		if service != LimitsService {
-			me.Version = ir.Version
+			me.Version, me.Leaving = ir.Version, registrar.FormatRuns(ir.Leaving)
 		}
 		members = append(members, me)
 	}
@@ -284,6 +284,10 @@
 		}
 	}
 	for _, me := range members {
+		if former, ok := ma.Member(me.BackendServer); ok && former.Leaving != me.Leaving {
+			// The row may lack what the table lost.
+			me.Leaving = registrar.FormatRuns(registrar.MergeRuns(registrar.ParseRuns(former.Leaving), registrar.ParseRuns(me.Leaving)))
+		}
 		if present, ok := ne.Member(me.BackendServer); !ok || present != me {
 			ne = ne.WithMember(me)
 			isChanged = true
--- a/core/placer/map.go
+++ b/core/placer/map.go
@@ -53,6 +53,9 @@
 	// Version is the version of the backend server, "" if rollouts are off or the
 	// instance doesn't know it.
 	Version string
+	// Leaving lists the runs of the backend server that have announced their end, in the form
+	// of registrar.FormatRuns. It outlives the member's row if the table loses that.
+	Leaving string
 }
 
 // halves returns the member's relative share of partitions, in halves of a unit of
--- a/core/registrar/leaving.go
+++ b/core/registrar/leaving.go
@@ -1,15 +1,18 @@
 package registrar
 
 import (
+	"net/url"
 	"slices"
+	"strconv"
+	"strings"
 
 	"cornellanding.example/core/timer"
 )
 
 const (
-	// maxNotices bounds the remembered notices. A server and its successors rarely
+	// MaxNotices bounds the remembered notices. A server and its successors rarely
 	// leave more than one that still matters.
-	maxNotices = 4
+	MaxNotices = 4
 	// unboundTerm is how long a notice waits for a heartbeat that tells the start of its
 	// server. Leaving servers and their late heartbeats are gone by then, and a later
 	// start may use the ID again.
@@ -101,7 +104,7 @@
 			return
 		}
 	}
-	if len(re.notices) == maxNotices {
+	if len(re.notices) == MaxNotices {
 		re.notices = slices.Delete(re.notices, 0, 1)
 	}
 	re.notices = append(re.notices, no)
@@ -147,6 +150,34 @@
 	})
 }
 
+// HasID reports whether any of the runs has the ID.
+func HasID(runs []ServerRun, id string) bool {
+	return slices.ContainsFunc(runs, func(ru ServerRun) bool { return ru.ID == id })
+}
+
+// FormatRuns returns runs as one line of text: "id@startedAt" each, separated by spaces.
+func FormatRuns(runs []ServerRun) string {
+	var texts []string
+	for _, ru := range runs {
+		texts = append(texts, url.QueryEscape(ru.ID)+"@"+strconv.FormatInt(ru.StartedAt, 10))
+	}
+	return strings.Join(texts, " ")
+}
+
+// ParseRuns returns the runs in a text of FormatRuns. It leaves out what is malformed.
+func ParseRuns(text string) []ServerRun {
+	var runs []ServerRun
+	for _, field := range strings.Fields(text) {
+		escaped, start, _ := strings.Cut(field, "@")
+		id, idErr := url.QueryUnescape(escaped)
+		startedAt, startErr := strconv.ParseInt(start, 10, 64)
+		if idErr == nil && startErr == nil {
+			runs = append(runs, ServerRun{ID: id, StartedAt: startedAt})
+		}
+	}
+	return runs
+}
+
 // MergeRuns appends to former the runs of latest that it lacks, and keeps the last
 // ones that a Registrar remembers.
 func MergeRuns(former, latest []ServerRun) []ServerRun {
@@ -156,5 +187,5 @@
 			merged = append(merged, ru)
 		}
 	}
-	return merged[max(0, len(merged)-maxNotices):]
+	return merged[max(0, len(merged)-MaxNotices):]
 }
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -537,6 +537,7 @@
 	co.recordLimitsMap(now)
 	co.applyQuarantine(now)
 	co.followMaps()
+	co.recallLeaving(now)
 	co.pu.Publish(co.ds.view())
 	co.checkMembership()
 	co.nextRenewAt = now
--- a/instance/controller/era_test.go
+++ b/instance/controller/era_test.go
@@ -10,6 +10,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/port/tabler"
@@ -240,6 +241,51 @@
 	}
 }
 
+// TestLeavingOutlivesRestoredStore guards against requests to a server whose leaving was
+// acknowledged: the store comes back without the row that says so, and the instance that knew
+// of it is killed before it writes that again.
+func TestLeavingOutlivesRestoredStore(t *testing.T) {
+	is := is.New(t)
+	ft := &eraTable{fakeTable: newFakeTable(), era: 1}
+	former := newSidecar(t, 1)
+	former.self.Address = "10.0.0.1:7600"
+	former.tableStore.table = ft
+	former.joined()
+	former.ds.config = counterConfig(number(1, 1))
+	former.tableStore.externalConfig = func() cataloguer.Config { return former.ds.config }
+	former.beat(nil, nil)
+	older := ft.copy()
+	former.deregister("s1")
+	former.settleRow()
+	docs, isDone, err := former.tableStore.foldOnce(former.ctx, foldBasis{})
+	is.NoErr(err)
+	is.True(isDone)
+	ft.restore(older)
+	next := former.successor(2)
+	next.self.Address = former.self.Address
+	next.seq = 1
+	next.joined()
+	next.beat(nil, nil)
+	is.Equal(next.Controller.re.State(next.clk.Now()), registrar.Ready)
+	next.onDocuments(documentsFetched{documents: docs}, next.clk.Now()) // from a peer
+	is.Equal(next.Controller.re.State(next.clk.Now()), registrar.Draining)
+	is.True(next.pu.BackendServer().RefuseAt <= next.clk.Now())
+	next.settleRow()
+	// The next map says so of the new instance, too.
+	next.ds.config = counterConfig(number(1, 1))
+	next.tableStore.externalConfig = func() cataloguer.Config { return next.ds.config }
+	next.clk.Advance(10 * timer.Second)
+	docs, _, err = next.tableStore.foldOnce(next.ctx, next.foldBasis(next.clk.Now()))
+	is.NoErr(err)
+	for _, do := range docs {
+		if ma, err := do.toMap(); err == nil && ma.Service == "counter" {
+			me, _ := ma.ByIncarnation(2)
+			is.Equal(me.Leaving, "s1@1")
+			is.Equal(me.Weight, uint32(0))
+		}
+	}
+}
+
 // TestQuarantineIsStoredAgain guards against requests that crash servers and that a new
 // instance runs again, since the store came back without them.
 func TestQuarantineIsStoredAgain(t *testing.T) {
--- a/instance/controller/folds.go
+++ b/instance/controller/folds.go
@@ -9,6 +9,7 @@
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/placer"
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/peerproto"
@@ -69,13 +70,19 @@
 		}
 		me, ok := tb.Map.ByIncarnation(co.self.Incarnation)
 		if !ok || service != folder.LimitsService && me.Version != ir.Version || me.Weight != folder.PermittedWeight(service, ir, co.ds.config, co.ds.rollOuts) ||
-			me.Speed != folder.Speed(service, ir) {
+			me.Speed != folder.Speed(service, ir) || service != folder.LimitsService && !listsRuns(me, ir.Leaving) {
 			return false
 		}
 	}
 	return true
 }
 
+// listsRuns reports whether a member's entry in a map lists the leaving runs of a row.
+func listsRuns(me placer.Member, runs []registrar.ServerRun) bool {
+	listed := registrar.ParseRuns(me.Leaving)
+	return !slices.ContainsFunc(runs, func(ru registrar.ServerRun) bool { return !slices.Contains(listed, ru) })
+}
+
 // notifyNewMembers sends each member that the latest maps added a datagram with only
 // the hash of the documents, so that it fetches them: a new member knows no peer to
 // fetch from.
--- a/instance/controller/leaving.go
+++ b/instance/controller/leaving.go
@@ -97,6 +97,28 @@
 	co.heldHeartbeat = nil
 }
 
+// recallLeaving applies what the maps say of leaving runs of the backend server and this
+// instance doesn't know, since the row of a former instance was lost.
+func (co *Controller) recallLeaving(now timer.Instant) {
+	tb := co.ds.tables[co.self.Service]
+	if tb == nil || co.re == nil {
+		return
+	}
+	me, _ := tb.Map.Member(co.self.BackendServer)
+	known := co.leavingRuns()
+	if me.Leaving == "" || len(known) >= registrar.MaxNotices {
+		return
+	}
+	lost := registrar.ParseRuns(me.Leaving)
+	lost = slices.DeleteFunc(lost, func(ru registrar.ServerRun) bool { return slices.Contains(known, ru) })
+	// A notice of unknown start is dropped once it is bound to a run.
+	lost = slices.DeleteFunc(lost, func(ru registrar.ServerRun) bool { return ru.StartedAt == 0 && registrar.HasID(known, ru.ID) })
+	if len(lost) > 0 {
+		co.lo.Warn("leaving runs of the backend server recalled from the maps", "runs", registrar.FormatRuns(lost))
+		co.restoreLeaving(lost, now)
+	}
+}
+
 // restoreLeaving applies what the former instance recorded of leaving servers. A server
 // that it acknowledged gets no new requests from this instance at all.
 func (co *Controller) restoreLeaving(runs []registrar.ServerRun, now timer.Instant) {
--- a/wire/encoder/document.go
+++ b/wire/encoder/document.go
@@ -54,6 +54,7 @@
 	Weight        uint32 `json:"weight"`
 	Speed         uint32 `json:"speed,omitempty"`
 	Version       string `json:"version,omitempty"`
+	Leaving       string `json:"leaving,omitempty"`
 }
 
 type wireChange struct {
