Gatekeeper: one account of which request crashed which run of a server

Nothing that ran elsewhere could show the mistake, and the key was part of what a request is known by.

Change: a run of a server counts once for a request, also in reports of peers, which name the run and are sent twice. Bodies only move the bound of bytes. A success anywhere clears the request everywhere and in the stored list.

--- a/core/admitter/bytes.go
+++ b/core/admitter/bytes.go
@@ -97,15 +97,15 @@
 	}
 }
 
-// Crash records that the connection of a request broke as in a crash of the server. It reports
-// whether the request itself is suspect: no large bodies were running, or it was alone. The
+// Crash records that the connection of a request broke as in a crash of the server. The
 // bound is halved once the connections of at least half of the requests broke: a server that
-// is merely full resets single ones.
-func (bl *ByteLimit) Crash(bytes int64, now timer.Instant) bool {
+// is merely full resets single ones. Whether the request itself is suspect is left to
+// Quarantine: one that crashes servers may have a large body, or run beside others.
+func (bl *ByteLimit) Crash(bytes int64, now timer.Instant) {
 	defer bl.End(bytes)
 	isFurther := bl.broken > 0 && now.Sub(bl.brokenAt) < crashSpan
 	if !isFurther && bl.running == 0 {
-		return true
+		return
 	}
 	if !isFurther {
 		bl.broken, bl.brokenAt, bl.brokenRuns, bl.brokenBytes = 0, now, bl.runs, bl.running
@@ -115,5 +115,4 @@
 		bl.crashedBytes = float64(bl.brokenBytes)
 		bl.bound = max(minByteBound, min(bl.bound, bl.crashedBytes)/2)
 	}
-	return !isFurther && bl.brokenRuns == 1
 }
--- a/instance/controller/calls.go
+++ b/instance/controller/calls.go
@@ -20,9 +20,9 @@
 
 // ReportSuspect sends all instances the fingerprint of a request that was running
 // when the backend server crashed. It is dropped if the event queue is full.
-func (co *Controller) ReportSuspect(fingerprint uint64) {
+func (co *Controller) ReportSuspect(fingerprint uint64, run uint32) {
 	select {
-	case co.events <- suspectReported{fingerprint: fingerprint}:
+	case co.events <- suspectReported{fingerprint: fingerprint, run: run}:
 	default:
 	}
 }
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -97,7 +97,8 @@
 	tableStore     tableStore
 	peers          Peers
 	buckets        Buckets
-	suspectHandler func(fingerprint uint64)
+	suspectHandler func(fingerprint uint64, run uint32)
+	clearedHandler func(fingerprint uint64)
 	// quarantineHandler is as in WithQuarantineHandler.
 	quarantineHandler func(suspects []admitter.Suspect)
 	sender            Sender
@@ -237,8 +238,8 @@
 		isSyncing: map[uint64]bool{}, avoidUntil: map[uint64]timer.Instant{},
 		takeovers: map[uint64]bool{}, nextTakeover: map[uint64]timer.Instant{}, lo: hclog.NewNullLogger(),
 		share:          pacer.NewShare(),
-		suspectHandler: func(uint64) {}, quarantineHandler: func([]admitter.Suspect) {},
-		quarantine: quarantine{unstored: map[uint64]admitter.Suspect{}},
+		suspectHandler: func(uint64, uint32) {}, clearedHandler: func(uint64) {}, quarantineHandler: func([]admitter.Suspect) {},
+		quarantine: quarantine{unstored: map[uint64]admitter.Suspect{}, cleared: map[uint64]bool{}, clearAt: map[uint64]timer.Instant{}},
 	}
 	for _, opt := range opts {
 		opt(co)
@@ -415,7 +416,9 @@
 	case stopStepDone:
 		co.onStopStepDone(ev)
 	case suspectReported:
-		co.broadcastSuspect(ev.fingerprint, now)
+		co.reportSuspect(ev, now)
+	case suspectCleared:
+		co.scheduleClear(ev.fingerprint, now)
 	case requestQuarantined:
 		co.onRequestQuarantined(ev, now)
 	case quarantineWritten:
@@ -457,6 +460,7 @@
 	co.requestReleases(now)
 	co.issueOrders(now)
 	co.foldIfNeeded(now)
+	co.sendReports(now)
 	co.writeQuarantine(now)
 	co.advanceRollOuts(now)
 	co.advanceStop()
--- a/instance/controller/events.go
+++ b/instance/controller/events.go
@@ -163,8 +163,13 @@
 // backend server crashed.
 type suspectReported struct {
 	fingerprint uint64
+	run         uint32
 }
 
+// suspectCleared carries the fingerprint of a request that was answered after it had been
+// running in crashes.
+type suspectCleared struct{ fingerprint uint64 }
+
 // requestQuarantined carries a request that crashed this instance's backend server and is
 // quarantined.
 type requestQuarantined struct {
@@ -174,6 +179,7 @@
 // quarantineWritten ends a write of the stored quarantine.
 type quarantineWritten struct {
 	added    []admitter.Suspect
+	removed  []uint64
 	document Document
 	err      error
 }
@@ -234,6 +240,7 @@
 func (stopRequested) isEvent()      {}
 func (stopStepDone) isEvent()       {}
 func (suspectReported) isEvent()    {}
+func (suspectCleared) isEvent()     {}
 func (requestQuarantined) isEvent() {}
 func (quarantineWritten) isEvent()  {}
 func (statusRequested) isEvent()    {}
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -82,7 +82,10 @@
 		co.pollUntil = now.Add(delegatedPollSpan)
 	}
 	if da.GetSuspect() != 0 {
-		co.suspectHandler(da.GetSuspect())
+		co.suspectHandler(da.GetSuspect(), da.GetSuspectRun())
+	}
+	if da.GetCleared() != 0 {
+		co.onCleared(da.GetCleared())
 	}
 	if da.GetAckSentAt() != 0 {
 		co.ho.Acknowledge(leaser.Ack{
@@ -110,12 +113,11 @@
 	}
 }
 
-// broadcastSuspect sends a suspect request's fingerprint to every instance. Crashes
-// are rare, and any instance may receive the next copy of the request.
-func (co *Controller) broadcastSuspect(fingerprint uint64, now timer.Instant) {
+// broadcast sends a datagram to every other instance.
+func (co *Controller) broadcast(da *peerproto.Datagram, now timer.Instant) {
 	for _, me := range co.ds.members() {
 		if me.Incarnation != co.self.Incarnation {
-			co.send(me, &peerproto.Datagram{Suspect: fingerprint}, now)
+			co.send(me, &peerproto.Datagram{Suspect: da.GetSuspect(), SuspectRun: da.GetSuspectRun(), Cleared: da.GetCleared()}, now)
 		}
 	}
 }
--- a/instance/controller/options.go
+++ b/instance/controller/options.go
@@ -123,12 +123,19 @@
 func WithLeaseTerm(term timer.Span) Option { return func(co *Controller) { co.leaseTerm = term } }
 
 // WithSuspectHandler sets the function that is called, in the event loop, with the
-// fingerprint of each request that was running when the backend server of another
+// fingerprint of each request that was running when a run of the backend server of another
 // instance crashed.
-func WithSuspectHandler(suspectHandler func(fingerprint uint64)) Option {
+func WithSuspectHandler(suspectHandler func(fingerprint uint64, run uint32)) Option {
 	return func(co *Controller) { co.suspectHandler = suspectHandler }
 }
 
+// WithClearedHandler sets the function that is called, in the event loop, with the
+// fingerprint of each request that was answered at another instance after it had been running
+// in crashes.
+func WithClearedHandler(clearedHandler func(fingerprint uint64)) Option {
+	return func(co *Controller) { co.clearedHandler = clearedHandler }
+}
+
 // WithQuarantineHandler sets the function that is called, in the event loop, with the
 // requests that are to be refused since they crash backend servers.
 func WithQuarantineHandler(quarantineHandler func(suspects []admitter.Suspect)) Option {
--- a/instance/controller/quarantine.go
+++ b/instance/controller/quarantine.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"cornellanding.example/core/admitter"
@@ -13,6 +15,7 @@
 	"cornellanding.example/core/timer"
 	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/encoder"
+	"cornellanding.example/wire/peerproto"
 )
 
 const (
@@ -25,6 +28,12 @@
 	// that write it at the same time.
 	quarantineAttempts = 10
 	quarantineJitter   = 30 * time.Millisecond
+	// reportInterval separates the two copies of a report to peers, and maxRepeats bounds
+	// the reports that wait.
+	reportInterval = 300 * timer.Millisecond
+	maxRepeats     = 1024
+	// clearSpreadPerMember is the range per member of the delay of a report of a success.
+	clearSpreadPerMember = 2 * timer.Millisecond
 )
 
 // quarantine is what the event loop knows of the requests that crash backend servers.
@@ -36,6 +45,12 @@
 	// seenAt is when each request in the stored quarantine was first seen there.
 	seenAt  map[uint64]timer.Instant
 	writeAt timer.Instant
+	// repeats are reports of crashes that are sent once more, since datagrams may be lost.
+	repeats []crashReport
+	// clearAt holds when the success of a request is reported, unless a peer does so before,
+	// and cleared the requests that are to be removed from the stored quarantine.
+	clearAt map[uint64]timer.Instant
+	cleared map[uint64]bool
 	// isWriting is set while a write is under way.
 	isWriting bool
 	// isRead is set once the stored quarantine has been read, which a join waits for:
@@ -52,8 +67,79 @@
 	}
 }
 
+// crashReport is a report to peers, to be sent at an instant.
+type crashReport struct {
+	suspectReported
+	at timer.Instant
+}
+
+// ReportCleared reports that a request was answered after it had been running in crashes. It
+// is dropped if the event queue is full.
+func (co *Controller) ReportCleared(fingerprint uint64) {
+	select {
+	case co.events <- suspectCleared{fingerprint: fingerprint}:
+	default:
+	}
+}
+
+// reportSuspect reports a crash to all instances, any of which may receive the next copy of
+// the request.
+func (co *Controller) reportSuspect(ev suspectReported, now timer.Instant) {
+	delete(co.quarantine.clearAt, ev.fingerprint)
+	co.broadcast(&peerproto.Datagram{Suspect: ev.fingerprint, SuspectRun: ev.run}, now)
+	if len(co.quarantine.repeats) < maxRepeats {
+		co.quarantine.repeats = append(co.quarantine.repeats, crashReport{suspectReported: ev, at: now.Add(reportInterval)})
+	}
+}
+
+// scheduleClear schedules the report of a success to all instances. What many callers read
+// succeeds at many of them at once, and one report suffices.
+func (co *Controller) scheduleClear(fingerprint uint64, now timer.Instant) {
+	if _, ok := co.quarantine.clearAt[fingerprint]; ok || len(co.quarantine.clearAt) >= maxRepeats {
+		return
+	}
+	spread := clearSpreadPerMember * timer.Span(1+len(co.ds.members()))
+	co.quarantine.clearAt[fingerprint] = now.Add(timer.Span(rand.Int64N(int64(spread))))
+	co.nextTickAt = min(co.nextTickAt, co.quarantine.clearAt[fingerprint])
+}
+
+// sendReports sends the reports that are due.
+func (co *Controller) sendReports(now timer.Instant) {
+	qu := &co.quarantine
+	for len(qu.repeats) > 0 && !now.Before(qu.repeats[0].at) {
+		co.broadcast(&peerproto.Datagram{Suspect: qu.repeats[0].fingerprint, SuspectRun: qu.repeats[0].run}, now)
+		qu.repeats = qu.repeats[1:]
+	}
+	for fingerprint, at := range qu.clearAt {
+		if now.Before(at) {
+			continue
+		}
+		delete(qu.clearAt, fingerprint)
+		delete(qu.unstored, fingerprint)
+		qu.repeats = slices.DeleteFunc(qu.repeats, func(cr crashReport) bool { return cr.fingerprint == fingerprint })
+		co.broadcast(&peerproto.Datagram{Cleared: fingerprint}, now)
+		co.lo.Info("request cleared: answered after it had been running in crashes", "fingerprint", strconv.FormatUint(fingerprint, 16))
+		if co.isStoredSuspect(fingerprint) {
+			qu.cleared[fingerprint] = true
+		}
+	}
+}
+
+// onCleared handles a peer's report of a success.
+func (co *Controller) onCleared(fingerprint uint64) {
+	delete(co.quarantine.clearAt, fingerprint)
+	delete(co.quarantine.unstored, fingerprint)
+	co.clearedHandler(fingerprint)
+}
+
+func (co *Controller) isStoredSuspect(fingerprint uint64) bool {
+	isSame := func(su admitter.Suspect) bool { return su.Fingerprint == fingerprint }
+	return slices.ContainsFunc(co.ds.quarantine, isSame) || co.quarantine.isWriting
+}
+
 func (co *Controller) onRequestQuarantined(ev requestQuarantined, now timer.Instant) {
 	co.quarantine.unstored[ev.suspect.Fingerprint] = ev.suspect
+	delete(co.quarantine.cleared, ev.suspect.Fingerprint)
 	co.writeQuarantine(now)
 }
 
@@ -103,6 +189,7 @@
 	if len(expired) > 0 && !(co.isJoined && co.isPoller()) {
 		expired = nil
 	}
+	expired = slices.AppendSeq(expired, maps.Keys(qu.cleared))
 	if len(qu.unstored) == 0 && len(expired) == 0 {
 		return
 	}
@@ -113,7 +200,7 @@
 	qu.isWriting, qu.writeAt = true, now.Add(quarantineBackoff)
 	co.spawn(func(ctx context.Context) event {
 		do, err := co.tableStore.updateQuarantine(ctx, added, expired)
-		return quarantineWritten{added: added, document: do, err: err}
+		return quarantineWritten{added: added, removed: expired, document: do, err: err}
 	})
 }
 
@@ -128,6 +215,9 @@
 			delete(co.quarantine.unstored, su.Fingerprint)
 		}
 	}
+	for _, fingerprint := range ev.removed {
+		delete(co.quarantine.cleared, fingerprint)
+	}
 	co.lo.Info("quarantine written", "added", len(ev.added), "version", sequencer.Format(ev.document.Version))
 	co.onDocuments(documentsFetched{documents: []Document{ev.document}}, now)
 }
--- a/instance/controller/quarantine_test.go
+++ b/instance/controller/quarantine_test.go
@@ -5,6 +5,8 @@
 
 	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/folder"
+	"cornellanding.example/core/placer"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/port/tabler"
 	"github.com/matryer/is"
@@ -99,3 +101,54 @@
 	sc.handle(<-sc.events)
 	is.Equal(sc.ds.quarantine, []admitter.Suspect{crasher})
 }
+
+// TestClearedRequestIsRemoved guards against a request that new instances refuse although it was
+// answered after it had been quarantined, and against one report of that for each instance.
+func TestClearedRequestIsRemoved(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 1).joined()
+	limits := placer.NewMap(folder.LimitsService, 8).NextVersion(0)
+	for incarnation, address := range map[uint64]string{1: "10.0.0.1:7600", 2: "10.0.0.2:7600", 3: "10.0.0.3:7600"} {
+		limits = limits.WithMember(placer.Member{BackendServer: name(incarnation), Incarnation: incarnation, Address: address, Weight: placer.FullWeight})
+	}
+	sc.apply(t, limits)
+	sc.handle(requestQuarantined{suspect: crasher})
+	sc.handle(<-sc.events)
+	is.Equal(len(sc.ds.quarantine), 1)
+	reports := func() (suspects, cleared int) {
+		for _, sent := range sc.re.sent {
+			for _, da := range sent {
+				if da.GetSuspect() != 0 {
+					suspects++
+				}
+				if da.GetCleared() != 0 {
+					cleared++
+				}
+			}
+		}
+		return suspects, cleared
+	}
+	sc.handle(suspectReported{fingerprint: crasher.Fingerprint, run: 5})
+	sc.clk.Advance(reportInterval)
+	sc.sendReports(sc.clk.Now())
+	suspects, _ := reports()
+	is.Equal(suspects, 4) // twice to both peers
+	sc.handle(suspectCleared{fingerprint: crasher.Fingerprint})
+	sc.clk.Advance(timer.Second)
+	sc.sendReports(sc.clk.Now())
+	sc.storeQuarantine()
+	_, cleared := reports()
+	is.Equal(cleared, 2)
+	is.Equal(len(sc.ds.quarantine), 0)
+
+	// A peer has reported it.
+	var known []uint64
+	sc.clearedHandler = func(fingerprint uint64) { known = append(known, fingerprint) }
+	sc.scheduleClear(7, sc.clk.Now())
+	sc.onCleared(7)
+	sc.clk.Advance(timer.Second)
+	sc.sendReports(sc.clk.Now())
+	_, cleared = reports()
+	is.Equal(cleared, 2)
+	is.Equal(known, []uint64{7})
+}
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -267,7 +267,7 @@
 }
 
 func (co *Controller) describeServer(hb registrar.Heartbeat, heardAt timer.Instant, state registrar.State) publisher.BackendServer {
-	bs := publisher.BackendServer{ID: hb.ID, Version: hb.Version, Since: co.serverSince, Slots: hb.Slots, LastHeartbeatAt: heardAt}
+	bs := publisher.BackendServer{ID: hb.ID, StartedAt: hb.StartedAt, Version: hb.Version, Since: co.serverSince, Slots: hb.Slots, LastHeartbeatAt: heardAt}
 	if hb.ColdRemaining > 0 {
 		bs.ColdUntil = heardAt.Add(hb.ColdRemaining)
 	}
--- a/instance/gatekeeper/bodies.go
+++ b/instance/gatekeeper/bodies.go
@@ -6,8 +6,7 @@
 )
 
 // WithServerMemory bounds the bytes of the requests that the backend server holds by what it
-// has sustained, and keeps crashes by too many of them out of the quarantine. By default,
-// there is no bound.
+// has sustained. By default, there is no bound.
 func WithServerMemory() Option {
 	return func(ga *Gatekeeper) { ga.bodies = admitter.NewByteLimit() }
 }
@@ -53,24 +52,18 @@
 	}
 }
 
-// endBody records the end of a run. It reports whether the request is suspect if the server
-// crashed. The answer to one that isn't says only that it was lost, so that other gates don't
-// count the crash either. The lock must be held.
-func (ga *Gatekeeper) endBody(jo *job, answer *peerproto.ForwardResponse, result result) bool {
+// endBody records the end of a run. The lock must be held.
+func (ga *Gatekeeper) endBody(jo *job, result result) {
 	if ga.bodies == nil {
-		return true
+		return
 	}
 	size := jo.body.Len()
 	switch result {
 	case resultAnswered:
 		ga.bodies.Succeed(size)
 	case resultCrashed:
-		if !ga.bodies.Crash(size, ga.pu.Now()) {
-			answer.Code = CodeLost
-			return false
-		}
+		ga.bodies.Crash(size, ga.pu.Now())
 	default:
 		ga.bodies.End(size)
 	}
-	return true
 }
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -85,13 +86,23 @@
 	return func(ga *Gatekeeper) { ga.sampleEvery = uint64(every) }
 }
 
+// jitterSteps is the number of steps by which trials at different instances are spread.
+const jitterSteps = 1000
+
 // WithCrashNotifier sets the function that tells the other instances the
 // fingerprint of a request that was running when a backend server crashed. It is
 // called with the Gatekeeper's lock held, so it must not call the Gatekeeper.
-func WithCrashNotifier(notifyCrash func(fingerprint uint64)) Option {
+func WithCrashNotifier(notifyCrash func(fingerprint uint64, run uint32)) Option {
 	return func(ga *Gatekeeper) { ga.notifyCrash = notifyCrash }
 }
 
+// WithSuccessNotifier sets the function called when a request was answered that had been
+// running in crashes, so that other instances may run it again. It is called with the
+// Gatekeeper's lock held.
+func WithSuccessNotifier(notifyCleared func(fingerprint uint64)) Option {
+	return func(ga *Gatekeeper) { ga.notifyCleared = notifyCleared }
+}
+
 // WithQuarantineNotifier sets the function called when a request that crashed the backend
 // server is quarantined, and at each later crash of it. It is called with the Gatekeeper's
 // lock held, so it must not call the Gatekeeper.
@@ -131,7 +142,8 @@
 	bs                *backend
 	lo                hclog.Logger
 	sampleEvery       uint64
-	notifyCrash       func(fingerprint uint64)
+	notifyCrash       func(fingerprint uint64, run uint32)
+	notifyCleared     func(fingerprint uint64)
 	notifyQuarantine  func(su admitter.Suspect)
 	connectionRefused func(attemptedAt timer.Instant)
 	serverLeaving     func(id string)
@@ -189,12 +201,13 @@
 	ga := &Gatekeeper{
 		pu: pu, bs: newBackend(address, pu.Now), lo: hclog.NewNullLogger(),
 		dd: admitter.NewDeduper(), qu: admitter.NewQuarantine(), waiting: map[admitter.Ticket]chan turn{}, calls: newCalls(), coldChecks: make(chan struct{}),
-		notifyCrash: func(uint64) {}, notifyQuarantine: func(admitter.Suspect) {}, connectionRefused: func(timer.Instant) {}, serverLeaving: func(string) {}, observe: func(string, string, timer.Span) {},
+		notifyCrash: func(uint64, uint32) {}, notifyCleared: func(uint64) {}, notifyQuarantine: func(admitter.Suspect) {}, connectionRefused: func(timer.Instant) {}, serverLeaving: func(string) {}, observe: func(string, string, timer.Span) {},
 	}
 	for _, opt := range opts {
 		opt(ga)
 	}
 	ga.bs.observe = ga.observeCondition
+	ga.qu.SetJitter(float64(xxhash.Sum64String(pu.Self().BackendServer)%jitterSteps) / jitterSteps)
 	return ga, nil
 }
 
@@ -344,7 +357,8 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(rq.GetRemaining()))
 	defer cancel()
 	body := Body(ctx, rq)
-	jo := &job{rq: rq, body: body, sv: sv, deadlineAt: ga.pu.Now().Add(timer.Span(rq.GetRemaining())), fingerprint: fingerprintWith(rq, body)}
+	jo := &job{rq: rq, body: body, sv: sv, deadlineAt: ga.pu.Now().Add(timer.Span(rq.GetRemaining()))}
+	jo.fingerprint, jo.suspect = fingerprintsOf(rq, body)
 	if jo.partition, refusal = ga.partitionOf(sv, rq.GetKey()); refusal != nil {
 		return refusal
 	}
@@ -383,6 +397,8 @@
 	partition   uint32
 	deadlineAt  timer.Instant
 	fingerprint uint64
+	// suspect is the fingerprint by which it is known if it crashes backend servers.
+	suspect uint64
 	// onLink is its share of the VM's link.
 	onLink shaper.Reservation
 	// isInBodies means that its body counts among those that the server may get.
@@ -414,22 +430,39 @@
 	return body, ok
 }
 
-// fingerprint hashes the route, method, path and query, key and body of a request. A
-// copy under another request ID has the same fingerprint.
-func fingerprint(rq *peerproto.ForwardRequest) uint64 {
-	return fingerprintWith(rq, assembler.New(rq.GetBody()))
+// isRefusedAsCrashing reports whether the request is refused since it crashed backend servers
+// before. The lock must be held.
+func (ga *Gatekeeper) isRefusedAsCrashing(jo *job) bool {
+	former, now := int(jo.rq.GetCrashes()), ga.pu.Now()
+	if !ga.qu.IsQuarantined(jo.suspect, former, now) {
+		return false
+	}
+	if !ga.qu.Try(jo.suspect, former, now) {
+		return true
+	}
+	ga.lo.Info("request that was running in crashes of backend servers is tried again", "requestId", jo.rq.GetRequestId(),
+		"fingerprint", strconv.FormatUint(jo.suspect, 16), "crashes", ga.qu.Crashes(jo.suspect, now))
+	return false
 }
 
-// fingerprintWith is fingerprint for a request with its body elsewhere.
-func fingerprintWith(rq *peerproto.ForwardRequest, body *assembler.Body) uint64 {
+// fingerprintsOf hashes the route, method, path and query, key and body of a request. A
+// copy under another request ID has the same fingerprint. The second result is by what the
+// request is known if it crashes backend servers: it has the same path, caller and body then,
+// while the key may differ.
+func fingerprintsOf(rq *peerproto.ForwardRequest, body *assembler.Body) (fingerprint, suspect uint64) {
 	di := xxhash.New()
-	for _, part := range []string{rq.GetRoute(), rq.GetMethod(), rq.GetPathAndQuery(), rq.GetKey()} {
-		// A digest's Write never fails.
-		_, _ = di.WriteString(part)
-		_, _ = di.Write([]byte{0})
-	}
+	// A digest's Write never fails.
 	_, _ = io.Copy(di, body.NewReader())
-	return di.Sum64()
+	write := func(parts ...string) {
+		for _, part := range parts {
+			_, _ = di.WriteString(part)
+			_, _ = di.Write([]byte{0})
+		}
+	}
+	write("", rq.GetHost(), rq.GetMethod(), rq.GetPathAndQuery(), rq.GetWorkspace())
+	suspect = di.Sum64()
+	write(rq.GetRoute(), rq.GetKey())
+	return di.Sum64(), suspect
 }
 
 // admit waits for a slot and then runs the request.
@@ -471,7 +504,7 @@
 		ga.mu.Unlock()
 		return refusal
 	}
-	if ga.qu.IsQuarantined(jo.fingerprint, int(jo.rq.GetCrashes()), ga.pu.Now()) {
+	if ga.isRefusedAsCrashing(jo) {
 		ga.mu.Unlock()
 		return refuse(admitter.CodeQuarantined, "this request crashed backend servers before")
 	}
@@ -667,46 +700,78 @@
 // any other failure to be served if the server does not announce its state.
 func (ga *Gatekeeper) run(ctx context.Context, jo *job, epoch uint64) (*peerproto.ForwardResponse, bool) {
 	ga.mu.Lock()
-	ga.qu.Start(jo.fingerprint)
+	ga.qu.Start(jo.suspect)
 	ga.countRepeats(jo.rq, 1)
 	ga.startBody(jo)
 	ga.mu.Unlock()
-	serverID := ""
+	serverID, serverRun := "", uint32(0)
 	if bs := ga.pu.BackendServer(); bs != nil {
-		serverID = bs.ID
+		serverID, serverRun = bs.ID, ga.runOf(*bs)
 	}
 	answer, result := ga.bs.run(ctx, jo, epoch, serverID)
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.countRepeats(jo.rq, -1)
-	isSuspect := ga.endBody(jo, answer, result)
+	ga.endBody(jo, result)
 	ga.finishVersion(ctx, jo, answer, result)
-	switch {
-	case result == resultAnswered:
-		ga.qu.Succeed(jo.fingerprint)
-	case result == resultCrashed && isSuspect:
-		ga.qu.Crash(jo.fingerprint, ga.pu.Now())
-		ga.notifyCrash(jo.fingerprint)
-		ga.notifyIfQuarantined(jo.fingerprint)
-	default:
-		ga.qu.Cancel(jo.fingerprint)
-	}
+	ga.observeCrash(jo, serverRun, result)
 	if result == resultRefused {
+		ga.qu.EndRun()
 		ga.connectionRefused(jo.startedAt)
 	}
 	isAnnounced := ga.pu.BackendServer() != nil
 	return answer, result == resultCrashed || result == resultRefused || result == resultShed && !isAnnounced
 }
 
+// runOf identifies a run of the backend server, to other instances too. It is not 0.
+func (ga *Gatekeeper) runOf(bs publisher.BackendServer) uint32 {
+	di := xxhash.New()
+	// A digest's Write never fails.
+	_, _ = fmt.Fprintf(di, "%s\x00%s\x00%d", ga.pu.Self().BackendServer, bs.ID, bs.StartedAt)
+	return max(1, uint32(di.Sum64()))
+}
+
+// observeCrash records in the quarantine how a request ended that was sent to a run of the
+// backend server. The lock must be held.
+func (ga *Gatekeeper) observeCrash(jo *job, serverRun uint32, result result) {
+	now := ga.pu.Now()
+	switch result {
+	case resultAnswered:
+		if ga.qu.Succeed(jo.suspect, now) {
+			ga.notifyCleared(jo.suspect)
+		}
+	case resultCrashed:
+		if !ga.qu.Crash(jo.suspect, serverRun, jo.startedAt, now) {
+			return
+		}
+		ga.notifyCrash(jo.suspect, serverRun)
+		if su, ok := ga.qu.LocalSuspect(jo.suspect, now); ok {
+			ga.lo.Warn("request was running in several crashes of backend servers", "requestId", jo.rq.GetRequestId(),
+				"fingerprint", strconv.FormatUint(su.Fingerprint, 16), "crashes", su.Crashes)
+			ga.notifyQuarantine(su)
+		}
+	default:
+		ga.qu.Cancel(jo.suspect)
+	}
+}
+
 // RecordCrash records a peer's report that the request with the fingerprint was
-// running when a backend server crashed.
-func (ga *Gatekeeper) RecordCrash(fingerprint uint64) {
+// running when a run of a backend server crashed.
+func (ga *Gatekeeper) RecordCrash(fingerprint uint64, run uint32) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.qu.RecordCrashes(fingerprint, 1, ga.pu.Now())
+	ga.qu.RecordCrash(fingerprint, run, ga.pu.Now())
 	ga.notifyIfQuarantined(fingerprint)
 }
 
+// RecordSuccess records a peer's report that the request with the fingerprint, which had been
+// running in crashes, was answered.
+func (ga *Gatekeeper) RecordSuccess(fingerprint uint64) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.qu.Clear(fingerprint, ga.pu.Now())
+}
+
 // LearnSuspects records requests that are quarantined already.
 func (ga *Gatekeeper) LearnSuspects(suspects []admitter.Suspect) {
 	ga.mu.Lock()
--- a/instance/publisher/publisher.go
+++ b/instance/publisher/publisher.go
@@ -92,6 +92,8 @@
 	// ID identifies the server's current start. It is "" before the first
 	// heartbeat.
 	ID string
+	// StartedAt tells runs of one ID apart, see registrar.Heartbeat.
+	StartedAt int64
 	// Version is the version of the server's program, and Since when its current start was
 	// first heard of.
 	Version string
--- a/instance/router/router.go
+++ b/instance/router/router.go
@@ -421,7 +421,8 @@
 	var err error
 	gateOptions := []gatekeeper.Option{
 		gatekeeper.WithLogger(ro.lo), gatekeeper.WithLogSampling(ro.se.Log.SampleEvery),
-		gatekeeper.WithCrashNotifier(func(fingerprint uint64) { in.co.ReportSuspect(fingerprint) }),
+		gatekeeper.WithCrashNotifier(func(fingerprint uint64, run uint32) { in.co.ReportSuspect(fingerprint, run) }),
+		gatekeeper.WithSuccessNotifier(func(fingerprint uint64) { in.co.ReportCleared(fingerprint) }),
 		gatekeeper.WithQuarantineNotifier(func(su admitter.Suspect) { in.co.ReportQuarantined(su) }),
 		gatekeeper.WithObserver(ro.meter.ObserveAdmission),
 		gatekeeper.WithRefusedConnection(func(attemptedAt timer.Instant) { in.co.ReportConnectionRefused(attemptedAt) }),
@@ -464,7 +465,7 @@
 		controller.WithTable(ro.table), controller.WithObjects(ro.objects), controller.WithPeers(ro.pe),
 		controller.WithBuckets(in.gr), controller.WithSender(&reachSender{ro: ro}), controller.WithPublisher(in.pu), controller.WithLogger(ro.lo),
 		controller.WithLeaseTerm(ro.se.LeaseTerm), controller.WithFreshness(ro.se.FreshnessLimit), controller.WithPredecessor(former), controller.WithSuspectHandler(in.ga.RecordCrash),
-		controller.WithQuarantineHandler(in.ga.LearnSuspects),
+		controller.WithQuarantineHandler(in.ga.LearnSuspects), controller.WithClearedHandler(in.ga.RecordSuccess),
 	)...)
 	if err != nil {
 		return nil, err
