Logs: leaseLeft is none before the first lease

Cause: a lease that was never granted has the deadline 0, so that leaseLeft showed the time since the machine's start, -7m3s in the users' record, as if a lease had ended then.

Change: timer.Left, at all three places that log it.

--- a/bench/soaker/configuration_test.go
+++ b/bench/soaker/configuration_test.go
@@ -58,6 +58,12 @@
 }
 
 func startTestFleet(t *testing.T, vms int) *fleet {
+	t.Helper()
+	return startTestFleetIn(t, vms, false)
+}
+
+// startTestFleetIn starts a fleet with a store that names its era if it is to come back from a copy.
+func startTestFleetIn(t *testing.T, vms int, restores bool) *fleet {
 	t.Helper()
 	is := is.New(t)
 	program := filepath.Join(t.TempDir(), "cornellanding")
@@ -66,7 +72,7 @@
 		t.Fatalf("build: %v: %s", err, out)
 	}
 	check := &verifier{}
-	fl, err := startFleet(context.Background(), Settings{Program: program, Folder: t.TempDir(), Seed: 1, VMs: vms}, check)
+	fl, err := startFleet(context.Background(), Settings{Program: program, Folder: t.TempDir(), Seed: 1, VMs: vms, Restores: restores}, check)
 	t.Cleanup(func() {
 		fl.close()
 		is.Equal(check.list(), nil)
--- a/core/timer/timer.go
+++ b/core/timer/timer.go
@@ -62,3 +62,12 @@
 
 // Advance moves the clock forward by sp.
 func (ma *Manual) Advance(sp Span) { ma.now = ma.now.Add(sp) }
+
+// Left returns for logs how long a deadline is away at now, negative once it has passed. It
+// returns "none" for a deadline that was never set, which is 0.
+func Left(deadline, now Instant) string {
+	if deadline == 0 {
+		return "none"
+	}
+	return deadline.Sub(now).Duration().String()
+}
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -230,7 +230,7 @@
 	co.isWritingRow = true
 	co.watchersSetAt = now
 	co.lo.Info("replacing watchers", "from", watcherNames(co.ho.Committed().Watchers), "to", watcherNames(chosen),
-		"leaseLeft", co.ho.Deadline().Sub(now).Duration().String())
+		"leaseLeft", timer.Left(co.ho.Deadline(), now))
 	row := leaser.Row{Incarnation: co.self.Incarnation, Version: co.ho.Committed().Version, Watchers: chosen}
 	co.ho.Prepare(row)
 	co.prepared, co.proposeAt = &row, now.Add(prepareTimeout)
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -218,7 +218,7 @@
 		co.pu.SetHeldUntil(ow.service, pt, now.Add(answer.HoldTerm-holdMargin))
 	}
 	if len(granted) < len(wanted) {
-		co.lo.Warn("heartbeat reply grants only part of the partitions", "wanted", len(wanted), "granted", len(granted), "leaseLeft", co.ho.Deadline().Sub(now).Duration().String())
+		co.lo.Warn("heartbeat reply grants only part of the partitions", "wanted", len(wanted), "granted", len(granted), "leaseLeft", timer.Left(co.ho.Deadline(), now))
 	}
 	reply <- answer
 }
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -297,7 +297,7 @@
 		"status", answer.GetStatus(), "attempt", rq.GetAttempt(), "repeatShare", rq.GetRepeatShare(), "key", rq.GetKey(),
 		"entryConfig", sequencer.Format(rq.GetConfigVersion()), "config", sequencer.Format(ga.pu.View().Config.Version),
 		"running", answer.GetRunning(), "waiting", answer.GetWaiting(),
-		"leaseLeft", ga.pu.LeaseUntil().Sub(ga.pu.Now()).Duration().String(), "took", took.Duration().String())
+		"leaseLeft", timer.Left(ga.pu.LeaseUntil(), ga.pu.Now()), "took", took.Duration().String())
 }
 
 // OutcomeName returns the name of an outcome as used in refusals and logs.
