Router: refuse answers of peers that have no length

Cause: such an answer is read up to 12 MiB into a buffer that grows, so that the heap exceeded the bound of TestEndlessPeer now and then (body without length, large chunks).

Change: instances always send the length, so that an answer without one is not theirs and is refused unread.

--- a/instance/router/peers.go
+++ b/instance/router/peers.go
@@ -52,8 +52,13 @@
 // errUnreachable is the error of calls that a simulated network partition blocks.
 var errUnreachable = errors.New("router: address is cut off by a simulated network partition")
 
+// errNoLength is the error of an answer of unknown length. Instances always send the length, so
+// that the answer is not theirs, and could only be read into a buffer that grows.
+var errNoLength = errors.New("router: answer of a peer has no length")
+
 // reachTransport fails calls to unreachable addresses before they are sent, and
-// drops the answers of addresses that have become unreachable meanwhile.
+// drops the answers of addresses that have become unreachable meanwhile, and those that no
+// instance sends.
 type reachTransport struct {
 	base        http.RoundTripper
 	isReachable func(address string) bool
@@ -65,11 +70,17 @@
 		return nil, errUnreachable
 	}
 	answer, err := rt.base.RoundTrip(re)
-	if err == nil && !rt.isReachable(re.URL.Host) {
+	switch {
+	case err != nil:
+		return nil, err
+	case !rt.isReachable(re.URL.Host):
 		answer.Body.Close()
 		return nil, errUnreachable
+	case answer.ContentLength < 0:
+		answer.Body.Close()
+		return nil, errNoLength
 	}
-	return answer, err
+	return answer, nil
 }
 
 // newPeers returns a client whose bulk messages wait for their turn on the link. Control
