Registrar: a notice of leaving is also that of a run that had started before it

Cause: a deregistration names an ID only.

Change: the notice keeps its time of day. A later run that had started by then counts as leaving, however late it is heard.

--- a/core/registrar/leaving.go
+++ b/core/registrar/leaving.go
@@ -34,6 +34,10 @@
 	// laterRunsUntil is until when a later run with the ID that is first heard counts as the
 	// one that gave the notice, 0 if none does.
 	laterRunsUntil timer.Instant
+	// givenAt is when the notice was given, as StartedAt of a run, and 0 if that is not known.
+	// A later run that had started by then may be the one that gave it, however late it is
+	// heard.
+	givenAt int64
 }
 
 // isOpen reports whether the run that gave the notice is not known yet at now.
@@ -49,8 +53,10 @@
 // the notice may be that of a later run whose heartbeats are late: it stays open for the
 // next heartbeat with the ID, and until then whatever serves under that ID is leaving. A
 // server serves on for at least DrainServeSpan after its first notice, so that another run
-// that is heard within that time was running when the notice was given.
-func (re *Registrar) MarkLeaving(id string, now timer.Instant) bool {
+// that is heard within that time was running when the notice was given. So was one that had
+// started at givenAt, in milliseconds since 1970 by the clock of the VM, 0 if not known: the
+// run that was heard may have crashed in silence.
+func (re *Registrar) MarkLeaving(id string, givenAt int64, now timer.Instant) bool {
 	latest := ServerRun{ID: re.latest.ID, StartedAt: re.latest.StartedAt}
 	isHeard := re.isKnown && latest.ID == id && !re.isDown
 	switch {
@@ -58,7 +64,7 @@
 		// A server that drains also says when it exits.
 		re.addNotice(leaveNotice{ServerRun: latest})
 	case isHeard && now.Sub(re.heartbeatAt) <= silentAfter:
-		re.addNotice(leaveNotice{ServerRun: latest, laterRunsUntil: now.Add(DrainServeSpan)})
+		re.addNotice(leaveNotice{ServerRun: latest, laterRunsUntil: now.Add(DrainServeSpan), givenAt: givenAt})
 	default:
 		re.addNotice(leaveNotice{ServerRun: ServerRun{ID: id}, expiresAt: now.Add(unboundTerm)})
 		return false
@@ -101,6 +107,7 @@
 		if known := &re.notices[i]; known.ServerRun == no.ServerRun {
 			known.expiresAt = max(known.expiresAt, no.expiresAt)
 			known.laterRunsUntil = max(known.laterRunsUntil, no.laterRunsUntil)
+			known.givenAt = max(known.givenAt, no.givenAt)
 			return
 		}
 	}
@@ -118,7 +125,7 @@
 		if no.ID != hb.ID {
 			return false
 		}
-		isOfLaterRun := no.StartedAt < hb.StartedAt && now.Before(no.laterRunsUntil)
+		isOfLaterRun := no.StartedAt < hb.StartedAt && (now.Before(no.laterRunsUntil) || hb.StartedAt <= no.givenAt)
 		isLeaving = isLeaving || no.isOpen(now) || isOfLaterRun
 		return no.isOpen(now)
 	})
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -306,8 +306,8 @@
 	is.Equal(re.State(15*second), Down)
 	re.ApplyHeartbeat(beat(3), 16*second)
 	is.Equal(re.State(16*second), Ready)
-	is.True(!re.MarkLeaving("another", 16*second))
-	is.True(re.MarkLeaving("s1", 16*second))
+	is.True(!re.MarkLeaving("another", 0, 16*second))
+	is.True(re.MarkLeaving("s1", 0, 16*second))
 	is.Equal(re.State(16*second), Draining)
 	is.Equal(re.State(16*second).String(), "draining")
 }
--- a/instance/controller/leaving.go
+++ b/instance/controller/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
@@ -14,7 +15,7 @@
 // onServerDeregistered records the end of a run of the backend server. The reply is an
 // acknowledgement, which binds the instances after this one, so it waits for the row.
 func (co *Controller) onServerDeregistered(ev serverDeregistered, now timer.Instant) {
-	isPresent := co.re.MarkLeaving(ev.id, now)
+	isPresent := co.re.MarkLeaving(ev.id, time.Now().UnixMilli(), now)
 	co.updateServerState(now)
 	co.join(now)
 	co.updateRow(now)
