Controller: no takeover of live holders after a restart of all instances

Cause: instances that start together name the former incarnations of the others as watchers, and replace them once a map names the new ones. If that takes longer than 4 s, as after the store came back from an older copy, each took the others over as orphans of its predecessor. Nobody reads the row that says so while no map names him, so that no key had an owner any more.

Change: an instance looks for orphans 2 s after the maps name it, at the earliest. One that no map names reads its row every 5 s.

TestOrphansAfterAllRestart and TestRevokedBeforeMember failed before.

--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -147,6 +147,8 @@
 	// its row was written last. If they differ, the row is to be written again at restoreRowAt.
 	era, rowEra  uint64
 	restoreRowAt timer.Instant
+	// nextRowCheckAt is when the row is read next while the maps lack this incarnation.
+	nextRowCheckAt timer.Instant
 	// startsEraAt is from when this instance may change maps of an earlier era.
 	startsEraAt timer.Instant
 	// storedLeaving lists the leaving runs of the backend server in the row as last
--- a/instance/controller/era.go
+++ b/instance/controller/era.go
@@ -21,6 +21,8 @@
 	// eraMargin, added to the lease term, is that delay for an instance that was no member
 	// in the earlier era. Leases under maps that nobody knows any more have ended by then.
 	eraMargin = timer.Second / 2
+	// missingRowInterval separates reads of its row by an instance that the maps lack.
+	missingRowInterval = 5 * timer.Second
 )
 
 // followEra notes that the store has come back from an older copy, as known from its own
@@ -58,12 +60,16 @@
 // that the store may lack it.
 func (co *Controller) isRowLost() bool { return co.isJoined && co.rowEra < co.era }
 
-// restoreRow writes this instance's row again in a new era of the store.
+// restoreRow writes this instance's row again in a new era of the store. It also reads the
+// row now and then while the maps lack this incarnation: if its watchers have revoked it before
+// it became a member, nothing else tells it so.
 func (co *Controller) restoreRow(now timer.Instant) {
 	isBusy := co.isWritingRow || co.prepared != nil || co.stopping != nil && co.stopping.isBusy
-	if !co.isRowLost() || isBusy || now.Before(co.restoreRowAt) {
+	isCheckDue := co.isJoined && co.isMissing() && !now.Before(co.nextRowCheckAt)
+	if !co.isRowLost() && !isCheckDue || isBusy || now.Before(co.restoreRowAt) {
 		return
 	}
+	co.nextRowCheckAt = now.Add(missingRowInterval)
 	if co.stopping != nil && co.stopping.hasEnded {
 		return
 	}
--- a/instance/controller/era_test.go
+++ b/instance/controller/era_test.go
@@ -308,3 +308,36 @@
 	is.NoErr(err)
 	is.Equal(stored, []admitter.Suspect{su})
 }
+
+// TestOrphansAfterAllRestart guards against instances that revoke each other: all start again
+// together, name the former incarnations as their watchers, and no map names the new ones
+// for longer than a lease term, since the store came back from an older copy.
+func TestOrphansAfterAllRestart(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 1).joined().successor(2).joined()
+	sc.clk.Advance(sc.leaseTerm + 2*orphanDelay)
+	sc.findOrphans(sc.clk.Now())
+	is.True(!sc.hasCheckedOrphans) // others can't name this incarnation yet
+	sc.apply(t, mapWith(placer.NewMap(folder.LimitsService, 8), 2, 3))
+	sc.checkMembership()
+	sc.findOrphans(sc.clk.Now())
+	is.True(!sc.hasCheckedOrphans)
+	sc.clk.Advance(orphanDelay + watcherCheckInterval)
+	sc.findOrphans(sc.clk.Now())
+	is.True(sc.hasCheckedOrphans)
+}
+
+// TestRevokedBeforeMember guards against an instance that goes on for good without a lease: its
+// row was revoked before any map named it.
+func TestRevokedBeforeMember(t *testing.T) {
+	is := is.New(t)
+	sc := newSidecar(t, 2).joined()
+	row, err := sc.tableStore.readRow(sc.ctx, sc.self.BackendServer)
+	is.NoErr(err)
+	is.NoErr(sc.tableStore.endIncarnation(sc.ctx, row, folder.Revoked))
+	sc.clk.Advance(missingRowInterval)
+	sc.restoreRow(sc.clk.Now())
+	is.True(sc.isWritingRow)
+	sc.handle(<-sc.events)
+	is.True(errors.Is(sc.err, ErrRevoked))
+}
--- a/instance/controller/folds.go
+++ b/instance/controller/folds.go
@@ -111,7 +111,10 @@
 		co.err = ErrRevoked
 		return
 	}
-	co.wasMember = co.wasMember || !isMissing
+	if !isMissing && !co.wasMember {
+		co.wasMember = true
+		co.nextOrphansAt = max(co.nextOrphansAt, co.pu.Now().Add(orphanDelay+watcherCheckInterval))
+	}
 	if co.isJoined && co.stopping == nil {
 		isShown := co.isOwnRowFolded()
 		co.needsOwnFold = co.needsOwnFold && !isShown || isMissing
--- a/instance/controller/join.go
+++ b/instance/controller/join.go
@@ -78,6 +78,9 @@
 		}
 		co.nextFoldAt = foldAt.Add(timer.Span(rand.Int64N(int64(spread))))
 	}
+	if !co.isJoined {
+		co.nextRowCheckAt = now.Add(missingRowInterval)
+	}
 	co.isJoined = true
 	// A backend server without an earlier row has no former incarnation that may have
 	// watched holders.
--- a/instance/controller/takeover.go
+++ b/instance/controller/takeover.go
@@ -68,14 +68,15 @@
 
 // orphanDelay, added to one lease term after its start, is when an instance looks
 // for holders that its former incarnation watched. Live ones have replaced that
-// watcher by then.
+// watcher by then, which they can do once the maps name its present incarnation: it looks no
+// earlier than orphanDelay and watcherCheckInterval after that.
 const orphanDelay = timer.Second
 
 // findOrphans looks once for holders whose rows name a former incarnation on this
 // VM as a watcher. If a holder and most of its watchers were lost together, no
 // other instance starts a takeover.
 func (co *Controller) findOrphans(now timer.Instant) {
-	if co.hasCheckedOrphans || !co.isJoined || now.Before(co.nextOrphansAt) {
+	if co.hasCheckedOrphans || !co.isJoined || co.isMissing() || now.Before(co.nextOrphansAt) {
 		return
 	}
 	co.hasCheckedOrphans = true
