Launcher: read the addresses of VMs under the lock; soak: configurations beside faults

Cause: Deployment.Status read an address that ReplaceVM writes, a data race in the harness of TestSingles. And no test with real processes asked whether a configuration that was acknowledged is in force beside the faults of the users' record.

Change: addresses, states and routers of VMs are read under the lock. The drill of TestConfigurationBesideFaults lets the router write before the last configuration, since those writes are what the store loses.

--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -345,7 +345,7 @@
 	de.mu.Lock()
 	vm.isRunning = false
 	de.mu.Unlock()
-	vm.ro.Kill()
+	de.Instance(name).Kill()
 	// Close ends the listener and all connections. An error needs no handling.
 	_ = vm.http.Close()
 	<-vm.done
@@ -396,18 +396,10 @@
 }
 
 func (de *Deployment) isReady(ctx context.Context) bool {
-	up := 0
-	for _, vm := range de.VMs() {
-		if vm.isRunning {
-			up++
-		}
-	}
-	for _, vm := range de.VMs() {
-		if !vm.isRunning {
-			continue
-		}
+	running := de.running()
+	for _, vm := range running {
 		st, err := de.Status(ctx, vm)
-		if err != nil || !st.IsJoined || !st.HasLease || !st.IsFresh || len(st.Members) != up || isPending(st.Pending) {
+		if err != nil || !st.IsJoined || !st.HasLease || !st.IsFresh || len(st.Members) != len(running) || isPending(st.Pending) {
 			return false
 		}
 	}
@@ -423,9 +415,25 @@
 	return false
 }
 
+// running returns the VMs whose instances run.
+func (de *Deployment) running() []*VM {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	var running []*VM
+	for _, vm := range de.vms {
+		if vm.isRunning {
+			running = append(running, vm)
+		}
+	}
+	return running
+}
+
 // Status reads an instance's status through its administration API.
 func (de *Deployment) Status(ctx context.Context, vm *VM) (administrator.WireStatus, error) {
-	cl := administrator.NewClient(vm.AdminAddress, de.OperatorKey)
+	de.mu.Lock()
+	address := vm.AdminAddress // a replaced VM has another one
+	de.mu.Unlock()
+	cl := administrator.NewClient(address, de.OperatorKey)
 	return cl.Status(ctx)
 }
 
@@ -473,11 +481,8 @@
 // name. If running instances have different versions, the newest is returned.
 func (de *Deployment) Tables() map[string]*placer.Table {
 	tables := map[string]*placer.Table{}
-	for _, vm := range de.VMs() {
-		if !vm.isRunning {
-			continue
-		}
-		for service, tb := range vm.ro.Tables() {
+	for _, vm := range de.running() {
+		for service, tb := range de.Instance(vm.Name).Tables() {
 			isExclusive := tb.Map.Partitions > 0 && service != folder.LimitsService
 			if isExclusive && (tables[service] == nil || tables[service].Map.Version < tb.Map.Version) {
 				tables[service] = tb
--- a/bench/soaker/denied_test.go
+++ b/bench/soaker/denied_test.go
@@ -26,13 +26,11 @@
 		inject func(t *testing.T, fl *fleet)
 		limit  time.Duration
 	}{
-		{"the store comes back from an older copy", func(_ *testing.T, fl *fleet) {
+		{"the store comes back from an older copy", func(t *testing.T, fl *fleet) {
 			asOf := time.Now()
-			for range 10 { // the copy lacks them
-				fl.configure(func(co *platformer.Config) {})
-				time.Sleep(200 * time.Millisecond)
-			}
-			fl.vms[1].mustSignal(t, syscall.SIGKILL) // its row is written again
+			fl.vms[1].mustSignal(t, syscall.SIGKILL) // what it writes at its start is lost
+			time.Sleep(4 * time.Second)
+			fl.configure(func(co *platformer.Config) {})
 			time.Sleep(time.Second)
 			fl.store.SetFaults(platformer.StoreFaults{Refuse: http.StatusServiceUnavailable})
 			time.Sleep(time.Second)
