Controller: the map of all instances tells whether an era is settled

Cause: a fold was held back while any map was of an earlier era. Maps that nothing changes stay so, and each instance that started later would have waited 3.5 s with its first fold. Versions of maps in logs and in the command line showed the era as a part of a large number.

Change: only the map of all instances counts, whose first change in an era follows the restore of the others. placer.FormatVersion, as "2.7".

Result: unit tests of controller, placer, folder and the command line pass.

--- a/cmd/cornellanding/operator.go
+++ b/cmd/cornellanding/operator.go
@@ -15,6 +15,8 @@
 	"text/tabwriter"
 	"time"
 
+	"cornellanding.example/core/placer"
+	"cornellanding.example/core/sequencer"
 	"cornellanding.example/instance/administrator"
 	"cornellanding.example/wire/parser"
 )
@@ -313,10 +315,10 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(sc.out, "backend server %s, incarnation %d, configuration %d\n", st.BackendServer, st.Incarnation, st.ConfigVersion)
+	fmt.Fprintf(sc.out, "backend server %s, incarnation %d, configuration %s\n", st.BackendServer, st.Incarnation, sequencer.Format(st.ConfigVersion))
 	fmt.Fprintf(sc.out, "joined %v, lease %v, fresh %v, watchers %s\n", st.IsJoined, st.HasLease, st.IsFresh, strings.Join(st.Watchers, ", "))
 	for service, owned := range st.Owned {
-		fmt.Fprintf(sc.out, "%s: owns %d partitions, %d pending, map %d\n", service, owned, st.Pending[service], st.MapVersions[service])
+		fmt.Fprintf(sc.out, "%s: owns %d partitions, %d pending, map %s\n", service, owned, st.Pending[service], placer.FormatVersion(st.MapVersions[service]))
 	}
 	tw := tabwriter.NewWriter(sc.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, "SERVICE\tBACKEND SERVER\tDATA CENTRE\tWEIGHT\tINCARNATION")
@@ -370,7 +372,7 @@
 	}
 	for _, we := range list {
 		fmt.Fprintf(ec.out, "%s: key %s is in partition %d, owned by %s in %s\n", we.Service, we.Key, we.Partition, we.Owner, we.DataCentre)
-		fmt.Fprintf(ec.out, "  why: highest score of %d members in map %d; next would be %s\n", we.Members, we.MapVersion, nextOwners(we))
+		fmt.Fprintf(ec.out, "  why: highest score of %d members in map %s; next would be %s\n", we.Members, placer.FormatVersion(we.MapVersion), nextOwners(we))
 		fmt.Fprintf(ec.out, "  since: %s\n", ownedSince(we))
 	}
 	return nil
@@ -387,5 +389,5 @@
 	if we.SinceVersion == 0 {
 		return "before the oldest change on record"
 	}
-	return fmt.Sprintf("map %d at %s", we.SinceVersion, time.UnixMilli(we.SinceAt).UTC().Format(time.RFC3339))
+	return fmt.Sprintf("map %s at %s", placer.FormatVersion(we.SinceVersion), time.UnixMilli(we.SinceAt).UTC().Format(time.RFC3339))
 }
--- a/core/placer/map.go
+++ b/core/placer/map.go
@@ -22,7 +22,9 @@
 package placer
 
 import (
+	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -114,6 +116,15 @@
 // sequencer.
 func FirstVersion(era uint64) uint64 { return era<<eraShift | 1 }
 
+// FormatVersion returns the version of a map as text for logs: "7", or "2.7" in era 2 of the
+// store.
+func FormatVersion(version uint64) string {
+	if version>>eraShift == 0 {
+		return strconv.FormatUint(version, 10)
+	}
+	return fmt.Sprintf("%d.%d", version>>eraShift, version&(1<<eraShift-1))
+}
+
 // Era returns the era of the store in which the map got its version.
 func (ma Map) Era() uint64 { return ma.Version >> eraShift }
 
--- a/instance/controller/ownership.go
+++ b/instance/controller/ownership.go
@@ -97,7 +97,7 @@
 	co.replyIfDraining(ow)
 	co.replyIfAcquired(co.pu.Now())
 	co.tickForOrders(ow)
-	co.lo.Info("partition map applied", "service", ow.service, "map", tb.Map.Version, "members", len(tb.Map.Members),
+	co.lo.Info("partition map applied", "service", ow.service, "map", placer.FormatVersion(tb.Map.Version), "members", len(tb.Map.Members),
 		"owned", len(owned), "pending", len(ow.pending))
 }
 
@@ -339,7 +339,7 @@
 	}
 	now := co.pu.Now()
 	facts := []any{
-		"service", re.GetService(), "map", re.GetMapVersion(), "released", len(answer.GetReleased()), "asked", len(re.GetPartitions()),
+		"service", re.GetService(), "map", placer.FormatVersion(re.GetMapVersion()), "released", len(answer.GetReleased()), "asked", len(re.GetPartitions()),
 		"startedAgo", now.Sub(co.startedAt).Duration().String(),
 	}
 	if co.tracksHolds(re.GetService()) {
--- a/instance/controller/rows.go
+++ b/instance/controller/rows.go
@@ -414,20 +414,17 @@
 	return restored
 }
 
-// isOfFormerEra reports whether any map is of an era before that of the input.
+// isOfFormerEra reports whether no map has been changed in the era of the input. The first
+// change of the map of all instances follows the restore of the others.
 func isOfFormerEra(in folder.Input) bool {
-	for _, ma := range in.Maps {
-		if ma.Era() < in.Era {
-			return true
-		}
-	}
-	return false
+	limits, ok := in.Maps[folder.LimitsService]
+	return ok && limits.Era() < in.Era
 }
 
 func servicesOf(changed []placer.Map) string {
 	var services []string
 	for _, ma := range changed {
-		services = append(services, fmt.Sprintf("%s@%d.%d", ma.Service, ma.Era(), uint32(ma.Version)))
+		services = append(services, ma.Service+"@"+placer.FormatVersion(ma.Version))
 	}
 	return strings.Join(services, ",")
 }
