Gatekeeper: a backend server's condition ends with its run, not its ID

Callers got 503 for good from a backend server that had said Server-Leaving and then started again under its ID, and the limit that its former run had named stayed until an answer lifted it.

Cause: the gate kept the condition, and the end of a cold period, by the server's ID alone.

Change: both are kept by registrar.ServerRun, the ID and the start, as the crash account is. An answer is attributed to the run that its request was sent to.

--- a/instance/gatekeeper/backend.go
+++ b/instance/gatekeeper/backend.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/accountant"
 	"cornellanding.example/instance/assembler"
@@ -52,9 +53,9 @@
 type Exchange struct {
 	Request *peerproto.ForwardRequest
 	Body    *assembler.Body
-	// ServerID identifies the start of the backend server that the request is
-	// meant for, or is empty if the server does not announce itself.
-	ServerID string
+	// Server is the run of the backend server that the request is meant for, or
+	// zero if the server does not announce itself.
+	Server registrar.ServerRun
 	// Epoch is the fencing epoch, or 0 for a shared service.
 	Epoch uint64
 	// Remaining is the time left until the deadline, or 0 without a deadline.
@@ -148,14 +149,14 @@
 	single *receiver.Receiver
 	// observe is called with the condition of each answer, the server it was meant
 	// for and when the request was sent.
-	observe func(cn Condition, serverID string, sentAt timer.Instant)
+	observe func(cn Condition, run registrar.ServerRun, sentAt timer.Instant)
 	now     func() timer.Instant
 }
 
 func newBackend(address string, now func() timer.Instant) *backend {
 	return &backend{
 		address: address, codec: defaultCodec{}, now: now,
-		observe: func(Condition, string, timer.Instant) {},
+		observe: func(Condition, registrar.ServerRun, timer.Instant) {},
 		kept:    newReceiver(false), single: newReceiver(true),
 	}
 }
@@ -235,10 +236,10 @@
 }
 
 // run sends the request at most once and reads the whole answer.
-func (bs *backend) run(ctx context.Context, jo *job, epoch uint64, serverID string) (*peerproto.ForwardResponse, result) {
+func (bs *backend) run(ctx context.Context, jo *job, epoch uint64, run registrar.ServerRun) (*peerproto.ForwardResponse, result) {
 	var wasConnected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wasConnected.Store(true) }}
-	ex := Exchange{Request: jo.rq, Body: jo.body, ServerID: serverID, Epoch: epoch, Remaining: remaining(ctx)}
+	ex := Exchange{Request: jo.rq, Body: jo.body, Server: run, Epoch: epoch, Remaining: remaining(ctx)}
 	re := bs.request(httptrace.WithClientTrace(ctx, trace), ex)
 	if re.URL.RequestURI() != jo.rq.GetPathAndQuery() {
 		return refuse(CodeBadTarget, "the request target can't be passed on unchanged"), resultCancelled
@@ -301,7 +302,7 @@
 		return lost("the answer belongs to another request"), resultAnswered
 	}
 	if verdict != VerdictNotOwner { // such an answer may come from the server's successor
-		bs.observe(bs.codec.Condition(answer), ex.ServerID, sentAt)
+		bs.observe(bs.codec.Condition(answer), ex.Server, sentAt)
 	}
 	body, err := readAnswer(ctx, answer)
 	var tooLarge *http.MaxBytesError
--- a/instance/gatekeeper/coldcheck.go
+++ b/instance/gatekeeper/coldcheck.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/instance/publisher"
 )
@@ -40,12 +41,12 @@
 			return
 		case <-ga.coldChecks:
 		}
-		path, serverID, ok := ga.checkedServer()
+		path, run, ok := ga.checkedServer()
 		if !ok {
 			continue
 		}
-		if left, ok := ga.bs.checkCold(ctx, reader, path, serverID); ok {
-			ga.noteCold(left, serverID)
+		if left, ok := ga.bs.checkCold(ctx, reader, path, run.ID); ok {
+			ga.noteCold(left, run)
 		}
 	}
 }
@@ -64,22 +65,22 @@
 	}
 }
 
-// checkedServer returns the health path and the ID of the server, or false if one is not known.
-func (ga *Gatekeeper) checkedServer() (path, serverID string, ok bool) {
+// checkedServer returns the health path and the run of the server, or false if one is not known.
+func (ga *Gatekeeper) checkedServer() (path string, run registrar.ServerRun, ok bool) {
 	sv := ga.pu.View().Services[ga.pu.Self().Service]
 	bs := ga.pu.BackendServer()
 	if sv.HealthPath == "" || bs == nil || bs.ID == "" {
-		return "", "", false
+		return "", registrar.ServerRun{}, false
 	}
-	return sv.HealthPath, bs.ID, true
+	return sv.HealthPath, serverRun(bs), true
 }
 
 // noteCold applies the answer to a health check. It never ends a cold period, which began
 // with a heartbeat or an overload. Nor does a heartbeat end the one that it begins, since
 // that may have been sent before.
-func (ga *Gatekeeper) noteCold(left timer.Span, serverID string) {
+func (ga *Gatekeeper) noteCold(left timer.Span, run registrar.ServerRun) {
 	bs := ga.pu.BackendServer()
-	if left <= 0 || bs == nil || bs.ID != serverID {
+	if left <= 0 || bs == nil || serverRun(bs) != run {
 		return
 	}
 	ga.mu.Lock()
@@ -88,21 +89,21 @@
 		return
 	}
 	ga.reportedAt = ga.pu.Now()
-	ga.checkedCold = checkedCold{serverID: serverID, until: ga.reportedAt.Add(left)}
+	ga.checkedCold = checkedCold{run: run, until: ga.reportedAt.Add(left)}
 	ga.gate.SetColdUntil(ga.checkedCold.until)
-	ga.lo.Info("backend server has turned cold", "server", serverID, "coldFor", left.Duration().String())
+	ga.lo.Info("backend server has turned cold", "server", run.ID, "coldFor", left.Duration().String())
 }
 
 // checkedCold is until when a server is cold by its own answer to a health check.
 type checkedCold struct {
-	serverID string
-	until    timer.Instant
+	run   registrar.ServerRun
+	until timer.Instant
 }
 
 // coldUntil returns until when the server is cold by its heartbeat and the latest check. The
 // lock must be held.
 func (ga *Gatekeeper) coldUntil(bs *publisher.BackendServer) timer.Instant {
-	if ga.checkedCold.serverID != bs.ID {
+	if ga.checkedCold.run != serverRun(bs) {
 		return bs.ColdUntil
 	}
 	return max(bs.ColdUntil, ga.checkedCold.until)
--- a/instance/gatekeeper/condition.go
+++ b/instance/gatekeeper/condition.go
@@ -20,7 +20,7 @@
 // observedCondition is the latest condition of one start of the backend server.
 type observedCondition struct {
 	Condition
-	serverID string
+	run registrar.ServerRun
 	// isHeard is set with the first answer.
 	isHeard bool
 	// limitedAt is when an answer last named a limit.
@@ -33,15 +33,15 @@
 // sent at sentAt. The answers to requests that run side by side may be read in another
 // order than written, so that a limit ends only with the answer to a request sent after
 // the limit was last named.
-func (ga *Gatekeeper) observeCondition(cn Condition, serverID string, sentAt timer.Instant) {
+func (ga *Gatekeeper) observeCondition(cn Condition, run registrar.ServerRun, sentAt timer.Instant) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	now := ga.pu.Now()
-	if serverID != ga.condition.serverID {
-		if bs := ga.pu.BackendServer(); bs != nil && bs.ID != serverID {
+	if run != ga.condition.run {
+		if bs := ga.pu.BackendServer(); bs != nil && serverRun(bs) != run {
 			return
 		}
-		ga.condition = observedCondition{serverID: serverID}
+		ga.condition = observedCondition{run: run}
 	}
 	ga.condition.isHeard = true
 	wasAwaited := ga.gate != nil && ga.gate.HearAnswer()
@@ -63,7 +63,7 @@
 	if cn == former {
 		return
 	}
-	ga.lo.Info("condition of the backend server changed", "server", serverID, "isLimited", cn.IsLimited, "requestLimit", cn.RequestLimit,
+	ga.lo.Info("condition of the backend server changed", "server", run.ID, "isLimited", cn.IsLimited, "requestLimit", cn.RequestLimit,
 		"isLeaving", cn.IsLeaving, "formerLimit", former.RequestLimit)
 }
 
@@ -74,7 +74,7 @@
 		ga.condition.refuseAt = now.Add(registrar.DrainServeSpan)
 	}
 	if bs := ga.pu.BackendServer(); bs != nil && bs.RefuseAt == 0 {
-		ga.serverLeaving(ga.condition.serverID)
+		ga.serverLeaving(ga.condition.run.ID)
 	}
 }
 
@@ -82,7 +82,7 @@
 // any more. The lock must be held.
 func (ga *Gatekeeper) isServerLeft(bs *publisher.BackendServer) bool {
 	at := ga.condition.refuseAt
-	return at != 0 && ga.condition.serverID == bs.ID && !ga.pu.Now().Before(at)
+	return at != 0 && ga.condition.run == serverRun(bs) && !ga.pu.Now().Before(at)
 }
 
 // applyServerLimit applies the limit that the server names, and refuses the queued requests
@@ -102,10 +102,11 @@
 // forgetFormerServer drops the condition of a server that has been replaced by another
 // start. The lock must be held.
 func (ga *Gatekeeper) forgetFormerServer(bs *publisher.BackendServer) {
-	if ga.condition.serverID == bs.ID {
+	run := serverRun(bs)
+	if ga.condition.run == run {
 		return
 	}
-	ga.condition = observedCondition{serverID: bs.ID}
+	ga.condition = observedCondition{run: run}
 	if ga.cm != nil {
 		ga.cm.ForgetRuns()
 	}
--- a/instance/gatekeeper/condition_test.go
+++ b/instance/gatekeeper/condition_test.go
@@ -148,18 +148,43 @@
 	is.True(ls.load(ga, 500*time.Millisecond) >= 40)
 }
 
+// TestConditionEndsWithTheRun guards against a backend server that gets nothing after it has
+// started again under its ID, because its former run was leaving.
+func TestConditionEndsWithTheRun(t *testing.T) {
+	is := is.New(t)
+	ls := newLimitedServer(t)
+	ls.pu.SetBackendServer(publisher.BackendServer{ID: "s1", StartedAt: 1, Slots: 9})
+	ga := ls.gate(t)
+	ls.limit.Store("1")
+	ls.isLeaving.Store(true)
+	ls.load(ga, 100*time.Millisecond)
+	ls.limit.Store("")
+	ls.isLeaving.Store(false)
+	time.Sleep(registrar.DrainServeSpan.Duration() + 300*time.Millisecond)
+	is.Equal(ls.load(ga, 100*time.Millisecond), 0)
+	next := ls.gate(t, WithFormerCondition(ga.Condition()))
+	ls.pu.SetBackendServer(publisher.BackendServer{ID: "s1", StartedAt: 2, Slots: 9})
+	for _, ga := range []*Gatekeeper{ga, next} {
+		is.True(ls.load(ga, 500*time.Millisecond) >= 40)
+		// An answer of the former run is read late.
+		ga.observeCondition(Condition{IsLeaving: true}, registrar.ServerRun{ID: "s1", StartedAt: 1}, ls.pu.Now())
+		is.Equal(ga.Condition().observed.Condition, Condition{})
+	}
+}
+
 // TestOlderAnswerDoesNotLiftTheLimit: the answer to a request sent before the limit was
 // named is read after it.
 func TestOlderAnswerDoesNotLiftTheLimit(t *testing.T) {
 	is := is.New(t)
 	ls := newLimitedServer(t)
 	ga := ls.gate(t)
+	s1 := registrar.ServerRun{ID: "s1"}
 	before := ls.pu.Now()
 	limited := Condition{IsLimited: true, RequestLimit: 5}
-	ga.observeCondition(limited, "s1", before)
-	ga.observeCondition(Condition{}, "s1", before)
+	ga.observeCondition(limited, s1, before)
+	ga.observeCondition(Condition{}, s1, before)
 	is.Equal(ga.Condition().observed.Condition, limited)
-	ga.observeCondition(Condition{}, "s1", ls.pu.Now()+1)
+	ga.observeCondition(Condition{}, s1, ls.pu.Now()+1)
 	is.Equal(ga.Condition().observed.Condition, Condition{})
 }
 
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -24,6 +24,7 @@
 	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
 	"cornellanding.example/core/pacer"
+	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/roller"
 	"cornellanding.example/core/sequencer"
 	"cornellanding.example/core/shaper"
@@ -704,17 +705,17 @@
 	ga.countRepeats(jo.rq, 1)
 	ga.startBody(jo)
 	ga.mu.Unlock()
-	serverID, serverRun := "", uint32(0)
+	run, runDigest := registrar.ServerRun{}, uint32(0)
 	if bs := ga.pu.BackendServer(); bs != nil {
-		serverID, serverRun = bs.ID, ga.runOf(*bs)
+		run, runDigest = serverRun(bs), ga.digestRun(serverRun(bs))
 	}
-	answer, result := ga.bs.run(ctx, jo, epoch, serverID)
+	answer, result := ga.bs.run(ctx, jo, epoch, run)
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	ga.countRepeats(jo.rq, -1)
 	ga.endBody(jo, result)
 	ga.finishVersion(ctx, jo, answer, result)
-	ga.observeCrash(jo, serverRun, result)
+	ga.observeCrash(jo, runDigest, result)
 	if result == resultRefused {
 		ga.qu.EndRun()
 		ga.connectionRefused(jo.startedAt)
@@ -723,11 +724,11 @@
 	return answer, result == resultCrashed || result == resultRefused || result == resultShed && !isAnnounced
 }
 
-// runOf identifies a run of the backend server, to other instances too. It is not 0.
-func (ga *Gatekeeper) runOf(bs publisher.BackendServer) uint32 {
+// digestRun identifies a run of the backend server, to other instances too. It is not 0.
+func (ga *Gatekeeper) digestRun(run registrar.ServerRun) uint32 {
 	di := xxhash.New()
 	// A digest's Write never fails.
-	_, _ = fmt.Fprintf(di, "%s\x00%s\x00%d", ga.pu.Self().BackendServer, bs.ID, bs.StartedAt)
+	_, _ = fmt.Fprintf(di, "%s\x00%s\x00%d", ga.pu.Self().BackendServer, run.ID, run.StartedAt)
 	return max(1, uint32(di.Sum64()))
 }
 
--- a/instance/gatekeeper/server.go
+++ b/instance/gatekeeper/server.go
@@ -6,9 +6,17 @@
 
 	"cornellanding.example/core/admitter"
 	"cornellanding.example/core/cataloguer"
+	"cornellanding.example/core/registrar"
+	"cornellanding.example/instance/publisher"
 	"cornellanding.example/wire/peerproto"
 )
 
+// serverRun returns the run of the backend server that the latest heartbeat came from. A
+// server may start again under its ID.
+func serverRun(bs *publisher.BackendServer) registrar.ServerRun {
+	return registrar.ServerRun{ID: bs.ID, StartedAt: bs.StartedAt}
+}
+
 // refuseIfServerUnavailable returns a refusal if the backend server is expected to
 // announce itself and has not done so yet, or is shutting down, or else nil. The lock must
 // be held.
