--- a/standin/platformer/server.go
+++ b/standin/platformer/server.go
@@ -89,6 +89,14 @@
 	Fails, Slow, Slower float64
 }
 
+// Condition is what a server says of itself in its responses.
+type Condition struct {
+	// Limit is the requests a second that the server takes from all callers, 0 for no limit.
+	Limit float64
+	// IsLeaving announces that the server will end soon.
+	IsLeaving bool
+}
+
 // Server is a backend server that sends heartbeats to the instance on its VM and
 // runs a request only while it holds the request's key. It implements http.Handler
 // for the requests.
@@ -123,6 +131,7 @@
 	unansweredGrants int
 	grantDelay       time.Duration
 	fault            Fault
+	condition        Condition
 }
 
 // NewServer returns a server of a sharded service. Address is where it accepts
@@ -140,6 +149,13 @@
 	return bs
 }
 
+// SetCondition replaces the condition of the server.
+func (bs *Server) SetCondition(cn Condition) {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	bs.condition = cn
+}
+
 // SetFault replaces the fault of the server.
 func (bs *Server) SetFault(fa Fault) {
 	bs.mu.Lock()
@@ -409,7 +425,14 @@
 		bs.runs[index].EndedAt = time.Now()
 	}
 	bs.runs[index].HasFailed = hasFailed
+	condition := bs.condition
 	bs.mu.Unlock()
+	if condition.Limit > 0 {
+		wr.Header().Set("Server-Limit", strconv.FormatFloat(condition.Limit, 'f', -1, 64))
+	}
+	if condition.IsLeaving {
+		wr.Header().Set("Server-Leaving", "1")
+	}
 	wr.Header().Set("X-Server-Signature", bs.ID()+"."+id)
 	if hasFailed {
 		wr.WriteHeader(http.StatusInternalServerError)
