Gatekeeper: peers count each crash of a server that sends no heartbeats

A request that crashed such a server over and over was known to peers for one crash, so that each of them let it through to a server of its own.

Cause: the report to peers named run 0 for every crash, which a peer counts once. Only the gate itself gave each crash a number of its own.

Change: Quarantine.Crash returns the run under which it has recorded the crash, and the report names that one.

--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -222,7 +222,7 @@
 		}
 		reports := 0
 		for range 5 {
-			if qu.Crash(7, run, sentAt, now) {
+			if _, isFirst := qu.Crash(7, run, sentAt, now); isFirst {
 				reports++
 			}
 			now = now.Add(100 * timer.Millisecond)
@@ -236,7 +236,8 @@
 			run++
 		}
 		qu.Start(7)
-		is.True(qu.Crash(7, run, now, now.Add(timer.Millisecond))) // the next run crashes, too
+		_, isFirst := qu.Crash(7, run, now, now.Add(timer.Millisecond))
+		is.True(isFirst) // the next run crashes, too
 		is.Equal(qu.Crashes(7, now), 3)
 	}
 }
--- a/core/admitter/quarantine.go
+++ b/core/admitter/quarantine.go
@@ -114,8 +114,9 @@
 // Crash records that the connection of the request, which was sent at sentAt, broke in a run of
 // the backend server, 0 if the server does not announce its runs. Requests that were sent
 // before the first break of a run are then of that run. It reports whether the break is the
-// first of the run for the request, so that other instances must be told.
-func (qu *Quarantine) Crash(fingerprint uint64, run uint32, sentAt, now timer.Instant) bool {
+// first of the run for the request. Other instances must then be told of a crash in the run
+// that it returns, which is a number of its own if the server announces none.
+func (qu *Quarantine) Crash(fingerprint uint64, run uint32, sentAt, now timer.Instant) (recorded uint32, isFirst bool) {
 	qu.end(fingerprint)
 	isSameRun := run == qu.run && (run != 0 || sentAt < qu.brokenAt)
 	if !isSameRun {
@@ -123,18 +124,18 @@
 		qu.run, qu.brokenAt = run, now
 	}
 	if qu.broken[fingerprint] {
-		return false
+		return run, false
 	}
 	qu.broken[fingerprint] = true
 	if run == 0 {
-		run = uint32(now) // any two crashes differ
+		run = max(1, uint32(now)) // any two crashes differ
 	}
 	qu.RecordCrash(fingerprint, run, now)
 	if su, ok := qu.suspects[fingerprint]; ok {
 		su.isLocal = true
 		qu.suspects[fingerprint] = su
 	}
-	return true
+	return run, true
 }
 
 // EndRun records that the latest run of the server has ended: the next break is a crash of
--- a/instance/gatekeeper/bodies_test.go
+++ b/instance/gatekeeper/bodies_test.go
@@ -190,6 +190,26 @@
 	}
 }
 
+// TestPeersCountCrashesOfUnannouncedServer guards against peers that take all crashes of a
+// server which sends no heartbeats for one.
+func TestPeersCountCrashesOfUnannouncedServer(t *testing.T) {
+	is := is.New(t)
+	peer := admitter.NewQuarantine()
+	var suspect uint64
+	cs := newCrashingServer(t, WithCrashNotifier(func(fingerprint uint64, run uint32) {
+		suspect = fingerprint
+		peer.RecordCrash(fingerprint, run, 0)
+		peer.RecordCrash(fingerprint, run, 0) // the report comes twice
+	}))
+	pu := publisher.New(timer.BootClock{}, publisher.Self{BackendServer: "a", Service: "media", Incarnation: incarnation})
+	pu.Publish(cs.pu.View())
+	cs.ga.pu = pu
+	for i := range 2 {
+		is.Equal(cs.send(strconv.Itoa(i), "/photos/crash", "k", 0).GetCode(), CodeCrashed)
+	}
+	is.Equal(peer.Crashes(suspect, 0), 2)
+}
+
 // TestPopularReadStaysServed guards against the refusal of what many callers read because
 // several copies were running at each of several crashes of the server.
 func TestPopularReadStaysServed(t *testing.T) {
--- a/instance/gatekeeper/gatekeeper.go
+++ b/instance/gatekeeper/gatekeeper.go
@@ -742,10 +742,11 @@
 			ga.notifyCleared(jo.suspect)
 		}
 	case resultCrashed:
-		if !ga.qu.Crash(jo.suspect, serverRun, jo.startedAt, now) {
+		recorded, isFirst := ga.qu.Crash(jo.suspect, serverRun, jo.startedAt, now)
+		if !isFirst {
 			return
 		}
-		ga.notifyCrash(jo.suspect, serverRun)
+		ga.notifyCrash(jo.suspect, recorded)
 		if su, ok := ga.qu.LocalSuspect(jo.suspect, now); ok {
 			ga.lo.Warn("request was running in several crashes of backend servers", "requestId", jo.rq.GetRequestId(),
 				"fingerprint", strconv.FormatUint(su.Fingerprint, 16), "crashes", su.Crashes)
