Controller: acknowledge a deregistration once a peer knows of it

Requests reached a server whose deregistration had been acknowledged, if the store went away right after that, the instance beside the server was killed, and the store came back from a copy made before.

Cause: the acknowledgement waited for the row only. Until the maps list the notice and peers have them, the row and one process are all that know.

Change: where the store may lose rows, the reply waits until a peer in another data centre says in a datagram that it has the same documents, with the map that lists the notice, or for half a second.

--- a/bench/soaker/condition_test.go
+++ b/bench/soaker/condition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"syscall"
 	"testing"
@@ -83,3 +84,44 @@
 	}
 	is.Equal(late, 0) // the leaving server gets requests
 }
+
+// TestLeavingOutlivesKillAtAcknowledgement guards against requests to a server whose
+// deregistration was acknowledged: right after that the store goes away, the instance that knew
+// of it is killed, and the store comes back from a copy made before.
+func TestLeavingOutlivesKillAtAcknowledgement(t *testing.T) {
+	const inTouchAfter = 3 * time.Second // from the return of the store on
+	is := is.New(t)
+	fl := startTestFleetIn(t, 6, true)
+	leaving := fl.vms[0]
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan []attempt)
+	go func() { done <- newLoad(fl, Settings{Seed: 1, Rate: 100}).run(ctx) }()
+	time.Sleep(2 * time.Second)
+	asOf := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	calledAt := time.Now()
+	target := fmt.Sprintf("http://%s/cornellanding/instances/%s/deregister", leaving.place.Address(platformer.ControlPort), leaving.server.ID())
+	answer, err := http.Post(target, "application/json", nil)
+	is.NoErr(err)
+	answer.Body.Close()
+	is.Equal(answer.StatusCode/100, 2)
+	took := time.Since(calledAt)
+	fl.store.SetFaults(platformer.StoreFaults{Refuse: http.StatusServiceUnavailable})
+	leaving.mustSignal(t, syscall.SIGKILL)
+	t.Logf("acknowledged after %s", took)
+	is.True(took < time.Second)
+	time.Sleep(time.Second)
+	fl.store.Restore(asOf)
+	fl.store.SetFaults(platformer.StoreFaults{})
+	inTouchAt := time.Now().Add(inTouchAfter)
+	time.Sleep(inTouchAfter + 5*time.Second)
+	stop()
+	<-done
+	late := 0
+	for _, ru := range leaving.server.Runs() {
+		if ru.StartedAt.After(inTouchAt) {
+			late++
+		}
+	}
+	is.Equal(late, 0) // the leaving server gets requests
+}
--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -152,9 +152,12 @@
 	// startsEraAt is from when this instance may change maps of an earlier era.
 	startsEraAt timer.Instant
 	// storedLeaving lists the leaving runs of the backend server in the row as last
-	// committed, and deregistrations the calls that wait until it lists all.
-	storedLeaving     []registrar.ServerRun
-	deregistrations   []deregistration
+	// committed, and deregistrations the calls that wait until it lists all and a peer knows.
+	storedLeaving   []registrar.ServerRun
+	deregistrations []deregistration
+	// sharedHash is the hash of the documents that a peer was last heard to have as well, see
+	// onDocumentsShared.
+	sharedHash        uint32
 	startedAt         timer.Instant
 	nextOrphansAt     timer.Instant
 	isPollingConfig   bool
@@ -345,7 +348,7 @@
 
 // isBusy reports whether an operation is in progress whose steps the ticks drive.
 func (co *Controller) isBusy() bool {
-	if !co.isJoined || co.prepared != nil || co.needsFold || co.needsOwnFold || co.stopping != nil || !co.isLeavingStored() {
+	if !co.isJoined || co.prepared != nil || co.needsFold || co.needsOwnFold || co.stopping != nil || !co.isLeavingStored() || len(co.deregistrations) > 0 {
 		return true
 	}
 	for _, ow := range co.ownerships {
@@ -462,6 +465,7 @@
 	co.requestReleases(now)
 	co.issueOrders(now)
 	co.foldIfNeeded(now)
+	co.replyToDeregistrations(now)
 	co.sendReports(now)
 	co.writeQuarantine(now)
 	co.advanceRollOuts(now)
--- a/instance/controller/era_test.go
+++ b/instance/controller/era_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net/netip"
 	"testing"
 
 	"cornellanding.example/core/admitter"
@@ -15,6 +16,7 @@
 	"cornellanding.example/core/timer"
 	"cornellanding.example/port/tabler"
 	"cornellanding.example/wire/encoder"
+	"cornellanding.example/wire/peerproto"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
@@ -286,6 +288,48 @@
 	}
 }
 
+// TestDeregistrationIsAcknowledgedOnceShared guards against an acknowledgement that is lost with
+// the row and with this instance, if the store comes back from an older copy right after it.
+func TestDeregistrationIsAcknowledgedOnceShared(t *testing.T) {
+	for _, isHeard := range []bool{false, true} {
+		is := is.New(t)
+		ft := &eraTable{fakeTable: newFakeTable(), era: 1}
+		sc := newSidecar(t, 1)
+		sc.self.Address = "10.0.0.1:7600"
+		sc.tableStore.table = ft
+		sc.joined()
+		sc.ds.config = counterConfig(number(1, 1))
+		sc.tableStore.externalConfig = func() cataloguer.Config { return sc.ds.config }
+		sc.beat(nil, nil)
+		for incarnation, dataCentre := range map[uint64]string{2: "x", 3: "y"} {
+			ir := rowOf(incarnation, 0)
+			ir.BackendServer, ir.DataCentre = name(incarnation), dataCentre
+			_, err := sc.tableStore.writeRow(sc.ctx, ir)
+			is.NoErr(err)
+		}
+		hear := func(peer uint64) {
+			sc.onDatagram(&peerproto.Datagram{From: peer, To: 1, Documents: sc.ds.hash}, netip.MustParseAddrPort("127.0.0.1:1"))
+		}
+		acked := sc.deregister("s1")
+		sc.settleRow()
+		hear(3)
+		is.Equal(len(acked), 0) // no map lists the run yet
+		docs, _, err := sc.tableStore.foldOnce(sc.ctx, foldBasis{})
+		is.NoErr(err)
+		sc.onDocuments(documentsFetched{documents: docs}, sc.clk.Now())
+		hear(2)
+		is.Equal(len(acked), 0) // no peer in another data centre has the map yet
+		if isHeard {
+			hear(3)
+		} else {
+			sc.clk.Advance(shareTimeout)
+			sc.replyToDeregistrations(sc.clk.Now())
+		}
+		is.Equal(len(acked), 1)
+		is.Equal(len(sc.deregister("s1")) == 1, isHeard) // a repeated call
+	}
+}
+
 // TestQuarantineIsStoredAgain guards against requests that crash servers and that a new
 // instance runs again, since the store came back without them.
 func TestQuarantineIsStoredAgain(t *testing.T) {
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -104,6 +104,9 @@
 	from, isKnown := co.ds.member(da.GetFrom())
 	switch {
 	case da.GetDocuments() == co.ds.hash:
+		if isKnown {
+			co.onDocumentsShared(from, now)
+		}
 	case isKnown:
 		co.fetchFrom(from)
 	case co.configs != nil:
--- a/instance/controller/leaving.go
+++ b/instance/controller/leaving.go
@@ -4,36 +4,88 @@
 	"slices"
 	"time"
 
+	"cornellanding.example/core/placer"
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
+	"cornellanding.example/port/tabler"
 )
 
-// maxDeregistrations bounds the calls of the backend server that wait for the row of this
-// instance to be written. Further ones get no reply.
-const maxDeregistrations = 16
+const (
+	// maxDeregistrations bounds the calls of the backend server that wait for their reply.
+	// Further ones get none.
+	maxDeregistrations = 16
+	// shareTimeout bounds how long a reply waits until a peer knows what the row says. Servers
+	// wait for a second.
+	shareTimeout = timer.Second / 2
+	// shareInterval separates the renewals that find out whether a peer does.
+	shareInterval = 40 * timer.Millisecond
+)
 
 // onServerDeregistered records the end of a run of the backend server. The reply is an
-// acknowledgement, which binds the instances after this one, so it waits for the row.
+// acknowledgement, which binds the instances after this one, so it waits for the row, and for
+// a peer that knows if the table may lose the row.
 func (co *Controller) onServerDeregistered(ev serverDeregistered, now timer.Instant) {
 	isPresent := co.re.MarkLeaving(ev.id, time.Now().UnixMilli(), now)
 	co.updateServerState(now)
 	co.join(now)
 	co.updateRow(now)
-	switch {
-	case ev.reply == nil:
-	case co.isLeavingStored():
-		ev.reply <- isPresent
-	case len(co.deregistrations) < maxDeregistrations:
-		co.deregistrations = append(co.deregistrations, deregistration{isPresent: isPresent, reply: ev.reply})
+	if ev.reply != nil && len(co.deregistrations) < maxDeregistrations {
+		co.deregistrations = append(co.deregistrations, deregistration{isPresent: isPresent, shareBy: now.Add(shareTimeout), reply: ev.reply})
 	}
+	co.replyToDeregistrations(now)
 }
 
-// deregistration is a call of the backend server that waits for the row to be written.
+// deregistration is a call of the backend server that waits for its reply. From shareBy on,
+// the row alone permits it.
 type deregistration struct {
 	isPresent bool
+	shareBy   timer.Instant
 	reply     chan<- bool
 }
 
+// replyToDeregistrations gives the replies that are permitted.
+func (co *Controller) replyToDeregistrations(now timer.Instant) {
+	if len(co.deregistrations) == 0 || !co.isLeavingStored() {
+		return
+	}
+	isShared := co.isLeavingShared()
+	if !isShared {
+		co.nextRenewAt = min(co.nextRenewAt, now.Add(shareInterval))
+	}
+	co.deregistrations = slices.DeleteFunc(co.deregistrations, func(de deregistration) bool {
+		isPermitted := isShared || !now.Before(de.shareBy)
+		if isPermitted {
+			de.reply <- de.isPresent
+		}
+		return isPermitted
+	})
+}
+
+// onDocumentsShared records that a peer has the same documents. One in the same data centre
+// counts only if there is no other, since a whole data centre may end at once.
+func (co *Controller) onDocumentsShared(peer placer.Member, now timer.Instant) {
+	isElsewhere := func(me placer.Member) bool { return me.DataCentre != co.self.DataCentre }
+	if isElsewhere(peer) || !slices.ContainsFunc(co.ds.members(), isElsewhere) {
+		co.sharedHash = co.ds.hash
+		co.replyToDeregistrations(now)
+	}
+}
+
+// isLeavingShared reports whether a peer has the map that lists every leaving run of the backend
+// server, so that they are known even if the table loses the row. A table without eras loses
+// nothing.
+func (co *Controller) isLeavingShared() bool {
+	if _, ok := co.tableStore.table.(tabler.EraSource); !ok {
+		return true
+	}
+	tb := co.ds.tables[co.self.Service]
+	if tb == nil || co.sharedHash != co.ds.hash {
+		return false
+	}
+	me, _ := tb.Map.Member(co.self.BackendServer)
+	return listsRuns(me, co.leavingRuns())
+}
+
 // leavingRuns returns the runs of the backend server that have announced their end, which
 // the row of this instance must list.
 func (co *Controller) leavingRuns() []registrar.ServerRun {
@@ -74,12 +126,7 @@
 // replies that waited for them.
 func (co *Controller) recordStoredLeaving(runs []registrar.ServerRun) {
 	co.storedLeaving = runs
-	if co.isLeavingStored() {
-		for _, de := range co.deregistrations {
-			de.reply <- de.isPresent
-		}
-		co.deregistrations = nil
-	}
+	co.replyToDeregistrations(co.pu.Now())
 	if co.heldHeartbeat != nil && co.heldHeartbeat.replyAt == co.heldHeartbeat.storeBy && co.mayAcknowledge() {
 		co.heldHeartbeat.replyAt = 0
 		co.replyIfDue(co.pu.Now())
