Soak: play the cases of TestConfigurationBesideFaults side by side

They took 144 s one after the other, mostly waiting. Each fleet now has addresses of its own. Bounds and checks are as they were.

--- a/bench/soaker/configuration_test.go
+++ b/bench/soaker/configuration_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -62,17 +63,21 @@
 	return startTestFleetIn(t, vms, false)
 }
 
+// fleetsStarted numbers the fleets of tests: each has addresses of its own, by its seed.
+var fleetsStarted atomic.Uint64
+
 // startTestFleetIn starts a fleet with a store that names its era if it is to come back from a copy.
 func startTestFleetIn(t *testing.T, vms int, restores bool) *fleet {
 	t.Helper()
 	is := is.New(t)
+	seed := fleetsStarted.Add(1)
 	program := filepath.Join(t.TempDir(), "cornellanding")
 	out, err := exec.Command("go", "build", "-o", program, "cornellanding.example/cmd/cornellanding").CombinedOutput()
 	if err != nil {
 		t.Fatalf("build: %v: %s", err, out)
 	}
 	check := &verifier{}
-	fl, err := startFleet(context.Background(), Settings{Program: program, Folder: t.TempDir(), Seed: 1, VMs: vms, Restores: restores}, check)
+	fl, err := startFleet(context.Background(), Settings{Program: program, Folder: t.TempDir(), Seed: seed, VMs: vms, Restores: restores}, check)
 	t.Cleanup(func() {
 		fl.close()
 		is.Equal(check.list(), nil)
--- a/bench/soaker/denied_test.go
+++ b/bench/soaker/denied_test.go
@@ -72,6 +72,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			fl := startTestFleetIn(t, 6, true)
 			statuses := &tally{counts: map[int]int{}}
