Registrar: count hand-over strings when a reply is to fit

A server with some 171 or 172 ranges never got the last one: the instance granted 171 of 172 over and over, and the keys of that range had no owner.

Cause: adjacent ranges are merged once one hold for each would not fit.

Change: one function gives the size of a hold, hand-over string included, for both sums. The test of sizes no longer uses the platform's name of the reply's term, same length.

--- a/core/registrar/grant.go
+++ b/core/registrar/grant.go
@@ -71,7 +71,7 @@
 	all, size := make([]Hold, len(wanted)), 0
 	for i, wa := range wanted {
 		all[i] = re.holdFor(wa, now)
-		size += maxRangeBytes + digits(all[i].FencingToken)
+		size += holdBytes(all[i])
 	}
 	mergesHolds := size > maxReplySize
 	var (
@@ -85,11 +85,7 @@
 			granted = append(granted, wa.Partition)
 			continue
 		}
-		size += maxRangeBytes + digits(ho.FencingToken)
-		if ho.Handover != "" {
-			size += maxHandoverBytes
-		}
-		if size > maxReplySize {
+		if size += holdBytes(ho); size > maxReplySize {
 			break
 		}
 		holds = append(holds, ho)
@@ -98,8 +94,14 @@
 	return holds, granted
 }
 
-// digits returns the length of a number in decimal.
-func digits(number uint64) int { return len(strconv.FormatUint(number, 10)) }
+// holdBytes bounds the JSON of a hold in a reply, in bytes.
+func holdBytes(ho Hold) int {
+	size := maxRangeBytes + len(strconv.FormatUint(ho.FencingToken, 10))
+	if ho.Handover != "" {
+		size += maxHandoverBytes
+	}
+	return size
+}
 
 // grantOrder is the sort key of partitions in a reply.
 func grantOrder(ps partitionState) int {
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -283,7 +283,7 @@
 				re.ApplyHeartbeat(beat(1), 11*second)
 				reply, granted := re.Grant(wanted, 14*second, 11*second)
 				is.Equal(len(granted), int(count))
-				size := len(`{"holds":[],"holdS":9.999}`)
+				size := len(`{"holds":[],"term":9.9999}`)
 				for _, ho := range reply.Holds {
 					size += len(fmt.Sprintf("[%d,%d,%d,%q],", ho.Range.From, ho.Range.To, ho.FencingToken, ho.Handover))
 				}
@@ -293,6 +293,35 @@
 	}
 }
 
+// TestHandoverFitsTheReply guards against a partition that is never granted, because the reply
+// has room for each hold but not for the hand-over string of that one.
+func TestHandoverFitsTheReply(t *testing.T) {
+	for count := uint32(120); count < 240; count++ {
+		for handovers := range uint32(4) {
+			is := is.New(t)
+			re, err := New(Start(0), Term(term))
+			is.NoErr(err)
+			var (
+				ranges []placer.Range
+				wanted []WantedPartition
+			)
+			for pt := range count {
+				ranges = append(ranges, placer.Range{From: 10000 + 128*pt, To: 10127 + 128*pt})
+				wanted = append(wanted, WantedPartition{Partition: pt, Epoch: 4})
+			}
+			re.SetRanges(ranges)
+			re.ApplyHeartbeat(beat(1), 11*second)
+			reply, _ := re.Grant(wanted[:count-handovers], 14*second, 11*second)
+			re.ApplyHeartbeat(beat(2, reply.Holds...), 12*second)
+			for pt := count - handovers; pt < count; pt++ {
+				re.SetReceivedHandover(pt, "5c0e7a21d94b36f8")
+			}
+			_, granted := re.Grant(wanted, 15*second, 12*second)
+			is.Equal(len(granted), int(count))
+		}
+	}
+}
+
 // TestState checks the states that a server passes through.
 func TestState(t *testing.T) {
 	is := is.New(t)
