--- a/bench/soaker/condition_test.go
+++ b/bench/soaker/condition_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"syscall"
 	"testing"
@@ -100,11 +99,9 @@
 	asOf := time.Now()
 	time.Sleep(100 * time.Millisecond)
 	calledAt := time.Now()
-	target := fmt.Sprintf("http://%s/cornellanding/instances/%s/deregister", leaving.place.Address(platformer.ControlPort), leaving.server.ID())
-	answer, err := http.Post(target, "application/json", nil)
+	isAcknowledged, err := leaving.server.Deregister(ctx)
 	is.NoErr(err)
-	answer.Body.Close()
-	is.Equal(answer.StatusCode/100, 2)
+	is.True(isAcknowledged)
 	took := time.Since(calledAt)
 	fl.store.SetFaults(platformer.StoreFaults{Refuse: http.StatusServiceUnavailable})
 	leaving.mustSignal(t, syscall.SIGKILL)
--- a/standin/platformer/server.go
+++ b/standin/platformer/server.go
@@ -384,6 +384,21 @@
 	return hasReleased
 }
 
+// Deregister announces the end of the server to the instance on its VM, and reports whether that
+// was acknowledged. The server goes on running and sending heartbeats.
+func (bs *Server) Deregister(ctx context.Context) (bool, error) {
+	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bs.control+"/cornellanding/instances/"+bs.ID()+"/deregister", nil)
+	if err != nil {
+		return false, err
+	}
+	answer, err := bs.client.Do(re)
+	if err != nil {
+		return false, err
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode/100 == 2, nil
+}
+
 // ServeHTTP implements http.Handler. A request for another server or for a key that
 // the server does not hold is refused with status 421.
 func (bs *Server) ServeHTTP(wr http.ResponseWriter, re *http.Request) {
