Controller: store a map of an earlier era again when it is learned late

A key could get two owners: an instance had stored again what it knew after the store's return, then learned a newer map from a peer which was killed before it did so itself. Others built the next map on the older one, which doesn't name the latest changes, so that former owners hand nothing over.

Cause: maps were stored again once, as an instance heard of the new era.

Change: a map of an earlier era that is applied after that starts another fold, with the same spread over the members.

Measured: TestMapOfFormerEraIsStoredAgain fails before and passes after.

--- a/instance/controller/controller.go
+++ b/instance/controller/controller.go
@@ -500,6 +500,9 @@
 			continue
 		}
 		isChanged = isChanged || applied
+		if applied {
+			co.restoreIfLost(do, now)
+		}
 	}
 	if isChanged {
 		co.noteConfig(before, ev.from, now)
--- a/instance/controller/era.go
+++ b/instance/controller/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"cornellanding.example/core/folder"
 	"cornellanding.example/core/leaser"
@@ -43,8 +44,7 @@
 	if !co.isJoined {
 		return
 	}
-	spread := restoreSpreadPerMember * timer.Span(1+len(co.ds.members()))
-	co.restoreRowAt = now.Add(timer.Span(co.self.Incarnation % uint64(spread)))
+	co.restoreRowAt = now.Add(co.restoreDelay())
 	co.needsFold = true
 	co.nextFoldAt = max(co.nextFoldAt, co.restoreRowAt)
 	if co.isPoller() {
@@ -56,6 +56,24 @@
 		"config", sequencer.Format(co.ds.config.Version), "row", sequencer.Format(co.ho.Committed().Version), "leaving", len(co.leavingRuns()))
 }
 
+// restoreIfLost makes this instance store a map again that it has learned from a peer after the
+// store came back, if the map is of an earlier era: the peer may end before it does so itself.
+func (co *Controller) restoreIfLost(do Document, now timer.Instant) {
+	service, _ := strings.CutPrefix(do.Name, MapPrefix)
+	tb := co.ds.tables[service]
+	if tb == nil || tb.Map.Era() >= co.era || !co.isJoined {
+		return
+	}
+	co.needsFold = true
+	co.nextFoldAt = min(co.nextFoldAt, now.Add(co.restoreDelay()))
+}
+
+// restoreDelay returns the delay before this instance writes again what the store may have lost.
+func (co *Controller) restoreDelay() timer.Span {
+	spread := restoreSpreadPerMember * timer.Span(1+len(co.ds.members()))
+	return timer.Span(co.self.Incarnation % uint64(spread))
+}
+
 // isRowLost reports whether the row as last committed is of an earlier era of the store, so
 // that the store may lack it.
 func (co *Controller) isRowLost() bool { return co.isJoined && co.rowEra < co.era }
--- a/instance/controller/era_test.go
+++ b/instance/controller/era_test.go
@@ -330,6 +330,25 @@
 	}
 }
 
+// TestMapOfFormerEraIsStoredAgain guards against a map that is lost, with its changes of owners,
+// because the peer that sent it ends before it stores the map again itself.
+func TestMapOfFormerEraIsStoredAgain(t *testing.T) {
+	is := is.New(t)
+	ft := &eraTable{fakeTable: newFakeTable(), era: 1}
+	sc := newSidecar(t, 1)
+	sc.self.Address = "10.0.0.1:7600"
+	sc.tableStore.table = ft
+	sc.joined()
+	first := mapWith(numbered(32), 1)
+	sc.apply(t, first)
+	ft.restore(ft.copy())
+	sc.followEra(sc.clk.Now())
+	sc.needsFold, sc.nextFoldAt = false, sc.startsEraAt // its own maps are stored again
+	sc.apply(t, mapWith(first, 2))
+	is.True(sc.needsFold)
+	is.True(sc.nextFoldAt.Sub(sc.clk.Now()) < memberEraDelay/2)
+}
+
 // TestQuarantineIsStoredAgain guards against requests that crash servers and that a new
 // instance runs again, since the store came back without them.
 func TestQuarantineIsStoredAgain(t *testing.T) {
