--- a/instance/controller/explore_test.go
+++ b/instance/controller/explore_test.go
@@ -60,7 +60,8 @@
 func newExplorer(t *testing.T, seed uint64, instances int) *explorer {
 	ex := &explorer{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), table: &eraTable{fakeTable: newFakeTable(), era: 1},
-		seen: map[string]placer.Map{}, highest: map[string]uint64{}, acknowledged: map[announcedEnd]bool{}, ends: map[string]int{},
+		steps: []string{fmt.Sprintf("seed %d", seed)},
+		seen:  map[string]placer.Map{}, highest: map[string]uint64{}, acknowledged: map[announcedEnd]bool{}, ends: map[string]int{},
 	}
 	ex.ts = tableStore{table: ex.table, externalConfig: func() cataloguer.Config { return counterConfig(number(1, 1)) }, lo: hclog.NewNullLogger()}
 	for i := range instances {
