Registrar: one method gives the run of a heartbeat

Change: Heartbeat.Run. Nothing else changes.

Measured: the tests of registrar and controller pass with the race detector, one run.

--- a/core/registrar/leaving.go
+++ b/core/registrar/leaving.go
@@ -26,6 +26,9 @@
 	StartedAt int64
 }
 
+// Run returns the run of the server that sent the heartbeat.
+func (hb Heartbeat) Run() ServerRun { return ServerRun{ID: hb.ID, StartedAt: hb.StartedAt} }
+
 // leaveNotice records that a run of the server announced its end.
 type leaveNotice struct {
 	ServerRun
@@ -57,7 +60,7 @@
 // started at givenAt, in milliseconds since 1970 by the clock of the VM, 0 if not known: the
 // run that was heard may have crashed in silence.
 func (re *Registrar) MarkLeaving(id string, givenAt int64, now timer.Instant) bool {
-	latest := ServerRun{ID: re.latest.ID, StartedAt: re.latest.StartedAt}
+	latest := re.latest.Run()
 	isHeard := re.isKnown && latest.ID == id && !re.isDown
 	switch {
 	case isHeard && re.hasNotice(latest):
@@ -130,7 +133,7 @@
 		return no.isOpen(now)
 	})
 	if isLeaving {
-		re.addNotice(leaveNotice{ServerRun: ServerRun{ID: hb.ID, StartedAt: hb.StartedAt}})
+		re.addNotice(leaveNotice{ServerRun: hb.Run()})
 	}
 }
 
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -261,14 +261,14 @@
 // server sends again if it received no reply. It may be replied to but must not be
 // applied again, since its content is older than the replies sent since.
 func (re *Registrar) IsDuplicate(hb Heartbeat) bool {
-	return re.isKnown && hb.ID == re.latest.ID && hb.StartedAt == re.latest.StartedAt && hb.Sequence == re.latest.Sequence
+	return re.isKnown && hb.Run() == re.latest.Run() && hb.Sequence == re.latest.Sequence
 }
 
 // ApplyHeartbeat updates the state by a heartbeat received at now. It ignores a
 // heartbeat that is not newer than the latest one, or that must list the server's
 // holds and does not. It reports whether the heartbeat was applied.
 func (re *Registrar) ApplyHeartbeat(hb Heartbeat, now timer.Instant) bool {
-	isSame := re.isKnown && hb.ID == re.latest.ID && hb.StartedAt == re.latest.StartedAt
+	isSame := re.isKnown && hb.Run() == re.latest.Run()
 	switch {
 	case hb.OmitsHolds && len(re.ranges) > 0 && !re.UsesOrders():
 		return false
@@ -290,7 +290,7 @@
 	re.latest, re.isKnown, re.isDown, re.heartbeatAt = hb, true, false, now
 	re.bindNotices(hb, now)
 	if hb.IsDraining {
-		re.addNotice(leaveNotice{ServerRun: ServerRun{ID: hb.ID, StartedAt: hb.StartedAt}})
+		re.addNotice(leaveNotice{ServerRun: hb.Run()})
 	}
 	if !hb.OmitsHolds && !re.UsesOrders() {
 		re.recordHolds(hb)
--- a/instance/controller/leaving.go
+++ b/instance/controller/leaving.go
@@ -102,7 +102,7 @@
 		return registrar.ServerRun{}
 	}
 	hb, _ := co.re.LatestHeartbeat()
-	return registrar.ServerRun{ID: hb.ID, StartedAt: hb.StartedAt}
+	return hb.Run()
 }
 
 // isLeavingStored reports whether the row as last committed lists every leaving run of the
--- a/instance/controller/server.go
+++ b/instance/controller/server.go
@@ -126,7 +126,7 @@
 		}
 		return
 	}
-	if former.ID != hb.ID || former.StartedAt != hb.StartedAt {
+	if former.Run() != hb.Run() {
 		co.serverSince = now
 		co.withdrawOrderedHolds()
 	}
