--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -10,6 +10,7 @@
 	"cornellanding.example/core/registrar"
 	"cornellanding.example/core/timer"
 	"cornellanding.example/wire/peerproto"
+	"google.golang.org/protobuf/proto"
 )
 
 // renew sends a lease renewal to each watcher when one is due.
@@ -116,11 +117,11 @@
 	}
 }
 
-// broadcast sends a datagram to every other instance.
+// broadcast sends a copy of a datagram to every other instance.
 func (co *Controller) broadcast(da *peerproto.Datagram, now timer.Instant) {
 	for _, me := range co.ds.members() {
 		if me.Incarnation != co.self.Incarnation {
-			co.send(me, &peerproto.Datagram{Suspect: da.GetSuspect(), SuspectRun: da.GetSuspectRun(), Cleared: da.GetCleared()}, now)
+			co.send(me, proto.Clone(da).(*peerproto.Datagram), now)
 		}
 	}
 }
