Stand-in: one function calls the instance on the server's VM

Cause: Deregister repeated the request of a heartbeat.

Change: callInstance serves both.

Measured: the tests of platformer, and TestLeavingOutlivesKillAtAcknowledgement with real processes, pass, one run each.

--- a/standin/platformer/server.go
+++ b/standin/platformer/server.go
@@ -288,11 +288,7 @@
 	defer cancel()
 	sentAt := time.Now()
 	body, released := bs.encodeHeartbeat()
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bs.control+"/cornellanding/instances/"+bs.ID()+"/heartbeat", bytes.NewReader(body))
-	if err != nil {
-		panic(err)
-	}
-	answer, err := bs.client.Do(re)
+	answer, err := bs.callInstance(ctx, "heartbeat", body)
 	if err != nil {
 		return false
 	}
@@ -387,11 +383,7 @@
 // Deregister announces the end of the server to the instance on its VM, and reports whether that
 // was acknowledged. The server goes on running and sending heartbeats.
 func (bs *Server) Deregister(ctx context.Context) (bool, error) {
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bs.control+"/cornellanding/instances/"+bs.ID()+"/deregister", nil)
-	if err != nil {
-		return false, err
-	}
-	answer, err := bs.client.Do(re)
+	answer, err := bs.callInstance(ctx, "deregister", nil)
 	if err != nil {
 		return false, err
 	}
@@ -399,6 +391,15 @@
 	return answer.StatusCode/100 == 2, nil
 }
 
+// callInstance calls the instance on the server's VM.
+func (bs *Server) callInstance(ctx context.Context, action string, body []byte) (*http.Response, error) {
+	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+bs.control+"/cornellanding/instances/"+bs.ID()+"/"+action, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	return bs.client.Do(re)
+}
+
 // ServeHTTP implements http.Handler. A request for another server or for a key that
 // the server does not hold is refused with status 421.
 func (bs *Server) ServeHTTP(wr http.ResponseWriter, re *http.Request) {
