Tests: shared set-ups of many ranges, of an era and of a request's status

Change: manyRanges, joinedInEra, statusAt and mustSignal serve them. All assertions are as they were.

--- a/bench/soaker/configuration_test.go
+++ b/bench/soaker/configuration_test.go
@@ -28,13 +28,12 @@
 	lone := fl.lastInZone(t)
 	for _, one := range fl.vms {
 		if one != lone {
-			_, err := one.signal(syscall.SIGSTOP)
-			is.NoErr(err)
+			one.mustSignal(t, syscall.SIGSTOP)
 		}
 	}
 	sentAt := time.Now()
 	fl.configure(addRoute)
-	for fl.statusOf(lone) == http.StatusNotFound && time.Since(sentAt) < 3*applyLimit {
+	for fl.statusAt(lone, addedPrefix) == http.StatusNotFound && time.Since(sentAt) < 3*applyLimit {
 		time.Sleep(readyPoll)
 	}
 	took := time.Since(sentAt)
@@ -50,14 +49,6 @@
 	})
 }
 
-// statusOf returns the status of a request on the added route to an instance, 0 without an
-// answer.
-func (fl *fleet) statusOf(one *vm) int {
-	rq := platformer.Request{ID: "probe", Host: host, Path: addedPrefix, Deadline: time.Second, Credential: "key-of-" + limitedTenant}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	return rq.Send(context.Background(), client, one.place.Address(platformer.OutboundPort)).Status
-}
-
 func startTestFleet(t *testing.T, vms int) *fleet {
 	t.Helper()
 	return startTestFleetIn(t, vms, false)
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -260,6 +260,26 @@
 	is.Equal(re.ReleasedHandover(2), "next")
 }
 
+// manyRanges returns a Registrar that has heard of its server, with count ranges of 128 keys up
+// to the last key, and all of them as wanted under the epochs.
+func manyRanges(t *testing.T, count uint32, epoch func(pt uint32) uint64) (*Registrar, []WantedPartition) {
+	t.Helper()
+	re, err := New(Start(0), Term(term))
+	is.New(t).NoErr(err)
+	var (
+		ranges []placer.Range
+		wanted []WantedPartition
+	)
+	for pt := range count {
+		from := 1<<16 - 128*(count-pt)
+		ranges = append(ranges, placer.Range{From: from, To: from + 127})
+		wanted = append(wanted, WantedPartition{Partition: pt, Epoch: epoch(pt)})
+	}
+	re.SetRanges(ranges)
+	re.ApplyHeartbeat(beat(1), 11*second)
+	return re, wanted
+}
+
 // TestReplyFits checks the size of the reply to a server that holds many partitions of a
 // large service. In later eras of the store tokens are longer: a server that refuses the
 // reply as too large would hold nothing.
@@ -268,19 +288,7 @@
 		for _, count := range []uint32{110, 128, 140, 146, 512} {
 			t.Run(fmt.Sprint(first, " ", count), func(t *testing.T) {
 				is := is.New(t)
-				re, err := New(Start(0), Term(term))
-				is.NoErr(err)
-				var (
-					ranges []placer.Range
-					wanted []WantedPartition
-				)
-				for pt := range count {
-					from := 1<<16 - 128*(count-pt)
-					ranges = append(ranges, placer.Range{From: from, To: from + 127})
-					wanted = append(wanted, WantedPartition{Partition: pt, Epoch: first + uint64(pt)})
-				}
-				re.SetRanges(ranges)
-				re.ApplyHeartbeat(beat(1), 11*second)
+				re, wanted := manyRanges(t, count, func(pt uint32) uint64 { return first + uint64(pt) })
 				reply, granted := re.Grant(wanted, 14*second, 11*second)
 				is.Equal(len(granted), int(count))
 				size := len(`{"holds":[],"term":9.9999}`)
@@ -299,18 +307,7 @@
 	for count := uint32(120); count < 240; count++ {
 		for handovers := range uint32(4) {
 			is := is.New(t)
-			re, err := New(Start(0), Term(term))
-			is.NoErr(err)
-			var (
-				ranges []placer.Range
-				wanted []WantedPartition
-			)
-			for pt := range count {
-				ranges = append(ranges, placer.Range{From: 10000 + 128*pt, To: 10127 + 128*pt})
-				wanted = append(wanted, WantedPartition{Partition: pt, Epoch: 4})
-			}
-			re.SetRanges(ranges)
-			re.ApplyHeartbeat(beat(1), 11*second)
+			re, wanted := manyRanges(t, count, func(uint32) uint64 { return 4 })
 			reply, _ := re.Grant(wanted[:count-handovers], 14*second, 11*second)
 			re.ApplyHeartbeat(beat(2, reply.Holds...), 12*second)
 			for pt := count - handovers; pt < count; pt++ {
--- a/instance/controller/era_test.go
+++ b/instance/controller/era_test.go
@@ -243,18 +243,25 @@
 	}
 }
 
+// joinedInEra returns an instance with incarnation 1 that has joined through a table in era 1.
+func joinedInEra(t *testing.T) (*sidecar, *eraTable) {
+	t.Helper()
+	ft := &eraTable{fakeTable: newFakeTable(), era: 1}
+	sc := newSidecar(t, 1)
+	sc.self.Address = "10.0.0.1:7600"
+	sc.tableStore.table = ft
+	sc.joined()
+	sc.ds.config = counterConfig(number(1, 1))
+	sc.tableStore.externalConfig = func() cataloguer.Config { return sc.ds.config }
+	return sc, ft
+}
+
 // TestLeavingOutlivesRestoredStore guards against requests to a server whose leaving was
 // acknowledged: the store comes back without the row that says so, and the instance that knew
 // of it is killed before it writes that again.
 func TestLeavingOutlivesRestoredStore(t *testing.T) {
 	is := is.New(t)
-	ft := &eraTable{fakeTable: newFakeTable(), era: 1}
-	former := newSidecar(t, 1)
-	former.self.Address = "10.0.0.1:7600"
-	former.tableStore.table = ft
-	former.joined()
-	former.ds.config = counterConfig(number(1, 1))
-	former.tableStore.externalConfig = func() cataloguer.Config { return former.ds.config }
+	former, ft := joinedInEra(t)
 	former.beat(nil, nil)
 	older := ft.copy()
 	former.deregister("s1")
@@ -293,13 +300,7 @@
 func TestDeregistrationIsAcknowledgedOnceShared(t *testing.T) {
 	for _, isHeard := range []bool{false, true} {
 		is := is.New(t)
-		ft := &eraTable{fakeTable: newFakeTable(), era: 1}
-		sc := newSidecar(t, 1)
-		sc.self.Address = "10.0.0.1:7600"
-		sc.tableStore.table = ft
-		sc.joined()
-		sc.ds.config = counterConfig(number(1, 1))
-		sc.tableStore.externalConfig = func() cataloguer.Config { return sc.ds.config }
+		sc, _ := joinedInEra(t)
 		sc.beat(nil, nil)
 		for incarnation, dataCentre := range map[uint64]string{2: "x", 3: "y"} {
 			ir := rowOf(incarnation, 0)
@@ -334,11 +335,7 @@
 // because the peer that sent it ends before it stores the map again itself.
 func TestMapOfFormerEraIsStoredAgain(t *testing.T) {
 	is := is.New(t)
-	ft := &eraTable{fakeTable: newFakeTable(), era: 1}
-	sc := newSidecar(t, 1)
-	sc.self.Address = "10.0.0.1:7600"
-	sc.tableStore.table = ft
-	sc.joined()
+	sc, ft := joinedInEra(t)
 	first := mapWith(numbered(32), 1)
 	sc.apply(t, first)
 	ft.restore(ft.copy())
